--- /dev/null
+++ b/src/cli/standin_command.ts
@@ -0,0 +1,84 @@
+/** Runs stand-ins of the platform and the databases until interrupted. */
+import {readFileSync} from 'node:fs';
+import {loadModule} from 'libpg-query';
+import {Config, digestKey} from '../core/config.js';
+import {StoreKey} from '../platform/store.js';
+import {StandinGroup} from '../standin/group.js';
+import {StandinPlatform} from '../standin/platform.js';
+import {ExitCode} from './main.js';
+
+type Options = Readonly<Record<string, unknown>>;
+
+const PORTS_PER_GROUP = 3;
+const CUSTOMER = 'supermaxi';
+const KEY = 'standin-key';
+const LIMITS = {slots: 2, connections: 16, connectMs: 10, serviceTimeMs: 0};
+const RATE = {ratePerS: 100_000, burst: 100_000, weight: 1};
+const PLACES = [
+  {region: 'sierra', zone: 'sierra-a'},
+  {region: 'sierra', zone: 'sierra-b'},
+  {region: 'costa', zone: 'costa-a'},
+];
+
+/** Starts the stand-ins and waits for SIGINT or SIGTERM. */
+export async function runStandin(
+  options: Options,
+  say: (line: string) => void,
+): Promise<ExitCode> {
+  await loadModule();
+  const platform = await StandinPlatform.create({
+    port: Number(options.platformPort),
+  });
+  const groups = await startGroups(options);
+  platform.put(StoreKey.config, JSON.stringify(configOf(groups)));
+  if (typeof options.vms === 'string') {
+    platform.put(StoreKey.vms, readFileSync(options.vms, 'utf8'));
+  }
+  say(`platform at ${platform.url}; customer ${CUSTOMER}, key ${KEY}`);
+  for (const group of groups) {
+    const ports = group.servers.map(server => server.port).join(', ');
+    say(`${group.options.service}: ports ${ports}`);
+  }
+  await new Promise<void>(resolve => {
+    process.once('SIGTERM', resolve);
+    process.once('SIGINT', resolve);
+  });
+  await Promise.all(groups.map(group => group.close()));
+  await platform.close();
+  return ExitCode.ok;
+}
+
+async function startGroups(options: Options): Promise<StandinGroup[]> {
+  const groups: StandinGroup[] = [];
+  for (let i = 0; i < Number(options.services); i++) {
+    groups.push(
+      await StandinGroup.create({
+        service: `order-books-${i + 1}`,
+        databases: PORTS_PER_GROUP,
+        places: PLACES,
+        ...LIMITS,
+        lagMs: Number(options.lagMs),
+        basePort: Number(options.basePort) + i * PORTS_PER_GROUP,
+      }),
+    );
+  }
+  return groups;
+}
+
+function configOf(groups: readonly StandinGroup[]): Config {
+  const services = groups.map(group => ({
+    name: group.options.service,
+    databases: group.databaseConfigs(),
+    slots: LIMITS.slots,
+    connections: LIMITS.connections,
+    writeAck: 'replica' as const,
+    open: false,
+  }));
+  const customer = {
+    name: CUSTOMER,
+    keys: [{id: 'first', digest: digestKey(KEY)}],
+    services: services.map(service => service.name),
+    ...RATE,
+  };
+  return {version: 1, services, customers: [customer], history: []};
+}
--- /dev/null
+++ b/src/core/position.ts
@@ -0,0 +1,68 @@
+/** Log positions, terms and the lineage that orders them. */
+
+/** A place in a group's log: the term that wrote it and its offset. */
+export interface Position {
+  readonly term: number;
+  readonly offset: number;
+}
+
+/** Where each term began: offsets above `startOffset` belong to the term. */
+export interface TermStart {
+  readonly term: number;
+  readonly startOffset: number;
+}
+
+/** A database's report about itself. */
+export interface DatabaseStatus {
+  readonly database: string;
+  readonly role: 'primary' | 'replica';
+  /** The highest term this database has been raised to. */
+  readonly term: number;
+  /** Offset applied locally. */
+  readonly offset: number;
+  /** Lineage of the local log, ascending by term. */
+  readonly lineage: readonly TermStart[];
+  /** The database this one replicates from. */
+  readonly following?: string;
+}
+
+/** Orders log ends: a later term's log wins, then the longer one. */
+export const comparePositions = (a: Position, b: Position): number =>
+  a.term - b.term || a.offset - b.offset;
+
+/** The position at the end of a database's log. */
+export function logEnd(status: DatabaseStatus): Position {
+  const last = status.lineage[status.lineage.length - 1];
+  return {term: last?.term ?? 0, offset: status.offset};
+}
+
+/** How a session's floor relates to one database's log. */
+export const Coverage = {
+  covered: 'covered',
+  /** The position is on this lineage, not applied yet. */
+  behind: 'behind',
+  /** The log does not know the floor's term yet. */
+  unknownTerm: 'unknown_term',
+  /** A later term started below the floor: the write is not in this log. */
+  lost: 'lost',
+} as const;
+export type Coverage = (typeof Coverage)[keyof typeof Coverage];
+
+/** Tells whether a log holds everything up to `floor`. */
+export function coverage(status: DatabaseStatus, floor: Position): Coverage {
+  const next = status.lineage.find(start => start.term > floor.term);
+  if (next && floor.offset > next.startOffset) return Coverage.lost;
+  if (logEnd(status).term < floor.term) return Coverage.unknownTerm;
+  return status.offset >= floor.offset ? Coverage.covered : Coverage.behind;
+}
+
+/** Text form used between proxies and databases: `term/offset`. */
+export const formatPosition = (position: Position): string =>
+  `${position.term}/${position.offset}`;
+
+/** Parses `term/offset`; undefined when malformed. */
+export function parsePosition(text: string): Position | undefined {
+  const match = /^(\d{1,15})\/(\d{1,15})$/.exec(text);
+  if (!match) return undefined;
+  return {term: Number(match[1]), offset: Number(match[2])};
+}
--- /dev/null
+++ b/src/core/rates.ts
@@ -0,0 +1,260 @@
+/**
+ * A customer's rate and burst across the fleet. Each VM accrues a fixed share
+ * of the rate. A token expires one burst window (burst / rate) after it
+ * accrued, wherever it is held by then. Hence whatever is granted in any
+ * window [t, t+d] accrued in [t - burst/rate, t+d], which is at most
+ * burst + rate * d, however tokens move between VMs.
+ *
+ * Tokens are kept as stretches of accrual time. A lender removes a stretch
+ * before it answers; a lost answer loses tokens and never mints any.
+ */
+
+/** Tokens that accrued evenly over a stretch of time. */
+export interface Stretch {
+  readonly fromMs: number;
+  readonly toMs: number;
+  readonly tokensPerMs: number;
+}
+
+/** A stretch as sent to another VM, by age instead of by clock. */
+export interface LentStretch {
+  readonly oldestAgeMs: number;
+  readonly newestAgeMs: number;
+  readonly tokensPerMs: number;
+}
+
+/** Rate and burst of one customer. */
+export interface Rate {
+  readonly ratePerS: number;
+  readonly burst: number;
+}
+
+/** One customer's tokens at one VM. Immutable. */
+export interface Bucket {
+  readonly rate: Rate;
+  /** Fraction of the rate that this VM accrues, 0 to 1. */
+  readonly share: number;
+  /** Closed stretches, oldest first. */
+  readonly stretches: readonly Stretch[];
+  /** Start of the stretch that still accrues. */
+  readonly accruesFromMs: number;
+}
+
+/** Result of taking tokens. */
+export interface Taken {
+  readonly bucket: Bucket;
+  readonly stretches: readonly Stretch[];
+}
+
+const MS_PER_S = 1_000;
+const EPSILON = 1e-9;
+/** Tokens closer to expiry than this are not worth lending. */
+const MIN_LENT_LIFE_MS = 50;
+
+/** Time from a token's accrual to its expiry. */
+export const windowMs = (rate: Rate): number =>
+  (rate.burst / rate.ratePerS) * MS_PER_S;
+
+/** An empty bucket. */
+export const emptyBucket = (
+  rate: Rate,
+  share: number,
+  nowMs: number,
+): Bucket => ({rate, share, stretches: [], accruesFromMs: nowMs});
+
+/** A full bucket, for a customer that is new to the whole fleet. */
+export const fullBucket = (rate: Rate, share: number, nowMs: number): Bucket =>
+  emptyBucket(rate, share, nowMs - windowMs(rate));
+
+const perMs = (bucket: Bucket): number =>
+  (bucket.rate.ratePerS * bucket.share) / MS_PER_S;
+
+const tokensIn = (stretch: Stretch): number =>
+  Math.max(0, stretch.toMs - stretch.fromMs) * stretch.tokensPerMs;
+
+/** All unexpired stretches, the accruing one closed at `nowMs`. */
+function liveStretches(bucket: Bucket, nowMs: number): Stretch[] {
+  const oldestMs = nowMs - windowMs(bucket.rate);
+  const open: Stretch = {
+    fromMs: bucket.accruesFromMs,
+    toMs: nowMs,
+    tokensPerMs: perMs(bucket),
+  };
+  return [...bucket.stretches, open]
+    .map(s => ({...s, fromMs: Math.max(s.fromMs, oldestMs)}))
+    .filter(s => s.toMs > s.fromMs && s.tokensPerMs > 0);
+}
+
+/** Tokens that can be taken now. */
+export const balance = (bucket: Bucket, nowMs: number): number =>
+  liveStretches(bucket, nowMs).reduce((sum, s) => sum + tokensIn(s), 0);
+
+/** Removes up to `amount` tokens, oldest first. */
+function remove(bucket: Bucket, amount: number, nowMs: number): Taken {
+  const taken: Stretch[] = [];
+  const kept: Stretch[] = [];
+  let missing = amount;
+  for (const stretch of liveStretches(bucket, nowMs)) {
+    if (missing <= EPSILON) {
+      kept.push(stretch);
+      continue;
+    }
+    const tokens = tokensIn(stretch);
+    const part = Math.min(tokens, missing);
+    missing -= part;
+    const cutMs =
+      part >= tokens
+        ? stretch.toMs
+        : stretch.fromMs + part / stretch.tokensPerMs;
+    taken.push({...stretch, toMs: cutMs});
+    if (cutMs < stretch.toMs) kept.push({...stretch, fromMs: cutMs});
+  }
+  return {
+    bucket: {...bucket, stretches: kept, accruesFromMs: nowMs},
+    stretches: taken,
+  };
+}
+
+/** Takes one request's tokens, or nothing. */
+export function take(
+  bucket: Bucket,
+  amount: number,
+  nowMs: number,
+): Bucket | undefined {
+  if (balance(bucket, nowMs) + EPSILON < amount) return undefined;
+  return remove(bucket, amount, nowMs).bucket;
+}
+
+/** Changes the share or the rate; tokens already accrued keep their age. */
+export function reshape(
+  bucket: Bucket,
+  rate: Rate,
+  share: number,
+  nowMs: number,
+): Bucket {
+  const stretches = liveStretches(bucket, nowMs);
+  return {rate, share, stretches, accruesFromMs: nowMs};
+}
+
+/** Lends up to `wanted` tokens, keeping `reserve`. */
+export function lend(
+  bucket: Bucket,
+  wanted: number,
+  reserve: number,
+  nowMs: number,
+): {bucket: Bucket; lent: readonly LentStretch[]} {
+  const ripe = dropExpiring(bucket, nowMs);
+  const amount = Math.min(wanted, balance(ripe, nowMs) - reserve);
+  if (amount <= EPSILON) return {bucket, lent: []};
+  const taken = remove(ripe, amount, nowMs);
+  return {
+    bucket: taken.bucket,
+    lent: taken.stretches.map(s => ({
+      oldestAgeMs: nowMs - s.fromMs,
+      newestAgeMs: nowMs - s.toMs,
+      tokensPerMs: s.tokensPerMs,
+    })),
+  };
+}
+
+/** Forgets tokens that would expire on their way. */
+function dropExpiring(bucket: Bucket, nowMs: number): Bucket {
+  const lifeMs = windowMs(bucket.rate);
+  const oldestMs = nowMs - lifeMs + Math.min(MIN_LENT_LIFE_MS, lifeMs / 4);
+  const stretches = liveStretches(bucket, nowMs)
+    .map(s => ({...s, fromMs: Math.max(s.fromMs, oldestMs)}))
+    .filter(s => s.toMs > s.fromMs);
+  return {...bucket, stretches, accruesFromMs: nowMs};
+}
+
+/**
+ * Adds borrowed tokens. Their ages held when the lender answered, which was
+ * after the request was sent: dating them from `requestedAtMs` makes them
+ * expire no later than they would have at the lender.
+ */
+export function receive(
+  bucket: Bucket,
+  lent: readonly LentStretch[],
+  requestedAtMs: number,
+  nowMs: number,
+): Bucket {
+  const received = lent.map(s => ({
+    fromMs: requestedAtMs - s.oldestAgeMs,
+    toMs: requestedAtMs - s.newestAgeMs,
+    tokensPerMs: s.tokensPerMs,
+  }));
+  const stretches = [...liveStretches(bucket, nowMs), ...received];
+  stretches.sort((a, b) => a.fromMs - b.fromMs);
+  return {...bucket, stretches, accruesFromMs: nowMs};
+}
+
+/** How much a VM lately needed of one customer's tokens. Immutable. */
+export interface Demand {
+  readonly tokensPerS: number;
+  readonly atMs: number;
+}
+
+const DEMAND_MEMORY_MS = 1_000;
+
+export const NO_DEMAND: Demand = {tokensPerS: 0, atMs: 0};
+
+/** Adds `amount` requested tokens to an exponentially fading mean. */
+export function addDemand(
+  demand: Demand,
+  amount: number,
+  nowMs: number,
+): Demand {
+  const fading = Math.exp(-(nowMs - demand.atMs) / DEMAND_MEMORY_MS);
+  const tokensPerS =
+    demand.tokensPerS * fading + amount * (MS_PER_S / DEMAND_MEMORY_MS);
+  return {tokensPerS, atMs: nowMs};
+}
+
+/** The present mean. */
+export const demandPerS = (demand: Demand, nowMs: number): number =>
+  demand.tokensPerS * Math.exp(-(nowMs - demand.atMs) / DEMAND_MEMORY_MS);
+
+/** How a VM decides to borrow. */
+export interface BorrowPolicy {
+  /** Demand over this time is kept in stock. */
+  readonly stockMs: number;
+  /** Borrowing starts when the stock is below this part of its target. */
+  readonly refillBelow: number;
+}
+
+export const DEFAULT_BORROWING: BorrowPolicy = {stockMs: 400, refillBelow: 0.6};
+
+/** Tokens to borrow now; 0 when the stock suffices. */
+export function wantedTokens(
+  bucket: Bucket,
+  demand: Demand,
+  waiting: number,
+  nowMs: number,
+  policy: BorrowPolicy = DEFAULT_BORROWING,
+): number {
+  const needPerS = Math.min(
+    demandPerS(demand, nowMs) * 1.25,
+    bucket.rate.ratePerS,
+  );
+  const ownPerS = bucket.rate.ratePerS * bucket.share;
+  const uncoveredPerS = Math.max(0, needPerS - ownPerS);
+  const target = (uncoveredPerS * policy.stockMs) / MS_PER_S + waiting;
+  const held = balance(bucket, nowMs);
+  return held >= target * policy.refillBelow && held >= waiting
+    ? 0
+    : Math.min(target - held + waiting, bucket.rate.burst);
+}
+
+/** Tokens a lender keeps for its own demand. */
+export function reserveOf(
+  bucket: Bucket,
+  demand: Demand,
+  nowMs: number,
+  policy: BorrowPolicy = DEFAULT_BORROWING,
+): number {
+  const needPerS = Math.min(
+    demandPerS(demand, nowMs),
+    bucket.rate.ratePerS * bucket.share,
+  );
+  return (needPerS * policy.stockMs) / (2 * MS_PER_S);
+}
--- /dev/null
+++ b/src/proxy/proxy.ts
@@ -0,0 +1,458 @@
+/** One proxy process: everything a VM runs, composed and owned here. */
+import {createHash, randomBytes} from 'node:crypto';
+import {readFileSync} from 'node:fs';
+import {JSONRPCServer} from 'json-rpc-2.0';
+import {loadModule, parseSync} from 'libpg-query';
+import {interval} from 'rxjs';
+import {DatabaseConfig, findService} from '../core/config.js';
+import {Executor} from '../core/lane.js';
+import {score} from '../core/placement.js';
+import {RouteRead} from '../core/routing.js';
+import {createClassifier} from '../core/sql.js';
+import {BackendConnection, BackendTarget} from '../pg/backend.js';
+import {PeerServer} from '../peer/server.js';
+import {EtcdStore} from '../platform/etcd.js';
+import {ConfigFeed} from './config_feed.js';
+import {Fleet} from './fleet.js';
+import {FleetExecutor} from './fleet_executor.js';
+import {Groups} from './groups.js';
+import {Intents} from './intents.js';
+import {Lifecycle} from './lifecycle.js';
+import {Listener} from './listener.js';
+import {createLog, Log} from './log.js';
+import {MembershipFeed} from './membership_feed.js';
+import {Metrics} from './metrics.js';
+import {OperatorServer} from './operators.js';
+import {RateKeeper} from './rate_keeper.js';
+import {SessionHost} from './session.js';
+import {describeSettings, ResolvedSettings, Settings} from './settings.js';
+
+/** Behaviour that tests and benchmarks replace. */
+export interface ProxyHooks {
+  readonly routeRead?: RouteRead;
+}
+
+/** Which VMs watch the platform: the first few by hash. */
+const WATCHERS = 3;
+const METRICS_INTERVAL_MS = 5_000;
+const MAX_OBSERVERS = 4;
+const REACH_TIMEOUT_MS = 400;
+const DRAIN_POLL_MS = 50;
+/** Time in which the balancer and the peers learn of the shutdown. */
+const DRAIN_NOTICE_MS = 1_000;
+const CANCEL_PREFIX_MASK = 0x7fff;
+const SQL_CACHE = {cacheEntries: 10_000, cachedTextBytes: 4_096};
+
+/** A running proxy. */
+export class Proxy {
+  private readonly lifecycle = Lifecycle.create();
+  private readonly log: Log;
+  private readonly settings: Settings;
+  private readonly metrics: Metrics;
+  private readonly store: EtcdStore;
+  private readonly feed: ConfigFeed;
+  private readonly fleet: Fleet;
+  private readonly members: MembershipFeed;
+  private readonly rates: RateKeeper;
+  private readonly groups: Groups;
+  private readonly rpc = new JSONRPCServer();
+  private readonly rosterMember: string;
+  private readonly executors = new Map<
+    string,
+    {key: string; executor: Executor}
+  >();
+  private peerServer!: PeerServer;
+  private listener!: Listener;
+  private operators!: OperatorServer;
+  private draining: Promise<void> | undefined;
+  private requestCount = 0;
+  private ready = false;
+
+  private constructor(
+    private readonly resolved: ResolvedSettings,
+    private readonly hooks: ProxyHooks,
+  ) {
+    const {settings} = resolved;
+    this.settings = settings;
+    this.log = createLog('proxy', settings.vm);
+    const boot = randomBytes(4).toString('hex');
+    this.rosterMember = `${settings.vm}/${boot}`;
+    const {lifecycle} = this;
+    this.metrics = lifecycle.own(this.createMetrics(), m => m.close());
+    this.store = lifecycle.own(
+      EtcdStore.create({
+        url: settings.platformUrl,
+        timeoutMs: settings.platformTimeoutMs,
+      }),
+      store => store.close(),
+    );
+    this.feed = lifecycle.own(this.createFeed(), feed => feed.close());
+    this.fleet = lifecycle.own(this.createFleet(), fleet => fleet.close());
+    this.members = lifecycle.own(this.createMembers(), m => m.close());
+    this.rates = lifecycle.own(this.createRates(), rates => rates.close());
+    this.groups = lifecycle.own(this.createGroups(), g => g.close());
+    this.addMethods();
+  }
+
+  /** Starts a proxy; it serves callers once it has a configuration. */
+  static async create(
+    resolved: ResolvedSettings,
+    hooks: ProxyHooks = {},
+  ): Promise<Proxy> {
+    await loadModule();
+    const proxy = new Proxy(resolved, hooks);
+    try {
+      await proxy.listen();
+    } catch (error) {
+      await proxy.lifecycle.close();
+      throw error;
+    }
+    void proxy.bootstrap();
+    return proxy;
+  }
+
+  get callerPort(): number {
+    return this.listener.port;
+  }
+
+  get peerPort(): number {
+    return this.peerServer.port;
+  }
+
+  get operatorPort(): number {
+    return this.operators.port;
+  }
+
+  get isDraining(): boolean {
+    return this.draining !== undefined;
+  }
+
+  /** The process's state, for people on call. */
+  dump(): object {
+    return {
+      vm: this.settings.vm,
+      pid: process.pid,
+      ready: this.ready,
+      draining: this.isDraining,
+      configVersion: this.feed.config.version,
+      roster: this.feed.roster,
+      watchesPlatform: this.feed.isWatching,
+      connections: this.listener.connectionCount,
+      sessions: this.listener.sessionCount,
+      lanes: this.groups.laneCount,
+      memoryBytes: process.memoryUsage().rss,
+      processorMs: processorMs(),
+      metrics: this.metrics.dump(),
+      fleet: this.fleet.dump(),
+      rates: this.rates.dump(),
+      groups: this.groups.dump(),
+      settings: describeSettings(this.resolved),
+    };
+  }
+
+  /** Shuts down gracefully: no request that has begun is cut. */
+  drain(): Promise<void> {
+    this.draining ??= this.performDrain();
+    return this.draining;
+  }
+
+  /** Shuts down at once. */
+  close(): Promise<void> {
+    return this.lifecycle.close();
+  }
+
+  private createMetrics(): Metrics {
+    const {metricsHost, metricsPort, vm} = this.settings;
+    return Metrics.create({host: metricsHost, port: metricsPort, vm});
+  }
+
+  private createFeed(): ConfigFeed {
+    return ConfigFeed.create({
+      store: this.store,
+      log: createLog('config', this.settings.vm),
+      watches: () => this.watchesPlatform(),
+    });
+  }
+
+  private createFleet(): Fleet {
+    const {vm, host, peerPort, region, zone} = this.settings;
+    return Fleet.create({
+      address: {vm, host, peerPort, place: {region, zone}},
+      secrets: this.settings.fleetSecrets,
+      maxFrameBytes: this.settings.maxFrameBytes,
+      feed: this.feed,
+      rpc: this.rpc,
+      log: createLog('fleet', vm),
+      rosterMember: this.rosterMember,
+    });
+  }
+
+  private createMembers(): MembershipFeed {
+    return MembershipFeed.create({
+      vm: this.settings.vm,
+      rosterMember: this.rosterMember,
+      store: this.store,
+      feed: this.feed,
+      fleet: this.fleet,
+      log: createLog('fleet', this.settings.vm),
+    });
+  }
+
+  private createRates(): RateKeeper {
+    return RateKeeper.create({
+      fleet: this.fleet,
+      feed: this.feed,
+      rpc: this.rpc,
+      share: () => this.members.share,
+    });
+  }
+
+  private createGroups(): Groups {
+    const {vm} = this.settings;
+    return Groups.create({
+      self: vm,
+      config$: this.feed.config$,
+      config: () => this.feed.config,
+      candidates: () => this.fleet.candidates,
+      targetOf: (service, database) => this.targetOf(service, database),
+      runner: {
+        claimant: this.rosterMember,
+        log: createLog('failover', vm),
+        observers: () => [vm, ...this.fleet.peers.slice(0, MAX_OBSERVERS)],
+        askObserver: (observer, service, database) =>
+          this.askObserver(observer, service, database),
+      },
+      onRouted: (access, toReplica) => this.metrics.routed(access, toReplica),
+      routeRead: this.hooks.routeRead,
+    });
+  }
+
+  private async listen(): Promise<void> {
+    const {settings, lifecycle} = this;
+    this.peerServer = lifecycle.own(
+      await PeerServer.create({
+        host: settings.host,
+        port: settings.peerPort,
+        secrets: settings.fleetSecrets,
+        rpc: this.rpc,
+        executor: this.groups,
+        maxFrameBytes: settings.maxFrameBytes,
+      }),
+      server => server.close(),
+    );
+    this.fleet.setPeerPort(this.peerServer.port);
+    this.listener = lifecycle.own(await this.createListener(), l => l.close());
+    this.operators = lifecycle.own(await this.createOperators(), o =>
+      o.close(),
+    );
+    const subscription = this.feed.config$.subscribe(() =>
+      this.listener.recheckSessions(),
+    );
+    lifecycle.own(subscription, s => s.unsubscribe());
+    const publishing = interval(METRICS_INTERVAL_MS).subscribe(() =>
+      this.metrics.publish({connections: this.listener.connectionCount}),
+    );
+    lifecycle.own(publishing, s => s.unsubscribe());
+    this.log('listening', {
+      callerPort: this.callerPort,
+      peerPort: this.peerPort,
+      operatorPort: this.operatorPort,
+    });
+  }
+
+  private createListener(): Promise<Listener> {
+    const {settings} = this;
+    return Listener.create({
+      host: settings.host,
+      port: settings.callerPort,
+      tls: this.callerTls(),
+      maxConnections: settings.maxConnections,
+      loginTimeoutMs: settings.loginTimeoutMs,
+      sessionHost: this.sessionHost(),
+      cancelPrefix: cancelPrefixOf(settings.vm),
+      onForeignCancel: (id, secret) => void this.passCancel(id, secret),
+    });
+  }
+
+  private createOperators(): Promise<OperatorServer> {
+    const {settings} = this;
+    return OperatorServer.create({
+      host: settings.host,
+      port: settings.operatorPort,
+      operatorKeys: settings.operatorKeys,
+      intents: Intents.create(this.store),
+      isHealthy: () => this.ready && !this.isDraining,
+      show: () => this.feed.config,
+      dump: () => this.dump(),
+      drain: () => void this.drain(),
+      onConfirmed: config => this.feed.offerConfig(config),
+    });
+  }
+
+  private callerTls(): {cert: Buffer; key: Buffer} | undefined {
+    const {tlsCertFile, tlsKeyFile} = this.settings;
+    if (tlsCertFile === '') return undefined;
+    return {cert: readFileSync(tlsCertFile), key: readFileSync(tlsKeyFile)};
+  }
+
+  private sessionHost(): SessionHost {
+    const [tokenSecret] = this.settings.fleetSecrets;
+    return {
+      classify: createClassifier(parseSync, SQL_CACHE),
+      tokenSecret,
+      requestTimeoutMs: this.settings.requestTimeoutMs,
+      maxFrameBytes: this.settings.maxFrameBytes,
+      config: () => this.feed.config,
+      executorFor: service => this.executorFor(service),
+      admit: customer => this.rates.admit(customer),
+      isDraining: () => this.isDraining,
+      nextRequestId: () => `${this.rosterMember}/${++this.requestCount}`,
+      answered: (kind, latencyMs) => this.metrics.answered(kind, latencyMs),
+    };
+  }
+
+  private executorFor(name: string): Executor {
+    const service = findService(this.feed.config, name);
+    if (!service) return this.groups;
+    const known = this.executors.get(name);
+    const key = String(this.feed.config.version);
+    if (known?.key === key) return known.executor;
+    const executor = FleetExecutor.create({
+      service,
+      self: this.settings.vm,
+      candidates: () => this.fleet.candidates,
+      local: () => this.groups,
+      remote: vm => this.fleet.client(vm),
+      onUnreachable: vm => this.fleet.reportFailure(vm),
+    });
+    this.executors.set(name, {key, executor});
+    return executor;
+  }
+
+  private targetOf(service: string, database: DatabaseConfig): BackendTarget {
+    const {settings} = this;
+    return {
+      host: database.host,
+      port: database.port,
+      database: service,
+      user: settings.backendUser,
+      password: settings.backendPassword,
+      tlsCa:
+        settings.backendCaFile === ''
+          ? undefined
+          : readFileSync(settings.backendCaFile, 'utf8'),
+      connectTimeoutMs: REACH_TIMEOUT_MS * 2,
+      maxFrameBytes: settings.maxFrameBytes,
+    };
+  }
+
+  private watchesPlatform(): boolean {
+    const vms = this.fleet.candidates.map(candidate => candidate.vm);
+    const first = vms
+      .map(vm => ({vm, order: score('platform', vm)}))
+      .sort((a, b) => b.order - a.order)
+      .slice(0, WATCHERS);
+    return first.some(entry => entry.vm === this.settings.vm);
+  }
+
+  private addMethods(): void {
+    this.rpc.addMethod('group.reach', (params: ReachParams) =>
+      this.reach(params),
+    );
+    this.rpc.addMethod('session.cancel', (params: CancelParams) =>
+      this.listener.cancel(params.processId, params.secret),
+    );
+  }
+
+  private async askObserver(
+    vm: string,
+    service: string,
+    database: string,
+  ): Promise<boolean | undefined> {
+    const params: ReachParams = {service, database};
+    if (vm === this.settings.vm) return this.reach(params);
+    try {
+      const client = this.fleet.client(vm);
+      return await client?.call('group.reach', params, REACH_TIMEOUT_MS * 2);
+    } catch {
+      return undefined;
+    }
+  }
+
+  /** Whether a new connection to a database can be opened from here. */
+  private async reach(params: ReachParams): Promise<boolean | undefined> {
+    const service = findService(this.feed.config, params.service);
+    const database = service?.databases.find(d => d.name === params.database);
+    if (!database) return undefined;
+    const opened = await BackendConnection.connect({
+      ...this.targetOf(params.service, database),
+      connectTimeoutMs: REACH_TIMEOUT_MS,
+    });
+    if (opened.isOk()) opened.value.destroy();
+    // A refusal for want of room is an answer of a living database.
+    return opened.isOk() || /too many connections/.test(opened.error.message);
+  }
+
+  private async passCancel(processId: number, secret: number): Promise<void> {
+    const prefix = Math.floor(processId / 2 ** 16);
+    const vm = this.fleet.peers.find(peer => cancelPrefixOf(peer) === prefix);
+    if (vm === undefined) return;
+    const params: CancelParams = {processId, secret};
+    await this.fleet
+      .client(vm)
+      ?.call('session.cancel', params, REACH_TIMEOUT_MS)
+      .catch(() => undefined);
+  }
+
+  /** Waits for a configuration: from the platform, else from several peers. */
+  private async bootstrap(): Promise<void> {
+    while (this.feed.config.version === 0 && !this.isDraining) {
+      const answered = await this.feed.readPlatform();
+      if (!answered) await this.fleet.askPeers();
+      await new Promise(resolve => setTimeout(resolve, DRAIN_POLL_MS * 2));
+    }
+    this.ready = true;
+    this.log('ready', {configVersion: this.feed.config.version});
+  }
+
+  private async performDrain(): Promise<void> {
+    const endsAtMs = Date.now() + this.settings.drainTimeoutMs;
+    this.log('draining', {sessions: this.listener.sessionCount});
+    await Promise.all([this.fleet.leave(), this.members.leave()]);
+    await new Promise(resolve => setTimeout(resolve, DRAIN_NOTICE_MS));
+    this.listener.stopAccepting();
+    while (this.isBusy() && Date.now() < endsAtMs) {
+      this.listener.drainSessions();
+      await new Promise(resolve => setTimeout(resolve, DRAIN_POLL_MS));
+    }
+    this.log('drained', {
+      cutSessions: this.listener.sessionCount,
+      cutLanes: this.groups.laneCount,
+    });
+    await this.close();
+  }
+
+  private isBusy(): boolean {
+    return this.listener.sessionCount > 0 || this.groups.laneCount > 0;
+  }
+}
+
+interface ReachParams {
+  readonly service: string;
+  readonly database: string;
+}
+
+interface CancelParams {
+  readonly processId: number;
+  readonly secret: number;
+}
+
+function cancelPrefixOf(vm: string): number {
+  const digest = createHash('sha1').update(vm).digest();
+  return digest.readUInt16BE(0) & CANCEL_PREFIX_MASK;
+}
+
+function processorMs(): number {
+  const {user, system} = process.cpuUsage();
+  return Math.round((user + system) / 1_000);
+}
--- /dev/null
+++ b/src/proxy/rate_keeper.ts
@@ -0,0 +1,282 @@
+/** Grants requests from this VM's share of each rate, borrowing from peers. */
+import {JSONRPCServer} from 'json-rpc-2.0';
+import {interval, Subscription} from 'rxjs';
+import {z} from 'zod';
+import {Config, CustomerConfig, findCustomer} from '../core/config.js';
+import {
+  addDemand,
+  balance,
+  Bucket,
+  Demand,
+  emptyBucket,
+  fullBucket,
+  lend,
+  LentStretch,
+  NO_DEMAND,
+  Rate,
+  receive,
+  reserveOf,
+  reshape,
+  take,
+  wantedTokens,
+} from '../core/rates.js';
+import {score} from '../core/placement.js';
+import {ConfigFeed} from './config_feed.js';
+import {Fleet} from './fleet.js';
+
+/** What the keeper needs. */
+export interface RateKeeperOptions {
+  readonly fleet: Fleet;
+  readonly feed: ConfigFeed;
+  readonly rpc: JSONRPCServer;
+  /** This VM's present share of every rate, 0 to 1. */
+  readonly share: () => number;
+}
+
+interface Waiter {
+  readonly untilMs: number;
+  readonly answer: (granted: boolean) => void;
+}
+
+interface Account {
+  bucket: Bucket;
+  demand: Demand;
+  waiting: Waiter[];
+  borrowing: boolean;
+  nextBorrowAtMs: number;
+}
+
+const lendSchema = z.object({
+  customer: z.string(),
+  wanted: z.number().positive(),
+});
+
+const stretchSchema = z.array(
+  z.object({
+    oldestAgeMs: z.number(),
+    newestAgeMs: z.number(),
+    tokensPerMs: z.number().min(0),
+  }),
+);
+
+/** Rate of callers on open services that are no configured customer. */
+const DEFAULT_RATE: Rate = {ratePerS: 100, burst: 100};
+const LEND_TIMEOUT_MS = 150;
+const BORROW_SPACING_MS = 20;
+const MAX_LENDERS = 8;
+const MAX_WAITING = 1_000;
+const REFRESH_MS = 100;
+/** Longest wait for a token before a request is refused. */
+const MAX_WAIT_MS = 250;
+
+/** Monotonic time, so that a clock step neither mints nor loses tokens. */
+const monotonicMs = (): number => performance.now();
+
+/** The customers' accounts at this VM. */
+export class RateKeeper {
+  private readonly accounts = new Map<string, Account>();
+  private readonly subscriptions = new Subscription();
+  /** Customers that the first configuration seen here already held. */
+  private known: ReadonlySet<string> | undefined;
+
+  private constructor(private readonly options: RateKeeperOptions) {
+    options.rpc.addMethod('rate.lend', params => this.lend(params));
+    this.subscriptions.add(
+      options.feed.config$.subscribe(config => this.reshapeAll(config)),
+    );
+    this.subscriptions.add(
+      interval(REFRESH_MS).subscribe(() =>
+        this.reshapeAll(options.feed.config),
+      ),
+    );
+  }
+
+  static create(options: RateKeeperOptions): RateKeeper {
+    return new RateKeeper(options);
+  }
+
+  /** Takes one token: at once, after borrowing, or not at all. */
+  admit(customer: string): boolean | Promise<boolean> {
+    const account = this.accountOf(customer);
+    const nowMs = monotonicMs();
+    account.demand = addDemand(account.demand, 1, nowMs);
+    const next =
+      account.waiting.length === 0 ? take(account.bucket, 1, nowMs) : undefined;
+    if (next) {
+      account.bucket = next;
+      this.refill(customer, account);
+      return true;
+    }
+    if (account.waiting.length >= MAX_WAITING) return false;
+    return new Promise(answer => {
+      account.waiting.push({untilMs: nowMs + MAX_WAIT_MS, answer});
+      this.refill(customer, account);
+    });
+  }
+
+  dump(): object {
+    const nowMs = monotonicMs();
+    return {
+      share: this.options.share(),
+      balances: Object.fromEntries(
+        [...this.accounts].map(([name, account]) => [
+          name,
+          Number(balance(account.bucket, nowMs).toFixed(3)),
+        ]),
+      ),
+    };
+  }
+
+  close(): void {
+    this.subscriptions.unsubscribe();
+    for (const {waiting} of this.accounts.values()) {
+      for (const {answer} of waiting.splice(0)) answer(false);
+    }
+  }
+
+  private accountOf(customer: string): Account {
+    const known = this.accounts.get(customer);
+    if (known) return known;
+    const config = findCustomer(this.options.feed.config, customer);
+    const account: Account = {
+      bucket: emptyBucket(rateOf(config), this.options.share(), monotonicMs()),
+      demand: NO_DEMAND,
+      waiting: [],
+      borrowing: false,
+      nextBorrowAtMs: 0,
+    };
+    this.accounts.set(customer, account);
+    return account;
+  }
+
+  private reshapeAll(config: Config): void {
+    if (config.version === 0) return;
+    const share = this.options.share();
+    const nowMs = monotonicMs();
+    for (const customer of config.customers) {
+      this.reshapeOne(customer, share, nowMs);
+    }
+    this.known ??= new Set(config.customers.map(customer => customer.name));
+  }
+
+  private reshapeOne(
+    customer: CustomerConfig,
+    share: number,
+    nowMs: number,
+  ): void {
+    const rate = rateOf(customer);
+    const isNew =
+      this.known !== undefined &&
+      !this.known.has(customer.name) &&
+      !this.accounts.has(customer.name);
+    const account = this.accountOf(customer.name);
+    if (isNew) {
+      // Nobody can have spent a token of a customer that has just appeared.
+      account.bucket = fullBucket(rate, share, nowMs);
+      return;
+    }
+    const {bucket} = account;
+    const same =
+      bucket.share === share &&
+      bucket.rate.ratePerS === rate.ratePerS &&
+      bucket.rate.burst === rate.burst;
+    if (!same) account.bucket = reshape(bucket, rate, share, nowMs);
+  }
+
+  /** Starts a round of borrowing when the stock runs low or someone waits. */
+  private refill(customer: string, account: Account): void {
+    if (account.borrowing) return;
+    const nowMs = monotonicMs();
+    const idle = account.waiting.length === 0;
+    if (idle && this.wanted(account, nowMs) <= 0) return;
+    account.borrowing = true;
+    const delayMs = Math.max(0, account.nextBorrowAtMs - nowMs);
+    setTimeout(() => void this.round(customer, account), delayMs);
+  }
+
+  private wanted(account: Account, nowMs: number): number {
+    const {bucket, demand, waiting} = account;
+    return wantedTokens(bucket, demand, waiting.length, nowMs);
+  }
+
+  /** One round: borrow, answer those who wait, and go on while any does. */
+  private async round(customer: string, account: Account): Promise<void> {
+    const wanted = this.wanted(account, monotonicMs());
+    const lenders = this.lenders(customer);
+    if (wanted > 0 && lenders.length > 0) {
+      const each = (wanted / lenders.length) * 1.5;
+      await Promise.all(
+        lenders.map(vm => this.borrowFrom(vm, customer, account, each)),
+      );
+    }
+    account.borrowing = false;
+    account.nextBorrowAtMs = monotonicMs() + BORROW_SPACING_MS;
+    this.settle(account);
+    if (account.waiting.length > 0) this.refill(customer, account);
+  }
+
+  private async borrowFrom(
+    vm: string,
+    customer: string,
+    account: Account,
+    wanted: number,
+  ): Promise<void> {
+    const requestedAtMs = monotonicMs();
+    try {
+      const answer = await this.options.fleet
+        .client(vm)
+        ?.call<unknown>('rate.lend', {customer, wanted}, LEND_TIMEOUT_MS);
+      const lent: LentStretch[] = stretchSchema.parse(answer);
+      account.bucket = receive(
+        account.bucket,
+        lent,
+        requestedAtMs,
+        monotonicMs(),
+      );
+      this.settle(account);
+    } catch {
+      // A lost answer loses the tokens; the next round asks again.
+    }
+  }
+
+  /** Grants those who wait, in order; refuses those who waited too long. */
+  private settle(account: Account): void {
+    const nowMs = monotonicMs();
+    while (account.waiting.length > 0) {
+      const next = take(account.bucket, 1, nowMs);
+      if (!next) break;
+      account.bucket = next;
+      account.waiting.shift()?.answer(true);
+    }
+    while (account.waiting.length > 0 && account.waiting[0].untilMs <= nowMs) {
+      account.waiting.shift()?.answer(false);
+    }
+  }
+
+  private lenders(customer: string): string[] {
+    const {peers} = this.options.fleet;
+    if (peers.length <= MAX_LENDERS) return peers;
+    const turn = String(Math.floor(monotonicMs() / 1_000));
+    return peers
+      .map(vm => ({vm, order: score(`${customer}/${turn}`, vm)}))
+      .sort((a, b) => a.order - b.order)
+      .slice(0, MAX_LENDERS)
+      .map(entry => entry.vm);
+  }
+
+  private lend(params: unknown): readonly LentStretch[] {
+    const {customer, wanted} = lendSchema.parse(params);
+    const account = this.accountOf(customer);
+    if (account.waiting.length > 0) return [];
+    const nowMs = monotonicMs();
+    const reserve = reserveOf(account.bucket, account.demand, nowMs);
+    const result = lend(account.bucket, wanted, reserve, nowMs);
+    account.bucket = result.bucket;
+    return result.lent;
+  }
+}
+
+const rateOf = (customer: CustomerConfig | undefined): Rate =>
+  customer
+    ? {ratePerS: customer.ratePerS, burst: customer.burst}
+    : DEFAULT_RATE;
--- /dev/null
+++ b/src/standin/database_server.ts
@@ -0,0 +1,525 @@
+/** Serves a stand-in database over the PostgreSQL wire protocol. */
+import {createServer, Server, Socket} from 'node:net';
+import {PostgresConnection} from 'pg-gateway';
+import {
+  backendKeyFrame,
+  bodyOf,
+  Code,
+  commandFrame,
+  dataRowFrame,
+  emptyFrame,
+  FrameReader,
+  frameOf,
+  authenticationOkFrame,
+  parameterFrame,
+  rawErrorFrame,
+  readCString,
+  readyFrame,
+  rowDescriptionFrame,
+} from '../pg/wire.js';
+import {
+  DatabaseSession,
+  FindDatabase,
+  StatementOutcome,
+} from './database_session.js';
+import {StandinDatabase} from './database.js';
+import {
+  countParameters,
+  describeColumns,
+  Node,
+  parseStatements,
+  SqlFailure,
+  Value,
+} from './sql_engine.js';
+
+/** Name of the parameter that reports a commit's log position. */
+export const POSITION_PARAMETER = 'group.position';
+
+const MAX_FRAME_BYTES = 64 * 1024 * 1024;
+const ROWS_PER_WRITE = 256;
+const CANCEL_CODE = 80_877_102;
+
+/** What a database server needs besides its data. */
+export interface DatabaseServerOptions {
+  readonly database: StandinDatabase;
+  readonly find: FindDatabase;
+  /** The credential it accepts; undefined accepts any. */
+  readonly password?: string;
+  /** Sees every byte that arrives, for tests that search them. */
+  readonly onBytes?: (chunk: Buffer) => void;
+}
+
+/** A listening stand-in database. */
+export class DatabaseServer {
+  private readonly open = new Set<BackendSession>();
+  private readonly waiting: (() => void)[] = [];
+  private readonly sockets = new Set<Socket>();
+  private running = 0;
+  private nextProcessId = 1;
+  /** Most connections that were ever open at once. */
+  peakConnections = 0;
+  refusedConnections = 0;
+
+  private constructor(
+    readonly options: DatabaseServerOptions,
+    private readonly server: Server,
+  ) {
+    server.on('connection', socket => this.accept(socket));
+  }
+
+  static async create(
+    options: DatabaseServerOptions & {port?: number},
+  ): Promise<DatabaseServer> {
+    const server = createServer({noDelay: true});
+    const made = new DatabaseServer(options, server);
+    await new Promise<void>((resolve, reject) => {
+      server.once('error', reject);
+      server.listen(options.port ?? 0, '127.0.0.1', resolve);
+    });
+    return made;
+  }
+
+  get port(): number {
+    const address = this.server.address();
+    return typeof address === 'object' && address ? address.port : 0;
+  }
+
+  get connectionCount(): number {
+    return this.open.size;
+  }
+
+  get database(): StandinDatabase {
+    return this.options.database;
+  }
+
+  /** Drops every connection and refuses new ones until `restart`. */
+  kill(): void {
+    this.database.faults.down = true;
+    for (const socket of this.sockets) socket.resetAndDestroy();
+  }
+
+  restart(): void {
+    this.database.faults.down = false;
+  }
+
+  /** Stops answering on the connections open now; new ones work. */
+  silenceOpenConnections(): void {
+    for (const session of this.open) session.silence();
+  }
+
+  async close(): Promise<void> {
+    for (const socket of this.sockets) socket.destroy();
+    await new Promise(resolve => this.server.close(resolve));
+  }
+
+  /** Waits for one of the database's execution slots. */
+  async acquireSlot(): Promise<void> {
+    if (this.running < this.database.options.slots) {
+      this.running++;
+      return;
+    }
+    await new Promise<void>(resolve => this.waiting.push(resolve));
+  }
+
+  releaseSlot(): void {
+    const next = this.waiting.shift();
+    if (next) next();
+    else this.running--;
+  }
+
+  /** Cancels the statement of the connection that a cancel request names. */
+  cancel(processId: number): void {
+    for (const session of this.open) {
+      if (session.processId === processId) session.cancel();
+    }
+  }
+
+  private accept(socket: Socket): void {
+    socket.on('error', () => socket.destroy());
+    if (this.database.faults.down) {
+      socket.resetAndDestroy();
+      return;
+    }
+    this.sockets.add(socket);
+    socket.once('close', () => this.sockets.delete(socket));
+    if (this.options.onBytes) socket.on('data', this.options.onBytes);
+    if (this.database.faults.silent) return;
+    this.startup(socket);
+  }
+
+  private startup(socket: Socket): void {
+    const gateway: PostgresConnection = new PostgresConnection(socket, {
+      onMessage: (data, state) => {
+        if (state.hasStarted) return this.checkPassword(gateway, data);
+        const view = Buffer.from(data);
+        if (view.length === 16 && view.readUInt32BE(4) === CANCEL_CODE) {
+          this.cancel(view.readUInt32BE(8));
+          socket.destroy();
+          return true;
+        }
+        return false;
+      },
+      onStartup: () => {
+        gateway.sendAuthenticationCleartextPassword();
+        return true;
+      },
+    });
+  }
+
+  private async checkPassword(
+    gateway: PostgresConnection,
+    data: Uint8Array,
+  ): Promise<boolean> {
+    const socket = gateway.detach();
+    const [password] = readCString(bodyOf(Buffer.from(data)), 0);
+    const expected = this.options.password;
+    if (expected !== undefined && password !== expected) {
+      socket.end(rawErrorFrame('FATAL', '28P01', 'password rejected'));
+      return true;
+    }
+    if (this.open.size >= this.database.options.connections) {
+      this.refusedConnections++;
+      socket.end(rawErrorFrame('FATAL', '53300', 'too many connections'));
+      return true;
+    }
+    const user = gateway.clientInfo?.parameters.user ?? '';
+    const session = BackendSession.create(this, socket, {
+      processId: this.nextProcessId++,
+      user: gateway.clientInfo?.parameters.application_name ?? user,
+    });
+    this.open.add(session);
+    this.peakConnections = Math.max(this.peakConnections, this.open.size);
+    socket.once('close', () => this.open.delete(session));
+    await delay(this.database.options.connectMs);
+    session.greet();
+    return true;
+  }
+}
+
+const delay = (ms: number): Promise<void> =>
+  ms > 0 ? new Promise(resolve => setTimeout(resolve, ms)) : Promise.resolve();
+
+interface Portal {
+  readonly node: Node | undefined;
+  readonly parameters: readonly Value[];
+}
+
+interface Statement {
+  readonly node: Node | undefined;
+}
+
+interface Message {
+  readonly code: number;
+  readonly body: Buffer;
+}
+
+/** One connection, after its startup. */
+class BackendSession {
+  readonly processId: number;
+  private readonly session: DatabaseSession;
+  private readonly reader = FrameReader.create({
+    maxFrameBytes: MAX_FRAME_BYTES,
+  });
+  private readonly inbox: Message[] = [];
+  private readonly statements = new Map<string, Statement>();
+  private readonly portals = new Map<string, Portal>();
+  private busy = false;
+  private silent = false;
+  private skipping = false;
+  private canceled = false;
+  private wake: (() => void) | undefined;
+  private position: string | undefined;
+
+  private constructor(
+    private readonly server: DatabaseServer,
+    private readonly socket: Socket,
+    identity: {processId: number; user: string},
+  ) {
+    this.processId = identity.processId;
+    this.session = DatabaseSession.create(
+      server.database,
+      server.options.find,
+      identity.user,
+    );
+  }
+
+  static create(
+    server: DatabaseServer,
+    socket: Socket,
+    identity: {processId: number; user: string},
+  ): BackendSession {
+    return new BackendSession(server, socket, identity);
+  }
+
+  greet(): void {
+    this.send(authenticationOkFrame());
+    this.send(parameterFrame('server_version', '15.0'));
+    this.send(parameterFrame('client_encoding', 'UTF8'));
+    this.send(backendKeyFrame(this.processId, 0));
+    this.send(readyFrame('I'));
+    this.socket.on('data', chunk => this.receive(chunk));
+  }
+
+  silence(): void {
+    this.silent = true;
+  }
+
+  cancel(): void {
+    this.canceled = true;
+    this.wake?.();
+  }
+
+  private get isSilent(): boolean {
+    return this.silent || this.server.database.faults.silent;
+  }
+
+  private send(frame: Buffer): boolean {
+    if (this.isSilent) return true;
+    return this.socket.write(frame);
+  }
+
+  private receive(chunk: Buffer): void {
+    if (this.isSilent) return;
+    const fine = this.reader.push(chunk, (code, frame) =>
+      this.inbox.push({code, body: bodyOf(frame)}),
+    );
+    if (!fine) this.socket.destroy();
+    void this.work();
+  }
+
+  private async work(): Promise<void> {
+    if (this.busy) return;
+    this.busy = true;
+    this.socket.cork();
+    for (;;) {
+      const message = this.inbox.shift();
+      if (!message || this.socket.destroyed) break;
+      await this.handle(message);
+    }
+    this.socket.uncork();
+    this.busy = false;
+  }
+
+  private async handle(message: Message): Promise<void> {
+    if (this.skipping && message.code !== Code.sync) return;
+    try {
+      await this.dispatch(message);
+    } catch (error) {
+      this.reportError(error as Error);
+      if (message.code === Code.query) this.finish();
+      else this.skipping = true;
+    }
+  }
+
+  private reportError(error: Error): void {
+    const sqlState = error instanceof SqlFailure ? error.sqlState : 'XX000';
+    this.session.fail();
+    this.send(rawErrorFrame('ERROR', sqlState, error.message));
+  }
+
+  private async dispatch({code, body}: Message): Promise<void> {
+    switch (code) {
+      case Code.query:
+        return this.simpleQuery(readCString(body, 0)[0]);
+      case Code.parse:
+        return this.parse(body);
+      case Code.bind:
+        return this.bind(body);
+      case Code.describe:
+        return this.describe(body);
+      case Code.execute:
+        return this.execute(readCString(body, 0)[0]);
+      case Code.close:
+        this.send(emptyFrame(Code.closeComplete));
+        return;
+      case Code.sync:
+        this.skipping = false;
+        return this.finish();
+      case Code.terminate:
+        this.socket.end();
+        return;
+      default:
+        return;
+    }
+  }
+
+  private finish(): void {
+    if (this.position) {
+      this.send(parameterFrame(POSITION_PARAMETER, this.position));
+    }
+    this.position = undefined;
+    this.send(readyFrame(this.session.status));
+  }
+
+  private async simpleQuery(text: string): Promise<void> {
+    const nodes = parseStatements(text);
+    if (nodes.length === 0) this.send(emptyFrame(Code.emptyQuery));
+    for (const node of nodes) {
+      const outcome = await this.run(node, []);
+      if (outcome.result.columns.length > 0) {
+        this.send(rowDescriptionFrame(outcome.result.columns));
+      }
+      await this.sendRows(outcome);
+    }
+    this.finish();
+  }
+
+  private async run(
+    node: Node,
+    parameters: readonly Value[],
+  ): Promise<StatementOutcome> {
+    const admin = Boolean(node.TransactionStmt) || isAdmin(node);
+    const serviceTimeMs = this.server.database.serviceTimeMs;
+    if (admin) return this.session.run(node, parameters);
+    await this.server.acquireSlot();
+    try {
+      await delay(serviceTimeMs);
+      const outcome = this.session.run(node, parameters);
+      if (outcome.sleepMs > 0) await this.sleep(outcome.sleepMs);
+      this.position = outcome.position ?? this.position;
+      return outcome;
+    } finally {
+      this.server.releaseSlot();
+    }
+  }
+
+  private async sleep(ms: number): Promise<void> {
+    this.canceled = false;
+    await new Promise<void>(resolve => {
+      const timer = setTimeout(resolve, ms);
+      this.wake = () => {
+        clearTimeout(timer);
+        resolve();
+      };
+    });
+    this.wake = undefined;
+    if (this.canceled) {
+      throw SqlFailure.create(
+        '57014',
+        'canceling statement due to user request',
+      );
+    }
+  }
+
+  private async sendRows(outcome: StatementOutcome): Promise<void> {
+    if (outcome.position) this.position = outcome.position;
+    let sent = 0;
+    let pending: Buffer[] = [];
+    for (const row of outcome.result.rows) {
+      pending.push(dataRowFrame(row));
+      if (++sent % ROWS_PER_WRITE !== 0) continue;
+      await this.flush(pending);
+      pending = [];
+    }
+    pending.push(commandFrame(outcome.result.tag));
+    this.send(Buffer.concat(pending));
+  }
+
+  private async flush(frames: readonly Buffer[]): Promise<void> {
+    this.socket.uncork();
+    if (!this.send(Buffer.concat(frames)) && !this.socket.destroyed) {
+      await new Promise<void>(resolve => {
+        this.socket.once('drain', resolve);
+        this.socket.once('close', resolve);
+      });
+    }
+    this.socket.cork();
+  }
+
+  private parse(body: Buffer): void {
+    const [name, textAt] = readCString(body, 0);
+    const [text] = readCString(body, textAt);
+    this.statements.set(name, {node: parseStatements(text)[0]});
+    this.send(emptyFrame(Code.parseComplete));
+  }
+
+  private bind(body: Buffer): void {
+    const [portal, nameAt] = readCString(body, 0);
+    const [name, formatsAt] = readCString(body, nameAt);
+    const statement = this.statements.get(name);
+    if (!statement) {
+      throw SqlFailure.create('26000', `no prepared statement "${name}"`);
+    }
+    const parameters = readParameters(body, formatsAt);
+    this.portals.set(portal, {node: statement.node, parameters});
+    this.send(emptyFrame(Code.bindComplete));
+  }
+
+  private describe(body: Buffer): void {
+    const [name] = readCString(body, 1);
+    const isStatement = body[0] === 0x53;
+    const target = isStatement
+      ? this.statements.get(name)
+      : this.portals.get(name);
+    if (!target) throw SqlFailure.create('26000', `nothing named "${name}"`);
+    if (isStatement) this.send(parameterDescription(target.node));
+    const columns = target.node ? this.columnsOf(target.node) : [];
+    this.send(
+      columns.length > 0
+        ? rowDescriptionFrame(columns)
+        : emptyFrame(Code.noData),
+    );
+  }
+
+  private columnsOf(node: Node): readonly string[] {
+    const from = node.SelectStmt?.fromClause?.[0]?.RangeVar?.relname;
+    const first = from && [...this.server.database.all(String(from))][0];
+    const columns = describeColumns(node);
+    const isStar =
+      node.SelectStmt?.targetList?.[0]?.ResTarget?.val?.ColumnRef?.fields?.[0]
+        ?.A_Star;
+    return isStar && first ? Object.keys(first[1]) : columns;
+  }
+
+  private async execute(portalName: string): Promise<void> {
+    const portal = this.portals.get(portalName);
+    if (!portal) throw SqlFailure.create('34000', `no portal "${portalName}"`);
+    if (!portal.node) {
+      this.send(emptyFrame(Code.emptyQuery));
+      return;
+    }
+    await this.sendRows(await this.run(portal.node, portal.parameters));
+  }
+}
+
+const isAdmin = (node: Node): boolean =>
+  String(
+    node.SelectStmt?.targetList?.[0]?.ResTarget?.val?.FuncCall?.funcname?.[0]
+      ?.String?.sval ?? '',
+  ).startsWith('group_');
+
+function parameterDescription(node: Node | undefined): Buffer {
+  const TEXT_OID = 25;
+  const count = node ? countParameters(node) : 0;
+  const body = Buffer.alloc(2 + 4 * count);
+  body.writeUInt16BE(count, 0);
+  for (let i = 0; i < count; i++) body.writeUInt32BE(TEXT_OID, 2 + 4 * i);
+  return frameOf(Code.parameterDescription, body);
+}
+
+/** Reads the parameter values of a Bind; binary values must be integers. */
+function readParameters(body: Buffer, at: number): Value[] {
+  const formatCount = body.readUInt16BE(at);
+  const formats: number[] = [];
+  for (let i = 0; i < formatCount; i++) {
+    formats.push(body.readUInt16BE(at + 2 + 2 * i));
+  }
+  let offset = at + 2 + 2 * formatCount;
+  const count = body.readUInt16BE(offset);
+  offset += 2;
+  const values: Value[] = [];
+  for (let i = 0; i < count; i++) {
+    const bytes = body.readInt32BE(offset);
+    offset += 4;
+    const isBinary = (formats.length === 1 ? formats[0] : formats[i]) === 1;
+    const raw = bytes < 0 ? null : body.subarray(offset, offset + bytes);
+    offset += Math.max(0, bytes);
+    values.push(raw && (isBinary ? readInteger(raw) : raw.toString('utf8')));
+  }
+  return values;
+}
+
+const readInteger = (raw: Buffer): string =>
+  String(
+    raw.length === 8 ? raw.readBigInt64BE() : raw.readIntBE(0, raw.length),
+  );
--- /dev/null
+++ b/src/standin/scene.ts
@@ -0,0 +1,261 @@
+/**
+ * A small fleet in one process: a stand-in platform, stand-in groups and real
+ * proxies, joined over loopback sockets. For the demo, tests and benchmarks.
+ */
+import pg from 'pg';
+import {
+  Config,
+  CustomerConfig,
+  digestKey,
+  ServiceConfig,
+} from '../core/config.js';
+import {StoreKey} from '../platform/store.js';
+import {Lifecycle} from '../proxy/lifecycle.js';
+import {Proxy, ProxyHooks} from '../proxy/proxy.js';
+import {resolveSettings} from '../proxy/settings.js';
+import {GroupOptions, StandinGroup} from './group.js';
+import {StandinPlatform} from './platform.js';
+
+/** A customer of a scene; its key is `key-<name>`. */
+export type SceneCustomer = Partial<CustomerConfig> & {readonly name: string};
+
+/** What to build. */
+export interface SceneOptions {
+  readonly proxies: number;
+  readonly services?: readonly Partial<GroupOptions & ServiceConfig>[];
+  readonly customers?: readonly SceneCustomer[];
+  /** Flags for every proxy. */
+  readonly flags?: Readonly<Record<string, unknown>>;
+  readonly hooks?: ProxyHooks;
+}
+
+/** Credentials that scenes use. */
+export const SCENE_BACKEND_PASSWORD = 'backend-password';
+export const SCENE_OPERATOR_KEY = 'operator-key';
+const SCENE_PLACES = [
+  {region: 'sierra', zone: 'sierra-a'},
+  {region: 'sierra', zone: 'sierra-b'},
+  {region: 'costa', zone: 'costa-a'},
+] as const;
+const READY_POLL_MS = 20;
+const READY_TIMEOUT_MS = 20_000;
+
+/** The key of a scene's customer. */
+export const keyOf = (customer: string): string => `key-${customer}`;
+
+/** A running scene. */
+export class Scene {
+  private readonly lifecycle = Lifecycle.create();
+  readonly groups = new Map<string, StandinGroup>();
+  readonly proxies: Proxy[] = [];
+
+  private constructor(
+    readonly options: SceneOptions,
+    readonly platform: StandinPlatform,
+  ) {
+    this.lifecycle.own(platform, p => p.close());
+  }
+
+  static async create(options: SceneOptions): Promise<Scene> {
+    const scene = new Scene(options, await StandinPlatform.create());
+    await scene.startGroups();
+    scene.publishConfig();
+    for (let i = 0; i < options.proxies; i++) await scene.startProxy(i);
+    scene.publishVms();
+    await scene.untilReady();
+    return scene;
+  }
+
+  group(service: string): StandinGroup {
+    const group = this.groups.get(service);
+    if (!group) throw new Error(`no group ${service}`);
+    return group;
+  }
+
+  /** An unconnected client of one proxy. */
+  client(
+    proxy: number,
+    customer: string,
+    service: string,
+    extra: pg.ClientConfig = {},
+  ): pg.Client {
+    const client = new pg.Client({
+      host: '127.0.0.1',
+      port: this.proxies[proxy].callerPort,
+      user: customer,
+      password: keyOf(customer),
+      database: service,
+      ...extra,
+    });
+    client.on('error', () => undefined);
+    return client;
+  }
+
+  /** Starts one more proxy. */
+  async startProxy(index: number): Promise<Proxy> {
+    const place = SCENE_PLACES[index % SCENE_PLACES.length];
+    const resolved = resolveSettings(
+      {
+        vm: `vm-${index + 1}`,
+        ...place,
+        callerPort: 0,
+        peerPort: 0,
+        operatorPort: 0,
+        platformUrl: this.platform.url,
+        fleetSecrets: 'fleet-secret',
+        operatorKeys: `ana:${SCENE_OPERATOR_KEY},beto:${SCENE_OPERATOR_KEY}-2`,
+        backendPassword: SCENE_BACKEND_PASSWORD,
+        log: '',
+        ...this.options.flags,
+      },
+      {},
+    );
+    if (resolved.isErr()) throw new Error(resolved.error);
+    const proxy = await Proxy.create(resolved.value, this.options.hooks);
+    this.lifecycle.own(proxy, p => p.close());
+    this.proxies.push(proxy);
+    return proxy;
+  }
+
+  /** Tells the platform which VMs there are. */
+  publishVms(proxies: readonly Proxy[] = this.proxies): void {
+    const list = proxies.map(proxy => {
+      const index = this.proxies.indexOf(proxy);
+      return {
+        vm: `vm-${index + 1}`,
+        host: '127.0.0.1',
+        peerPort: proxy.peerPort,
+        ...SCENE_PLACES[index % SCENE_PLACES.length],
+      };
+    });
+    this.platform.put(StoreKey.vms, JSON.stringify(list));
+  }
+
+  /** Calls a proxy's operators' port. */
+  async operate(
+    proxy: number,
+    method: 'GET' | 'POST',
+    path: string,
+    body?: unknown,
+    key = SCENE_OPERATOR_KEY,
+  ): Promise<{status: number; body: Record<string, unknown>}> {
+    const url = `http://127.0.0.1:${this.proxies[proxy].operatorPort}${path}`;
+    const response = await fetch(url, {
+      method,
+      headers: {authorization: `Bearer ${key}`},
+      body: body === undefined ? undefined : JSON.stringify(body),
+    });
+    return {
+      status: response.status,
+      body: (await response.json()) as Record<string, unknown>,
+    };
+  }
+
+  /** Plans and confirms an intent; returns the new version. */
+  async configure(proxy: number, actions: readonly object[]): Promise<number> {
+    const plan = await this.operate(proxy, 'POST', '/plan', {actions});
+    if (plan.status !== 200) throw new Error(JSON.stringify(plan.body));
+    const done = await this.operate(proxy, 'POST', '/confirm', {
+      planId: plan.body.id,
+    });
+    if (done.status !== 200) throw new Error(JSON.stringify(done.body));
+    return Number(done.body.version);
+  }
+
+  /** Waits until every proxy knows all others and every service a primary. */
+  async untilReady(): Promise<void> {
+    await until(() => this.proxies.every(proxy => this.isReady(proxy)));
+  }
+
+  close(): Promise<void> {
+    return this.lifecycle.close();
+  }
+
+  private isReady(proxy: Proxy): boolean {
+    const dump = proxy.dump() as {
+      ready: boolean;
+      fleet: {others: {status: string}[]};
+      rates: {share: number};
+      groups: {service: string; primary?: string}[];
+    };
+    const alive = dump.fleet.others.filter(o => o.status === 'alive').length;
+    return (
+      dump.ready &&
+      alive >= this.proxies.length - 1 &&
+      dump.rates.share > 0 &&
+      dump.groups.every(group => group.primary !== undefined)
+    );
+  }
+
+  private async startGroups(): Promise<void> {
+    for (const service of this.options.services ?? [{}]) {
+      const name = service.service ?? service.name ?? 'order-books-1';
+      const group = await StandinGroup.create({
+        service: name,
+        databases: 3,
+        places: SCENE_PLACES,
+        slots: 2,
+        connections: 16,
+        connectMs: 0,
+        serviceTimeMs: 0,
+        lagMs: 20,
+        password: SCENE_BACKEND_PASSWORD,
+        ...service,
+      });
+      this.groups.set(
+        name,
+        this.lifecycle.own(group, g => g.close()),
+      );
+    }
+  }
+
+  private publishConfig(): void {
+    const services = [...this.groups.values()].map((group, index) =>
+      serviceOf(group, this.options.services?.[index] ?? {}),
+    );
+    const names = services.map(service => service.name);
+    const customers = (this.options.customers ?? [{name: 'villacres'}]).map(
+      customer => customerOf(customer, names),
+    );
+    const config: Config = {version: 1, services, customers, history: []};
+    this.platform.put(StoreKey.config, JSON.stringify(config));
+  }
+}
+
+function serviceOf(
+  group: StandinGroup,
+  extra: Partial<ServiceConfig>,
+): ServiceConfig {
+  return {
+    name: group.options.service,
+    databases: group.databaseConfigs(),
+    slots: group.options.slots,
+    connections: group.options.connections,
+    writeAck: extra.writeAck ?? 'replica',
+    open: extra.open ?? false,
+  };
+}
+
+const customerOf = (
+  customer: SceneCustomer,
+  services: readonly string[],
+): CustomerConfig => ({
+  services: [...services],
+  ratePerS: 1_000_000,
+  burst: 1_000_000,
+  weight: 1,
+  keys: [{id: 'first', digest: digestKey(keyOf(customer.name))}],
+  ...customer,
+});
+
+/** Polls until a condition holds. */
+export async function until(
+  condition: () => boolean | Promise<boolean>,
+  timeoutMs = READY_TIMEOUT_MS,
+): Promise<void> {
+  const endsAtMs = Date.now() + timeoutMs;
+  while (!(await condition())) {
+    if (Date.now() > endsAtMs) throw new Error('condition not met in time');
+    await new Promise(resolve => setTimeout(resolve, READY_POLL_MS));
+  }
+}
--- /dev/null
+++ b/src/standin/sql_engine.ts
@@ -0,0 +1,400 @@
+/**
+ * Enough SQL for the stand-in database: keyed rows, one table a statement,
+ * conjunctions of comparisons, arithmetic on columns and parameters.
+ */
+import {parseSync} from 'libpg-query';
+import {LRUCache} from 'lru-cache';
+
+/** A parse-tree node. */
+export type Node = Record<string, any>; // eslint-disable-line @typescript-eslint/no-explicit-any
+
+export type Value = string | null;
+export type Row = Record<string, Value>;
+
+/** One row changed: undefined removes it. */
+export interface Change {
+  readonly table: string;
+  readonly id: string;
+  readonly row: Row | undefined;
+}
+
+/** Result of one statement. */
+export interface QueryResult {
+  readonly columns: readonly string[];
+  readonly rows: Iterable<readonly Value[]>;
+  /** Command tag without a count that depends on `rows`. */
+  readonly tag: string;
+  readonly changes: readonly Change[];
+}
+
+/** Reads rows as a statement must see them. */
+export interface RowSource {
+  get(table: string, id: string): Row | undefined;
+  all(table: string): Iterable<[string, Row]>;
+}
+
+/** An error with its SQLSTATE. */
+export class SqlFailure extends Error {
+  private constructor(
+    readonly sqlState: string,
+    message: string,
+  ) {
+    super(message);
+  }
+
+  static create(sqlState: string, message: string): SqlFailure {
+    return new SqlFailure(sqlState, message);
+  }
+}
+
+const trees = new LRUCache<string, readonly Node[]>({max: 1_000});
+
+/** Parses a text into its statements. */
+export function parseStatements(text: string): readonly Node[] {
+  const known = trees.get(text);
+  if (known) return known;
+  const parsed = parse(text);
+  trees.set(text, parsed);
+  return parsed;
+}
+
+function parse(text: string): readonly Node[] {
+  if (text.trim() === '') return [];
+  try {
+    const {stmts} = parseSync(text);
+    return (stmts ?? []).map((entry: Node) => entry.stmt);
+  } catch (error) {
+    throw SqlFailure.create('42601', (error as Error).message);
+  }
+}
+
+/** Number of parameters that a statement uses. */
+export function countParameters(node: unknown): number {
+  if (typeof node !== 'object' || node === null) return 0;
+  const own = Number((node as Node).ParamRef?.number ?? 0);
+  return Math.max(own, ...Object.values(node).map(countParameters));
+}
+
+/** Everything an expression may refer to. */
+interface Scope {
+  readonly row: Row;
+  readonly parameters: readonly Value[];
+}
+
+const unsupported = (what: string): SqlFailure =>
+  SqlFailure.create('0A000', `the stand-in does not support ${what}`);
+
+const lastName = (names: Node[]): string =>
+  String(names[names.length - 1]?.String?.sval ?? '');
+
+function evaluate(node: Node, scope: Scope): Value {
+  if (node.A_Const) return constant(node.A_Const);
+  if (node.ParamRef) return scope.parameters[node.ParamRef.number - 1] ?? null;
+  if (node.ColumnRef) return scope.row[lastName(node.ColumnRef.fields)] ?? null;
+  if (node.TypeCast) return evaluate(node.TypeCast.arg, scope);
+  if (node.A_Expr) return operate(node.A_Expr, scope);
+  if (node.SQLValueFunction) return new Date().toISOString();
+  if (node.FuncCall) return callScalar(node.FuncCall, scope);
+  throw unsupported(Object.keys(node)[0]);
+}
+
+function constant(node: Node): Value {
+  if (node.isnull) return null;
+  if (node.ival) return String(node.ival.ival ?? 0);
+  if (node.fval) return String(node.fval.fval);
+  if (node.boolval) return node.boolval.boolval ? 't' : 'f';
+  return String(node.sval?.sval ?? '');
+}
+
+function callScalar(node: Node, scope: Scope): Value {
+  const name = lastName(node.funcname);
+  const args = (node.args ?? []).map((arg: Node) => evaluate(arg, scope));
+  switch (name) {
+    case 'now':
+      return new Date().toISOString();
+    case 'version':
+      return 'stand-in';
+    case 'lower':
+      return args[0]?.toLowerCase() ?? null;
+    case 'repeat':
+      return String(args[0]).repeat(Number(args[1]));
+    case 'pg_sleep':
+      return '';
+    default:
+      throw unsupported(`${name}()`);
+  }
+}
+
+function operate(node: Node, scope: Scope): Value {
+  const left = evaluate(node.lexpr, scope);
+  const right = evaluate(node.rexpr, scope);
+  if (left === null || right === null) return null;
+  switch (lastName(node.name)) {
+    case '+':
+      return String(Number(left) + Number(right));
+    case '-':
+      return String(Number(left) - Number(right));
+    case '*':
+      return String(Number(left) * Number(right));
+    case '||':
+      return left + right;
+    default:
+      return compare(lastName(node.name), left, right) ? 't' : 'f';
+  }
+}
+
+function compare(operator: string, left: string, right: string): boolean {
+  const numeric =
+    left !== '' && right !== '' && !isNaN(+left) && !isNaN(+right);
+  const order = numeric ? +left - +right : left < right ? -1 : +(left > right);
+  switch (operator) {
+    case '=':
+      return order === 0;
+    case '<>':
+      return order !== 0;
+    case '<':
+      return order < 0;
+    case '>':
+      return order > 0;
+    case '<=':
+      return order <= 0;
+    case '>=':
+      return order >= 0;
+    default:
+      throw unsupported(`operator ${operator}`);
+  }
+}
+
+function holds(where: Node | undefined, scope: Scope): boolean {
+  if (!where) return true;
+  if (where.BoolExpr) {
+    const parts = where.BoolExpr.args.map((arg: Node) => holds(arg, scope));
+    if (where.BoolExpr.boolop === 'NOT_EXPR') return !parts[0];
+    return where.BoolExpr.boolop === 'OR_EXPR'
+      ? parts.some(Boolean)
+      : parts.every(Boolean);
+  }
+  return evaluate(where, scope) === 't';
+}
+
+/** The key that `id = <value>` asks for, if the condition is just that. */
+function keyAsked(
+  where: Node | undefined,
+  parameters: readonly Value[],
+): string | undefined {
+  const expr = where?.A_Expr;
+  if (!expr || lastName(expr.name) !== '=') return undefined;
+  if (!expr.lexpr.ColumnRef) return undefined;
+  if (lastName(expr.lexpr.ColumnRef.fields) !== 'id') return undefined;
+  if (expr.rexpr.ColumnRef) return undefined;
+  return evaluate(expr.rexpr, {row: {}, parameters}) ?? undefined;
+}
+
+function matching(
+  table: string,
+  where: Node | undefined,
+  source: RowSource,
+  parameters: readonly Value[],
+): [string, Row][] {
+  const key = keyAsked(where, parameters);
+  if (key !== undefined) {
+    const row = source.get(table, key);
+    return row ? [[key, row]] : [];
+  }
+  const rows = [...source.all(table)];
+  return rows.filter(([, row]) => holds(where, {row, parameters}));
+}
+
+const resultOf = (
+  tag: string,
+  changes: readonly Change[],
+  columns: readonly string[] = [],
+  rows: Iterable<readonly Value[]> = [],
+): QueryResult => ({tag, changes, columns, rows});
+
+function select(
+  body: Node,
+  source: RowSource,
+  parameters: readonly Value[],
+): QueryResult {
+  const from = body.fromClause?.[0];
+  const series = from?.RangeFunction;
+  if (series) return selectSeries(body, series, parameters);
+  const rows: [string, Row][] = from
+    ? matching(tableOf(from), body.whereClause, source, parameters)
+    : [['', {}]];
+  const limit = body.limitCount
+    ? Number(evaluate(body.limitCount, {row: {}, parameters}))
+    : Infinity;
+  const targets: Node[] = body.targetList ?? [];
+  if (isCount(targets)) {
+    return resultOf('SELECT 1', [], ['count'], [[String(rows.length)]]);
+  }
+  const kept = rows.slice(0, limit).map(([, row]) => row);
+  const columns = columnsOf(targets, kept);
+  const values = kept.map(row => project(targets, row, parameters));
+  return resultOf(`SELECT ${values.length}`, [], columns, values);
+}
+
+function selectSeries(
+  body: Node,
+  series: Node,
+  parameters: readonly Value[],
+): QueryResult {
+  const call = series.functions[0].List.items[0].FuncCall;
+  const scope = {row: {}, parameters};
+  const [first, last] = call.args.map((arg: Node) =>
+    Number(evaluate(arg, scope)),
+  );
+  const targets: Node[] = body.targetList;
+  const column = 'generate_series';
+  function* rows(): Iterable<readonly Value[]> {
+    for (let n = first; n <= last; n++) {
+      yield project(targets, {[column]: String(n)}, parameters);
+    }
+  }
+  const columns = columnsOf(targets, [{[column]: ''}]);
+  return resultOf(
+    `SELECT ${Math.max(0, last - first + 1)}`,
+    [],
+    columns,
+    rows(),
+  );
+}
+
+const tableOf = (from: Node): string => {
+  if (!from.RangeVar) throw unsupported('joins');
+  return String(from.RangeVar.relname);
+};
+
+const isStar = (target: Node): boolean =>
+  Boolean(target.ResTarget.val.ColumnRef?.fields?.[0]?.A_Star);
+
+const isCount = (targets: readonly Node[]): boolean =>
+  targets.length === 1 && targets[0].ResTarget.val.FuncCall?.agg_star === true;
+
+function columnsOf(targets: readonly Node[], rows: readonly Row[]): string[] {
+  return targets.flatMap(target => {
+    if (isStar(target)) return Object.keys(rows[0] ?? {id: ''});
+    const {name, val} = target.ResTarget;
+    if (name) return [String(name)];
+    if (val.ColumnRef) return [lastName(val.ColumnRef.fields)];
+    if (val.FuncCall) return [lastName(val.FuncCall.funcname)];
+    return ['?column?'];
+  });
+}
+
+const project = (
+  targets: readonly Node[],
+  row: Row,
+  parameters: readonly Value[],
+): Value[] =>
+  targets.flatMap(target =>
+    isStar(target)
+      ? Object.values(row)
+      : [evaluate(target.ResTarget.val, {row, parameters})],
+  );
+
+function insert(
+  body: Node,
+  source: RowSource,
+  parameters: readonly Value[],
+): QueryResult {
+  const table = String(body.relation.relname);
+  const columns: string[] = (body.cols ?? []).map((col: Node) =>
+    String(col.ResTarget.name),
+  );
+  if (columns[0] !== 'id')
+    throw unsupported('an insert whose first column is not id');
+  const lists: Node[] = body.selectStmt.SelectStmt.valuesLists ?? [];
+  const changes = lists.map(list => {
+    const values = list.List.items.map((item: Node) =>
+      evaluate(item, {row: {}, parameters}),
+    );
+    const row = Object.fromEntries(columns.map((col, i) => [col, values[i]]));
+    const id = String(row.id);
+    if (source.get(table, id)) {
+      throw SqlFailure.create('23505', `duplicate key ${id} in ${table}`);
+    }
+    return {table, id, row};
+  });
+  return withReturning(body, `INSERT 0 ${changes.length}`, changes, parameters);
+}
+
+function withReturning(
+  body: Node,
+  tag: string,
+  changes: readonly Change[],
+  parameters: readonly Value[],
+): QueryResult {
+  const targets: Node[] = body.returningList ?? [];
+  if (targets.length === 0) return resultOf(tag, changes);
+  const rows = changes.map(change => change.row ?? {});
+  const values = rows.map(row => project(targets, row, parameters));
+  return resultOf(tag, changes, columnsOf(targets, rows), values);
+}
+
+function update(
+  body: Node,
+  source: RowSource,
+  parameters: readonly Value[],
+): QueryResult {
+  const table = String(body.relation.relname);
+  const found = matching(table, body.whereClause, source, parameters);
+  const changes = found.map(([id, row]) => {
+    const next = {...row};
+    for (const {ResTarget: target} of body.targetList as Node[]) {
+      next[String(target.name)] = evaluate(target.val, {row, parameters});
+    }
+    return {table, id, row: next};
+  });
+  return withReturning(body, `UPDATE ${changes.length}`, changes, parameters);
+}
+
+function remove(
+  body: Node,
+  source: RowSource,
+  parameters: readonly Value[],
+): QueryResult {
+  const table = String(body.relation.relname);
+  const found = matching(table, body.whereClause, source, parameters);
+  const changes = found.map(([id]) => ({table, id, row: undefined}));
+  return resultOf(`DELETE ${changes.length}`, changes);
+}
+
+/** Runs one data statement against a row source. */
+export function runStatement(
+  node: Node,
+  source: RowSource,
+  parameters: readonly Value[],
+): QueryResult {
+  if (node.SelectStmt) return select(node.SelectStmt, source, parameters);
+  if (node.InsertStmt) return insert(node.InsertStmt, source, parameters);
+  if (node.UpdateStmt) return update(node.UpdateStmt, source, parameters);
+  if (node.DeleteStmt) return remove(node.DeleteStmt, source, parameters);
+  throw unsupported(Object.keys(node)[0]);
+}
+
+/** The first function that a SELECT without FROM calls, with its arguments. */
+export function calledFunction(
+  node: Node,
+  parameters: readonly Value[],
+): {name: string; args: Value[]} | undefined {
+  const target = node.SelectStmt?.targetList?.[0]?.ResTarget?.val;
+  if (!target?.FuncCall || node.SelectStmt.fromClause) return undefined;
+  const args: Node[] = target.FuncCall.args ?? [];
+  return {
+    name: lastName(target.FuncCall.funcname),
+    args: args.map(arg => evaluate(arg, {row: {}, parameters})),
+  };
+}
+
+/** Column names of a statement's result before it has run; empty for none. */
+export function describeColumns(node: Node): readonly string[] {
+  const targets: Node[] =
+    node.SelectStmt?.targetList ??
+    node.InsertStmt?.returningList ??
+    node.UpdateStmt?.returningList ??
+    [];
+  return columnsOf(targets, []);
+}
--- /dev/null
+++ b/test/position.test.ts
@@ -0,0 +1,38 @@
+import test from 'ava';
+import {
+  coverage,
+  Coverage,
+  DatabaseStatus,
+  formatPosition,
+  parsePosition,
+} from '../src/core/position.js';
+
+const statusOf = (
+  offset: number,
+  ...starts: [number, number][]
+): DatabaseStatus => ({
+  database: 'db',
+  role: 'replica',
+  term: starts.at(-1)?.[0] ?? 1,
+  offset,
+  lineage: starts.map(([term, startOffset]) => ({term, startOffset})),
+});
+
+test('a position is covered, behind, unknown or lost by lineage', t => {
+  const status = statusOf(50, [1, 0], [3, 40]);
+  t.is(coverage(status, {term: 1, offset: 40}), Coverage.covered);
+  t.is(coverage(status, {term: 1, offset: 41}), Coverage.lost);
+  t.is(coverage(status, {term: 3, offset: 50}), Coverage.covered);
+  t.is(coverage(status, {term: 3, offset: 51}), Coverage.behind);
+  t.is(coverage(status, {term: 4, offset: 1}), Coverage.unknownTerm);
+});
+
+test('positions survive their text form and nothing else parses', t => {
+  t.deepEqual(parsePosition(formatPosition({term: 7, offset: 12})), {
+    term: 7,
+    offset: 12,
+  });
+  for (const text of ['', '7', '7/', '/1', '-1/2', '1/2/3', 'a/b']) {
+    t.is(parsePosition(text), undefined, text);
+  }
+});
