--- a/src/core/rates.ts
+++ b/src/core/rates.ts
@@ -48,6 +48,7 @@
 
 const MS_PER_S = 1_000;
 const EPSILON = 1e-9;
+const MAX_STRETCHES = 24;
 /** Tokens closer to expiry than this are not worth lending. */
 const MIN_LENT_LIFE_MS = 50;
 
@@ -109,12 +110,42 @@
     taken.push({...stretch, toMs: cutMs});
     if (cutMs < stretch.toMs) kept.push({...stretch, fromMs: cutMs});
   }
+  return {bucket: reopen(bucket, kept, nowMs), stretches: taken};
+}
+
+/** A bucket with the given stretches, the one that ends now accruing on. */
+function reopen(
+  bucket: Bucket,
+  stretches: readonly Stretch[],
+  nowMs: number,
+): Bucket {
+  const open = stretches.find(
+    s => s.toMs === nowMs && s.tokensPerMs === perMs(bucket),
+  );
+  const closed = stretches.filter(stretch => stretch !== open);
   return {
-    bucket: {...bucket, stretches: kept, accruesFromMs: nowMs},
-    stretches: taken,
+    ...bucket,
+    stretches: merge(closed),
+    accruesFromMs: open?.fromMs ?? nowMs,
   };
 }
 
+/**
+ * Bounds the number of stretches. Newer tokens are dated back to the stretch
+ * before them, so that they expire early rather than late.
+ */
+function merge(stretches: readonly Stretch[]): readonly Stretch[] {
+  if (stretches.length <= MAX_STRETCHES) return stretches;
+  const merged: Stretch[] = [];
+  for (let at = 0; at < stretches.length; at += 2) {
+    const older = stretches[at];
+    const newer = at + 1 < stretches.length ? stretches[at + 1] : undefined;
+    const tokens = tokensIn(older) + (newer ? tokensIn(newer) : 0);
+    merged.push({...older, tokensPerMs: tokens / (older.toMs - older.fromMs)});
+  }
+  return merged;
+}
+
 /** Takes one request's tokens, or nothing. */
 export function take(
   bucket: Bucket,
@@ -164,7 +195,7 @@
   const stretches = liveStretches(bucket, nowMs)
     .map(s => ({...s, fromMs: Math.max(s.fromMs, oldestMs)}))
     .filter(s => s.toMs > s.fromMs);
-  return {...bucket, stretches, accruesFromMs: nowMs};
+  return reopen(bucket, stretches, nowMs);
 }
 
 /**
@@ -185,7 +216,7 @@
   }));
   const stretches = [...liveStretches(bucket, nowMs), ...received];
   stretches.sort((a, b) => a.fromMs - b.fromMs);
-  return {...bucket, stretches, accruesFromMs: nowMs};
+  return reopen(bucket, stretches, nowMs);
 }
 
 /** How much a VM lately needed of one customer's tokens. Immutable. */
