--- a/bench/load.ts
+++ b/bench/load.ts
@@ -54,7 +54,11 @@
   }
 
   static async create(target: LoadTarget): Promise<LoadConnection> {
-    const socket = connect({host: '127.0.0.1', port: target.port, noDelay: true});
+    const socket = connect({
+      host: '127.0.0.1',
+      port: target.port,
+      noDelay: true,
+    });
     const connection = new LoadConnection(socket);
     connection.target = target;
     socket.write(
@@ -106,7 +110,10 @@
   options: LoadOptions,
   onMeasuring: () => Promise<void>,
 ): Promise<LoadResult> {
-  const connections = await openConnections(options.target, options.connections);
+  const connections = await openConnections(
+    options.target,
+    options.connections,
+  );
   const histogram = build({
     highestTrackableValue: MAX_LATENCY_US,
     numberOfSignificantValueDigits: 3,
--- a/bench/run.ts
+++ b/bench/run.ts
@@ -9,7 +9,8 @@
 
 const BENCHES: Record<
   string,
-  ((say: (line: string) => void, seconds: number) => Promise<object>) | undefined
+  | ((say: (line: string) => void, seconds: number) => Promise<object>)
+  | undefined
 > = {
   path: benchPath,
   policy: benchPolicy,
@@ -25,7 +26,9 @@
   .action(async (name: string, options: {seconds: number}) => {
     const bench = BENCHES[name];
     if (!bench) {
-      say(`no benchmark '${name}'; allowed: ${Object.keys(BENCHES).join(', ')}`);
+      say(
+        `no benchmark '${name}'; allowed: ${Object.keys(BENCHES).join(', ')}`,
+      );
       process.exitCode = 2;
       return;
     }
--- a/bench/worker.ts
+++ b/bench/worker.ts
@@ -34,7 +34,9 @@
 
 /** Processor time of this thread. */
 function processorUs(): number {
-  const [runNs] = readFileSync('/proc/thread-self/schedstat', 'utf8').split(' ');
+  const [runNs] = readFileSync('/proc/thread-self/schedstat', 'utf8').split(
+    ' ',
+  );
   return Number(runNs) / 1_000;
 }
 
--- a/src/core/failover.ts
+++ b/src/core/failover.ts
@@ -23,6 +23,8 @@
       readonly sinceMs: number;
       readonly term: number;
       readonly granted: ReadonlyMap<string, DatabaseStatus>;
+      /** A primary cut off from its replicas, not to be promoted again. */
+      readonly avoided: string | undefined;
     }
   | {
       readonly name: 'promoting';
@@ -98,6 +100,8 @@
     }
   /** The primary is leaving and a staying database holds all its log. */
   | {readonly type: 'handOver'; readonly nowMs: number}
+  /** The primary answers, but none of its replicas receives its log. */
+  | {readonly type: 'evict'; readonly nowMs: number}
   | {readonly type: 'leaving'; readonly databases: readonly string[]}
   /** `observers`: VMs that can be asked, this one included. */
   | {
@@ -214,6 +218,10 @@
       return state.phase.name === 'steady'
         ? claim(state, event.nowMs, rules)
         : keep(state);
+    case 'evict':
+      return state.phase.name === 'steady'
+        ? claim(state, event.nowMs, rules, currentPrimary(state))
+        : keep(state);
   }
 }
 
@@ -408,6 +416,7 @@
   state: FailoverState,
   nowMs: number,
   rules: FailoverRules,
+  avoided?: Known,
 ): FailoverStep {
   const term = rules.nextTerm(state.term);
   const phase: Phase = {
@@ -415,6 +424,7 @@
     sinceMs: nowMs,
     term,
     granted: new Map(),
+    avoided: avoided?.status.database,
   };
   return {
     state: {...state, term, phase, strandedSinceMs: undefined},
@@ -444,10 +454,13 @@
   if (phase.name !== 'raising' || event.term !== phase.term) return keep(seen);
   if (!event.granted) return keep(seen);
   const granted = new Map(phase.granted).set(event.database, event.status);
-  if (granted.size < rules.grantsNeeded(state.databases.length)) {
+  const eligible = [...granted.values()].filter(
+    status => status.database !== phase.avoided,
+  );
+  if (!isEnough(state, granted.size, eligible.length, rules)) {
     return keep({...seen, phase: {...phase, granted}});
   }
-  const target = rules.choose([...granted.values()], state.leaving);
+  const target = rules.choose(eligible, state.leaving);
   return {
     state: {
       ...seen,
@@ -462,6 +475,22 @@
   };
 }
 
+/**
+ * A majority, and when a database is avoided all the others: an acknowledged
+ * write may be on just one of them.
+ */
+function isEnough(
+  state: FailoverState,
+  granted: number,
+  eligible: number,
+  rules: FailoverRules,
+): boolean {
+  const {phase, databases} = state;
+  const avoiding = phase.name === 'raising' && phase.avoided !== undefined;
+  if (granted < rules.grantsNeeded(databases.length)) return false;
+  return !avoiding || eligible >= databases.length - 1;
+}
+
 function onPromoted(
   state: FailoverState,
   event: Extract<FailoverEvent, {type: 'promoted'}>,
--- a/src/peer/client.ts
+++ b/src/peer/client.ts
@@ -90,7 +90,8 @@
     const {address, secrets} = this.options;
     const session = connectHttp2(`https://${address.host}:${address.port}`, {
       settings: {initialWindowSize: STREAM_WINDOW_BYTES, enablePush: false},
-      createConnection: () => connectTls({...address, ...clientTls(secrets)}),
+      createConnection: () =>
+        connectTls({...address, ...clientTls(secrets)}).setNoDelay(true),
     });
     const timer = setTimeout(() => session.destroy(), CONNECT_TIMEOUT_MS);
     session.on('error', () => undefined);
--- a/src/peer/server.ts
+++ b/src/peer/server.ts
@@ -40,6 +40,7 @@
     private readonly server: Http2SecureServer,
     private readonly options: PeerServerOptions,
   ) {
+    server.on('secureConnection', socket => socket.setNoDelay(true));
     server.on('session', session => this.addSession(session));
     server.on('stream', (stream, headers) => this.serve(stream, headers));
     server.on('error', () => undefined);
--- a/src/pg/backend.ts
+++ b/src/pg/backend.ts
@@ -14,6 +14,7 @@
   FrameReader,
   statusOf,
   TransactionStatus,
+  writeFrames,
 } from './wire.js';
 
 /** Where and as whom to connect. */
@@ -109,9 +110,7 @@
   }
 
   send(frames: readonly Buffer[]): void {
-    this.socket.cork();
-    for (const frame of frames) this.socket.write(frame);
-    this.socket.uncork();
+    writeFrames(this.socket, frames);
   }
 
   /** Sends a Sync, which an idle connection answers at once. */
--- a/src/pg/wire.ts
+++ b/src/pg/wire.ts
@@ -199,3 +199,28 @@
     `kind=${failure.kind} outcome=${answer.outcome}`,
   );
 }
+
+/** Frames up to this total are copied into one write. */
+const COALESCED_BYTES = 32 * 1024;
+
+/** Anything that takes bytes, as a socket does. */
+interface ByteSink {
+  write(bytes: Buffer): boolean;
+  cork(): void;
+  uncork(): void;
+}
+
+/** Writes frames with as few system calls as possible; false: congested. */
+export function writeFrames(
+  sink: ByteSink,
+  frames: readonly Buffer[],
+): boolean {
+  if (frames.length === 1) return sink.write(frames[0]);
+  const bytes = frames.reduce((sum, frame) => sum + frame.length, 0);
+  if (bytes <= COALESCED_BYTES) return sink.write(Buffer.concat(frames, bytes));
+  let roomy = true;
+  sink.cork();
+  for (const frame of frames) roomy = sink.write(frame);
+  sink.uncork();
+  return roomy;
+}
--- a/src/proxy/failover_runner.ts
+++ b/src/proxy/failover_runner.ts
@@ -64,6 +64,11 @@
     this.apply({type: 'handOver', nowMs: Date.now()});
   }
 
+  /** Replaces a primary that none of its replicas can follow. */
+  evict(): void {
+    this.apply({type: 'evict', nowMs: Date.now()});
+  }
+
   dump(): object {
     return {phase: this.state.phase.name, term: this.state.term};
   }
--- a/src/proxy/fleet.ts
+++ b/src/proxy/fleet.ts
@@ -73,6 +73,8 @@
   private readonly applied = new Map<string, number>();
   private readonly subscription: Subscription;
   private fetching = false;
+  private candidatesOf: Membership | undefined;
+  private knownCandidates: readonly Candidate[] = [];
 
   private constructor(private readonly options: FleetOptions) {
     this.view = createMembership(options.address, Date.now());
@@ -88,8 +90,15 @@
     return new Fleet(options);
   }
 
-  get candidates(): Candidate[] {
-    return candidates(this.view);
+  /** VMs that may own pools; the same array while nothing changes. */
+  get candidates(): readonly Candidate[] {
+    if (this.candidatesOf !== this.view) {
+      this.candidatesOf = this.view;
+      const next = candidates(this.view);
+      const same = sameCandidates(next, this.knownCandidates);
+      this.knownCandidates = same ? this.knownCandidates : next;
+    }
+    return this.knownCandidates;
   }
 
   /** Other VMs that are alive. */
@@ -238,3 +247,10 @@
     }
   }
 }
+
+const sameCandidates = (
+  a: readonly Candidate[],
+  b: readonly Candidate[],
+): boolean =>
+  a.length === b.length &&
+  a.every((candidate, index) => candidate.vm === b[index].vm);
--- a/src/proxy/fleet_executor.ts
+++ b/src/proxy/fleet_executor.ts
@@ -36,6 +36,9 @@
 
 /** Executor of one service. */
 export class FleetExecutor implements Executor {
+  private ownerAmong: readonly Candidate[] | undefined;
+  private owner: string | undefined;
+
   private constructor(private readonly options: FleetExecutorOptions) {}
 
   static create(options: FleetExecutorOptions): FleetExecutor {
@@ -57,8 +60,8 @@
     sink: LaneSink,
     budgetMs: number,
   ): Lane {
-    const {service, self, candidates, local, remote} = this.options;
-    const owner = ownerOf(service.name, homeOf(service), candidates())?.vm;
+    const {self, local, remote} = this.options;
+    const owner = this.currentOwner();
     const executor =
       owner === undefined || owner === self ? local() : remote(owner);
     const timed = {...request, budgetMs};
@@ -71,6 +74,17 @@
     );
   }
 
+  /** The owner, worked out again when the candidates change. */
+  private currentOwner(): string | undefined {
+    const {service, candidates} = this.options;
+    const among = candidates();
+    if (this.ownerAmong !== among) {
+      this.ownerAmong = among;
+      this.owner = ownerOf(service.name, homeOf(service), among)?.vm;
+    }
+    return this.owner;
+  }
+
   private watchFailure(owner: string, sink: LaneSink): LaneSink {
     return {
       onFrame: (code, frame) => sink.onFrame(code, frame),
--- a/src/proxy/local_group.ts
+++ b/src/proxy/local_group.ts
@@ -23,6 +23,11 @@
   LaneSink,
 } from '../core/lane.js';
 import {coverage, Coverage, logEnd, Position} from '../core/position.js';
+import {
+  createReplicationWatch,
+  isReplicationStuck,
+  watchReplication,
+} from '../core/replication.js';
 import {
   emptyView,
   forget,
@@ -71,6 +76,7 @@
   private readonly retries = RetryBudget.create();
   private sequence = 0;
   private closing = false;
+  private replication = createReplicationWatch(Date.now());
   private service: ServiceConfig;
 
   private constructor(private readonly options: LocalGroupOptions) {
@@ -253,6 +259,17 @@
     for (const lane of this.lanes) lane.leavePrimary(primary);
   }
 
+  /** Commits wait for a replica, and no replica moves any more. */
+  private evictStuckPrimary(): void {
+    const nowMs = Date.now();
+    this.replication = watchReplication(this.replication, this.view, nowMs);
+    const waiting = this.ack.pending.length > 0;
+    if (waiting && isReplicationStuck(this.replication, nowMs)) {
+      this.replication = createReplicationWatch(nowMs);
+      this.runner.evict();
+    }
+  }
+
   /** Hands over once a staying replica holds all that the primary holds. */
   private handOverLeavingPrimary(): void {
     const primary = this.view.samples.get(this.view.primary ?? '');
@@ -317,6 +334,7 @@
     this.view = observe(this.view, {status, sentAtMs});
     if (this.view.term > term) this.leaveOldPrimary();
     this.handOverLeavingPrimary();
+    this.evictStuckPrimary();
     this.settle(addEvidence(this.ack, {status, sequence}));
     this.startLearned();
     for (const lane of [...this.parked.keys()]) {
--- a/src/proxy/session.ts
+++ b/src/proxy/session.ts
@@ -25,6 +25,7 @@
   readyFrame,
   statusOf,
   TransactionStatus,
+  writeFrames,
 } from '../pg/wire.js';
 import {localAnswer} from './local_answer.js';
 
@@ -463,11 +464,7 @@
     const frames = this.output;
     if (frames.length === 0) return;
     this.output = [];
-    const {socket} = this.options;
-    if (frames.length > 1) socket.cork();
-    let roomy = true;
-    for (const frame of frames) roomy = socket.write(frame);
-    if (frames.length > 1) socket.uncork();
+    const roomy = writeFrames(this.options.socket, frames);
     if (!roomy && !this.congested) this.hold();
   }
 
