Measure how control grows, and keep the order of heartbeats

Cause: at 2,000 nodes one heartbeat took 969 us, most of it sorting the members for each; the processor figures included the bench's own garbage collection; ending bench threads by force crashed the process once (assertion in Node's HTTP/2 stream reader while a thread was being terminated).

--- a/bench/path.ts
+++ b/bench/path.ts
@@ -36,7 +36,7 @@
 const POOL = {slots: 4, connections: 16};
 
 /** The threads of one bench. */
-class Bench {
+export class Bench {
   private constructor(
     readonly standin: Worker,
     readonly proxies: readonly Worker[],
@@ -74,7 +74,11 @@
   }
 
   async close(): Promise<void> {
-    await Promise.all([...this.proxies, this.standin].map(w => w.terminate()));
+    for (const worker of [...this.proxies, this.standin]) {
+      const question: WorkerQuestion = {ask: 'close'};
+      worker.postMessage(question);
+      await once(worker, 'exit');
+    }
   }
 }
 
@@ -248,9 +252,9 @@
   };
 }
 
-async function processorUs(bench: Bench): Promise<number> {
+export async function processorUs(bench: Bench): Promise<number> {
   const costs = await Promise.all(
-    bench.proxies.map(proxy => ask(proxy, {ask: 'cost'})),
+    bench.proxies.map(proxy => ask(proxy, {ask: 'processor'})),
   );
   return costs.reduce((sum, cost) => sum + cost.processorUs, 0);
 }
--- a/bench/worker.ts
+++ b/bench/worker.ts
@@ -17,6 +17,10 @@
 
 /** What a worker is asked. */
 export type WorkerQuestion =
+  /** Processor time alone. */
+  | {readonly ask: 'processor'}
+  | {readonly ask: 'close'}
+  /** After collecting garbage: heap and state as well. */
   | {readonly ask: 'cost'}
   | {readonly ask: 'put'; readonly key: string; readonly value: string};
 
@@ -40,20 +44,33 @@
   return Number(runNs) / 1_000;
 }
 
-function costOf(dump: object): WorkerCost {
+function costOf(question: WorkerQuestion, dump: () => object): WorkerCost {
   const spentUs = processorUs();
+  if (question.ask !== 'cost') {
+    return {processorUs: spentUs, heapBytes: 0, dump: {}};
+  }
   collect();
   const {heapUsed, external} = process.memoryUsage();
-  return {processorUs: spentUs, heapBytes: heapUsed + external, dump};
+  return {
+    processorUs: spentUs,
+    heapBytes: heapUsed + external,
+    dump: dump(),
+  };
 }
 
 async function runStandins(group: GroupOptions): Promise<void> {
   await loadModule();
   const platform = await StandinPlatform.create();
   const standin = await StandinGroup.create(group);
+  const closeStandins = async (): Promise<void> => {
+    await standin.close();
+    await platform.close();
+    port?.close();
+  };
   port?.on('message', (question: WorkerQuestion) => {
+    if (question.ask === 'close') return void closeStandins();
     if (question.ask === 'put') platform.put(question.key, question.value);
-    port?.postMessage(costOf({}));
+    port?.postMessage(costOf(question, () => ({})));
   });
   port?.postMessage({
     platformUrl: platform.url,
@@ -65,7 +82,13 @@
   const resolved = resolveSettings(flags, {});
   if (resolved.isErr()) throw new Error(resolved.error);
   const proxy = await Proxy.create(resolved.value);
-  port?.on('message', () => port?.postMessage(costOf(proxy.dump())));
+  port?.on('message', (question: WorkerQuestion) => {
+    if (question.ask === 'close') {
+      void proxy.close().then(() => port?.close());
+    } else {
+      port?.postMessage(costOf(question, () => proxy.dump()));
+    }
+  });
   port?.postMessage({
     callerPort: proxy.callerPort,
     peerPort: proxy.peerPort,
--- a/src/core/membership.ts
+++ b/src/core/membership.ts
@@ -48,7 +48,9 @@
 export interface Membership {
   readonly self: MemberUpdate;
   readonly others: ReadonlyMap<string, Member>;
-  /** Rotates the choice of heartbeat targets. */
+  /** Names of the others, sorted: the order of heartbeats. */
+  readonly order: readonly string[];
+  /** Place in `order` of the next heartbeat's target. */
   readonly turn: number;
 }
 
@@ -73,6 +75,7 @@
 ): Membership => ({
   self: {address, incarnation, status: MemberStatus.alive},
   others: new Map(),
+  order: [],
   turn: 0,
 });
 
@@ -81,10 +84,12 @@
   (next.incarnation === held.incarnation &&
     PRECEDENCE[next.status] > PRECEDENCE[held.status]);
 
-const withOther = (view: Membership, member: Member): Membership => ({
-  ...view,
-  others: new Map(view.others).set(member.address.vm, member),
-});
+function withOther(view: Membership, member: Member): Membership {
+  const {vm} = member.address;
+  const others = new Map(view.others).set(vm, member);
+  const order = view.others.has(vm) ? view.order : [...view.order, vm].sort();
+  return {...view, others, order};
+}
 
 /** Takes in what another VM tells. */
 export function mergeUpdates(
@@ -170,7 +175,8 @@
     ([vm, member]) =>
       listed.has(vm) || nowMs - member.heardAtMs < SUSPECT_TIMEOUT_MS,
   );
-  return {...next, others: new Map(others)};
+  const order = others.map(([vm]) => vm).sort();
+  return {...next, others: new Map(others), order};
 }
 
 /** Turns old suspicions into departures. */
@@ -207,16 +213,17 @@
   view: Membership;
   targets: readonly VmAddress[];
 } {
-  const vms = [...view.others.values()].sort((a, b) =>
-    a.address.vm < b.address.vm ? -1 : 1,
-  );
-  const count = Math.min(HEARTBEAT_FANOUT, vms.length);
-  const targets = Array.from(
-    {length: count},
-    (_, i) => vms[(view.turn + i) % vms.length].address,
-  );
-  const turn = vms.length === 0 ? 0 : (view.turn + count) % vms.length;
-  return {view: {...view, turn}, targets};
+  const {order, others} = view;
+  const count = Math.min(HEARTBEAT_FANOUT, order.length);
+  const targets = Array.from({length: count}, (_, i) => {
+    const member = others.get(order[(view.turn + i) % order.length]);
+    return member?.address;
+  });
+  const turn = order.length === 0 ? 0 : (view.turn + count) % order.length;
+  return {
+    view: {...view, turn},
+    targets: targets.filter(address => address !== undefined),
+  };
 }
 
 /** What to pass on with a heartbeat: this VM and the newest changes. */
--- a/src/standin/platform.ts
+++ b/src/standin/platform.ts
@@ -55,6 +55,11 @@
     return Object.values(this.calls).reduce((sum, n) => sum + n, 0);
   }
 
+  /** Watches that are waiting. */
+  get watcherCount(): number {
+    return this.watchers.size;
+  }
+
   /** Writes a key directly, as the platform itself would. */
   put(key: string, value: string): void {
     this.revision++;
