Record whole sessions, and route anew what waits for a replaced primary

Cause: the recorded session with a primary killed in mid-transaction showed a later INSERT refused at its 15 s deadline (not run, but needlessly): it had been queued for the old primary just before the view changed, and nothing took it out of that queue. Change: lanes that wait for a replaced or unreachable database are routed anew; an unreachable pool costs most. Five golden sessions.

--- a/src/proxy/database_pool.ts
+++ b/src/proxy/database_pool.ts
@@ -77,6 +77,11 @@
     return (this.queue.size + this.executing) / this.options.slots;
   }
 
+  /** Whether it has no connection and could not open one lately. */
+  get isUnreachable(): boolean {
+    return this.all.size === 0 && this.history.failures > 0;
+  }
+
   /** Adds a request; it starts, or is refused when it could not be in time. */
   submit(job: Job): void {
     const nowMs = Date.now();
--- a/src/proxy/local_group.ts
+++ b/src/proxy/local_group.ts
@@ -239,7 +239,8 @@
   }
 
   private costOf(database: string): number {
-    return this.pools.get(database)?.load ?? Infinity;
+    const pool = this.pools.get(database);
+    return !pool || pool.isUnreachable ? Infinity : pool.load;
   }
 
   /** The view without the databases that are leaving. */
@@ -255,10 +256,17 @@
     return staying && this.leaving(this.view.primary ?? '');
   }
 
+  /** Sends on what waits for a database that cannot be reached. */
+  private leaveQueuesOf(database: string): void {
+    const pool = this.pools.get(database);
+    if (!pool?.isUnreachable) return;
+    for (const lane of [...this.lanes]) lane.leaveQueue(pool);
+  }
+
   /** Ends what waits for an answer of a primary that has been replaced. */
   private leaveOldPrimary(): void {
     const primary = this.pools.get(this.view.primary ?? '');
-    for (const lane of this.lanes) lane.leavePrimary(primary);
+    for (const lane of [...this.lanes]) lane.leavePrimary(primary);
   }
 
   /** Commits wait for a replica, and no replica moves any more. */
@@ -331,7 +339,7 @@
 
   private onProbe(result: ProbeResult): void {
     const {status, sentAtMs, sequence} = result;
-    if (!status) return;
+    if (!status) return this.leaveQueuesOf(result.database);
     const {term} = this.view;
     this.view = observe(this.view, {status, sentAtMs});
     if (this.view.term > term) this.leaveOldPrimary();
--- a/src/proxy/local_lane.ts
+++ b/src/proxy/local_lane.ts
@@ -126,9 +126,16 @@
 
   /** Gives up a write on a database that is no longer the primary. */
   leavePrimary(primary: DatabasePool | undefined): void {
-    const {running} = this;
-    if (!running || this.request.access === 'read') return;
-    if (running.pool !== primary) this.lose();
+    if (this.request.access === 'read') return;
+    if (this.running && this.running.pool !== primary) this.lose();
+    if (this.waitingPool !== primary) this.leaveQueue(this.waitingPool);
+  }
+
+  /** Looks for another route when it waits in the given pool's queue. */
+  leaveQueue(pool: DatabasePool | undefined): void {
+    if (!pool || this.waitingPool !== pool) return;
+    this.waitingPool = undefined;
+    if (pool.withdraw(this)) this.host.place(this);
   }
 
   refuse(reason: Failure): void {
--- /dev/null
+++ b/test/sessions.test.ts
@@ -0,0 +1,179 @@
+import test from 'ava';
+import pg from 'pg';
+import {Scene, until} from '../src/standin/scene.js';
+
+const SERVICE = 'order-books-1';
+const CUSTOMER = 'villacres';
+
+/** A transcript of what callers sent and were answered, times left out. */
+class Transcript {
+  readonly lines: string[] = [];
+
+  private constructor(readonly scene: Scene) {}
+
+  static create(scene: Scene): Transcript {
+    return new Transcript(scene);
+  }
+
+  async connect(
+    name: string,
+    proxy: number,
+    extra: pg.ClientConfig = {},
+  ): Promise<pg.Client> {
+    const client = this.scene.client(proxy, CUSTOMER, SERVICE, extra);
+    const outcome = await client.connect().then(() => 'ready', describeError);
+    this.lines.push(`${name} connects to vm-${proxy + 1}: ${outcome}`);
+    return client;
+  }
+
+  async ask(name: string, client: pg.Client, sql: string): Promise<void> {
+    const answer = await client.query(sql).then(describeResult, describeError);
+    const asked = sql.replace(/'[\w:/.-]+:[\w-]{22}'/, "'<token>'");
+    this.lines.push(
+      `${name}> ${asked}`,
+      `${' '.repeat(name.length)}  ${answer}`,
+    );
+  }
+
+  note(text: string): void {
+    this.lines.push(`-- ${text}`);
+  }
+}
+
+const describeResult = (result: pg.QueryResult): string =>
+  `${result.command} ${result.rowCount ?? 0} ${JSON.stringify(result.rows)}`.replace(
+    /"[\w-]+:\d+\/\d+:[\w-]{22}"/g,
+    '"<token>"',
+  );
+
+function describeError(error: pg.DatabaseError): string {
+  return `${error.severity ?? 'CLOSED'} ${error.code ?? ''} ${error.message} (${error.detail ?? ''})`;
+}
+
+const tokenOf = async (client: pg.Client): Promise<string> =>
+  String(
+    (await client.query('SHOW mustardpass.session')).rows[0][
+      'mustardpass.session'
+    ],
+  );
+
+async function record(
+  play: (transcript: Transcript, scene: Scene) => Promise<void>,
+): Promise<string> {
+  const scene = await Scene.create({proxies: 2});
+  const transcript = Transcript.create(scene);
+  try {
+    await play(transcript, scene);
+    return transcript.lines.join('\n');
+  } finally {
+    await scene.close();
+  }
+}
+
+test.serial('golden: login, refusals and settings', async t => {
+  const text = await record(async script => {
+    const ana = await script.connect('ana', 0);
+    await script.connect('eve', 0, {password: 'wrong'});
+    await script.connect('eve', 0, {database: 'no-such'});
+    await script.ask('ana', ana, 'SHOW mustardpass.session');
+    await script.ask('ana', ana, 'SET mustardpass.max_staleness_ms = 500');
+    await script.ask('ana', ana, 'SHOW mustardpass.max_staleness_ms');
+    await script.ask('ana', ana, 'SET mustardpass.max_staleness_ms = -5');
+    await script.ask('ana', ana, "SET mustardpass.session = 'forged'");
+    await script.ask('ana', ana, 'LISTEN news');
+    await ana.end();
+  });
+  t.snapshot(text);
+});
+
+test.serial('golden: a session roams and reads its writes', async t => {
+  const text = await record(async script => {
+    const home = await script.connect('home', 0);
+    await script.ask('home', home, "INSERT INTO t (id, v) VALUES ('a', '1')");
+    const away = await script.connect('away', 1);
+    const token = await tokenOf(home);
+    await script.ask('away', away, `SET mustardpass.session = '${token}'`);
+    await script.ask('away', away, "SELECT v FROM t WHERE id = 'a'");
+    const bare = await script.connect('bare', 1);
+    await script.ask('bare', bare, "SELECT v FROM t WHERE id = 'a'");
+    await Promise.all([home.end(), away.end(), bare.end()]);
+  });
+  t.snapshot(text);
+});
+
+test.serial('golden: a transaction, its error and its end', async t => {
+  const text = await record(async script => {
+    const ana = await script.connect('ana', 1);
+    for (const sql of [
+      'BEGIN',
+      "INSERT INTO t (id, v) VALUES ('a', '1')",
+      'SELECT v FROM t',
+      'COMMIT',
+      'BEGIN',
+      "INSERT INTO t (id, v) VALUES ('a', '2')",
+      'SELECT v FROM t',
+      'ROLLBACK',
+      'BEGIN READ ONLY',
+      'SELECT v FROM t',
+      "INSERT INTO t (id, v) VALUES ('b', '2')",
+      'ROLLBACK',
+    ]) {
+      await script.ask('ana', ana, sql);
+    }
+    await ana.end();
+  });
+  t.snapshot(text);
+});
+
+test.serial(
+  'golden: a primary dies in the middle of a transaction',
+  async t => {
+    const text = await record(async (script, scene) => {
+      const ana = await script.connect('ana', 0);
+      await script.ask('ana', ana, "INSERT INTO t (id) VALUES ('before')");
+      await script.ask('ana', ana, 'BEGIN');
+      await script.ask('ana', ana, "INSERT INTO t (id) VALUES ('during')");
+      script.note('the primary is killed');
+      scene.group(SERVICE).primary.kill();
+      await until(
+        () => scene.group(SERVICE).primary.database.status().term === 2,
+      );
+      await script.ask('ana', ana, "INSERT INTO t (id) VALUES ('too late')");
+      await script.ask('ana', ana, 'ROLLBACK');
+      await script.ask('ana', ana, "INSERT INTO t (id) VALUES ('after')");
+      await script.ask('ana', ana, 'SELECT id FROM t');
+      await ana.end();
+    });
+    t.snapshot(text);
+  },
+);
+
+test.serial('golden: a key is withdrawn, a proxy drains', async t => {
+  const text = await record(async (script, scene) => {
+    const ana = await script.connect('ana', 0);
+    await script.ask('ana', ana, 'SELECT 1 AS n');
+    const ended = new Promise<string>(resolve =>
+      ana.on('error', error =>
+        resolve(describeError(error as pg.DatabaseError)),
+      ),
+    );
+    script.note('vm-1 drains');
+    const drained = scene.proxies[0].drain();
+    script.note(`ana is told: ${await ended}`);
+    await drained;
+    await scene.proxies[0].close();
+    const beto = await script.connect('beto', 1);
+    const stopped = new Promise<string>(resolve =>
+      beto.on('error', error =>
+        resolve(describeError(error as pg.DatabaseError)),
+      ),
+    );
+    script.note('the key is withdrawn');
+    await scene.configure(1, [
+      {do: 'withdraw_key', customer: CUSTOMER, id: 'first'},
+    ]);
+    script.note(`beto is told: ${await stopped}`);
+    await script.connect('beto', 1);
+  });
+  t.snapshot(text);
+});
