Probe quiet groups less often

Cause: a proxy that owns one quiet service spent 3.47% of a core, one that owns none 1.72%; the difference is 30 probes a second. Change: a group without a request for 5 s is probed every 500 ms. Before: 3.47% and 1.72%.

--- a/src/proxy/local_group.ts
+++ b/src/proxy/local_group.ts
@@ -44,7 +44,7 @@
 import {DatabasePool, Job} from './database_pool.js';
 import {FailoverRunner, FailoverRunnerOptions} from './failover_runner.js';
 import {LaneHost, LocalLane} from './local_lane.js';
-import {ProbeResult, Sampler} from './sampler.js';
+import {Pace, ProbeResult, Sampler} from './sampler.js';
 
 /** What a local group needs. */
 export interface LocalGroupOptions {
@@ -60,6 +60,9 @@
   readonly onRouted?: (access: 'read' | 'write', toReplica: boolean) => void;
 }
 
+/** Time without a request after which a group is probed less often. */
+const QUIET_AFTER_MS = 5_000;
+
 /** Callbacks of one commit, or of a floor being learned. */
 type Decided = (confirmed: boolean) => void;
 
@@ -77,6 +80,7 @@
   private readonly subscription: Subscription;
   private readonly retries = RetryBudget.create();
   private sequence = 0;
+  private usedAtMs = Date.now();
   private closing = false;
   private replication = createReplicationWatch(Date.now());
   private service: ServiceConfig;
@@ -119,6 +123,8 @@
   open(request: LaneRequest, batch: LaneBatch, sink: LaneSink): Lane {
     const lane = LocalLane.create(request, batch, sink, this);
     this.lanes.add(lane);
+    this.usedAtMs = Date.now();
+    if (this.sampler.isQuiet) this.sampler.setPace(Pace.active);
     this.retries.deposit();
     this.place(lane);
     return lane;
@@ -146,7 +152,7 @@
     const id = ++this.sequence;
     this.deciding.set(id, done);
     this.ack = addCommit(this.ack, {id, position, sequence: id});
-    this.sampler.setUrgent(true);
+    this.sampler.setPace(Pace.urgent);
     return () => {
       this.deciding.delete(id);
       this.ack = dropCommit(this.ack, id);
@@ -318,7 +324,7 @@
         ? undefined
         : setTimeout(() => this.replace(lane), Math.max(0, waitMs));
     this.parked.set(lane, timer);
-    this.sampler.setUrgent(true);
+    this.sampler.setPace(Pace.urgent);
   }
 
   private replace(lane: LocalLane): void {
@@ -334,7 +340,7 @@
   private learnFloor(lane: LocalLane): void {
     this.parked.set(lane, undefined);
     this.learning.push({lane, sequence: ++this.sequence});
-    this.sampler.setUrgent(true);
+    this.sampler.setPace(Pace.urgent);
   }
 
   private onProbe(result: ProbeResult): void {
@@ -351,8 +357,13 @@
     for (const lane of [...this.parked.keys()]) {
       if (!this.learning.some(entry => entry.lane === lane)) this.replace(lane);
     }
-    const someoneWaits = this.parked.size > 0 || this.ack.pending.length > 0;
-    this.sampler.setUrgent(someoneWaits);
+    this.sampler.setPace(this.paceNow());
+  }
+
+  private paceNow(): Pace {
+    if (this.parked.size > 0 || this.ack.pending.length > 0) return Pace.urgent;
+    const quiet = Date.now() - this.usedAtMs > QUIET_AFTER_MS;
+    return quiet && this.lanes.size === 0 ? Pace.quiet : Pace.active;
   }
 
   private settle(decision: AckDecision): void {
--- a/src/proxy/sampler.ts
+++ b/src/proxy/sampler.ts
@@ -28,8 +28,21 @@
   readonly nextSequence: () => number;
 }
 
-export const PROBE_INTERVAL_MS = 100;
-const URGENT_INTERVAL_MS = 2;
+/** How often databases are probed. */
+export const Pace = {
+  /** Someone waits for the next answer. */
+  urgent: 'urgent',
+  active: 'active',
+  /** No request lately: only failures are to be noticed. */
+  quiet: 'quiet',
+} as const;
+export type Pace = (typeof Pace)[keyof typeof Pace];
+
+const INTERVAL_MS: Record<Pace, number> = {
+  urgent: 2,
+  active: 100,
+  quiet: 500,
+};
 const OPEN_PROBE_TIMEOUT_MS = 300;
 const FRESH_PROBE_TIMEOUT_MS = 400;
 
@@ -40,11 +53,11 @@
   timer: NodeJS.Timeout | undefined;
 }
 
-/** Probes a group's databases, faster while someone waits. */
+/** Probes a group's databases at the pace that is needed. */
 export class Sampler {
   private readonly results = new Subject<ProbeResult>();
   private readonly probed = new Map<string, Probed>();
-  private urgent = false;
+  private pace: Pace = Pace.active;
   private closed = false;
 
   private constructor(private readonly options: SamplerOptions) {
@@ -68,15 +81,18 @@
     return this.results;
   }
 
+  get isQuiet(): boolean {
+    return this.pace === Pace.quiet;
+  }
+
   link(database: string): ControlLink | undefined {
     return this.probed.get(database)?.link;
   }
 
-  /** Probes without pause while `urgent`. */
-  setUrgent(urgent: boolean): void {
-    if (urgent === this.urgent) return;
-    this.urgent = urgent;
-    if (urgent) for (const name of this.probed.keys()) this.schedule(name);
+  setPace(pace: Pace): void {
+    if (pace === this.pace) return;
+    this.pace = pace;
+    for (const name of this.probed.keys()) this.schedule(name);
   }
 
   close(): void {
@@ -92,7 +108,7 @@
     const entry = this.probed.get(name);
     if (!entry || entry.busy || this.closed) return;
     clearTimeout(entry.timer);
-    const spacingMs = this.urgent ? URGENT_INTERVAL_MS : PROBE_INTERVAL_MS;
+    const spacingMs = INTERVAL_MS[this.pace];
     const delayMs = Math.max(0, entry.lastAtMs + spacingMs - Date.now());
     entry.timer = setTimeout(() => void this.probe(name, entry), delayMs);
   }
