Keep the proxy's settings out of transactions' connections

Cause: reading the session code: inside a transaction SET mustardpass.* was sent on to the database, where it had no effect for the proxy and would have stayed on the shared connection; no test covered it. Change: such statements are answered by the proxy; calls between VMs move into a module of their own. Before: not tested, wrong by reading. After: a test sets and shows a setting in a transaction that commits. Conclusion: fixed.

--- a/src/proxy/proxy.ts
+++ b/src/proxy/proxy.ts
@@ -1,5 +1,5 @@
 /** One proxy process: everything a VM runs, composed and owned here. */
-import {createHash, randomBytes} from 'node:crypto';
+import {randomBytes} from 'node:crypto';
 import {readFileSync} from 'node:fs';
 import {JSONRPCServer} from 'json-rpc-2.0';
 import {loadModule, parseSync} from 'libpg-query';
@@ -10,7 +10,7 @@
 import {score} from '../core/placement.js';
 import {RouteRead} from '../core/routing.js';
 import {createClassifier} from '../core/sql.js';
-import {BackendConnection, BackendTarget} from '../pg/backend.js';
+import {BackendTarget} from '../pg/backend.js';
 import {PeerAddress} from '../peer/client.js';
 import {PeerServer} from '../peer/server.js';
 import {EtcdStore} from '../platform/etcd.js';
@@ -25,6 +25,7 @@
 import {MembershipFeed} from './membership_feed.js';
 import {Metrics} from './metrics.js';
 import {OperatorServer} from './operators.js';
+import {cancelPrefixOf, PeerMethods} from './peer_methods.js';
 import {RateKeeper} from './rate_keeper.js';
 import {SessionHost} from './session.js';
 import {describeSettings, ResolvedSettings, Settings} from './settings.js';
@@ -39,11 +40,10 @@
 const WATCHERS = 3;
 const METRICS_INTERVAL_MS = 5_000;
 const MAX_OBSERVERS = 4;
-const REACH_TIMEOUT_MS = 400;
+const CONNECT_TIMEOUT_MS = 800;
 const DRAIN_POLL_MS = 50;
 /** Time in which the balancer and the peers learn of the shutdown. */
 const DRAIN_NOTICE_MS = 1_000;
-const CANCEL_PREFIX_MASK = 0x7fff;
 const SQL_CACHE = {cacheEntries: 10_000, cachedTextBytes: 4_096};
 
 /** A running proxy. */
@@ -59,6 +59,7 @@
   private readonly rates: RateKeeper;
   private readonly groups: Groups;
   private readonly rpc = new JSONRPCServer();
+  private readonly peerMethods: PeerMethods;
   private readonly rosterMember: string;
   private readonly executors = new Map<
     string,
@@ -94,7 +95,7 @@
     this.members = lifecycle.own(this.createMembers(), m => m.close());
     this.rates = lifecycle.own(this.createRates(), rates => rates.close());
     this.groups = lifecycle.own(this.createGroups(), g => g.close());
-    this.addMethods();
+    this.peerMethods = this.createPeerMethods();
   }
 
   /** Starts a proxy; it serves callers once it has a configuration. */
@@ -223,7 +224,7 @@
         log: createLog('failover', vm),
         observers: () => [vm, ...this.fleet.peers.slice(0, MAX_OBSERVERS)],
         askObserver: (observer, service, database) =>
-          this.askObserver(observer, service, database),
+          this.peerMethods.askObserver(observer, {service, database}),
       },
       onRouted: (access, toReplica) => this.metrics.routed(access, toReplica),
       routeRead: this.hooks.routeRead,
@@ -231,6 +232,17 @@
     });
   }
 
+  private createPeerMethods(): PeerMethods {
+    return PeerMethods.create({
+      vm: this.settings.vm,
+      rpc: this.rpc,
+      fleet: this.fleet,
+      config: () => this.feed.config,
+      targetOf: (service, database) => this.targetOf(service, database),
+      cancel: (processId, secret) => this.listener.cancel(processId, secret),
+    });
+  }
+
   private async listen(): Promise<void> {
     const {settings, lifecycle} = this;
     this.peerServer = lifecycle.own(
@@ -274,7 +286,8 @@
       loginTimeoutMs: settings.loginTimeoutMs,
       sessionHost: this.sessionHost(),
       cancelPrefix: cancelPrefixOf(settings.vm),
-      onForeignCancel: (id, secret) => void this.passCancel(id, secret),
+      onForeignCancel: (processId, secret) =>
+        void this.peerMethods.passCancel({processId, secret}),
     });
   }
 
@@ -344,7 +357,7 @@
         settings.backendCaFile === ''
           ? undefined
           : readFileSync(settings.backendCaFile, 'utf8'),
-      connectTimeoutMs: REACH_TIMEOUT_MS * 2,
+      connectTimeoutMs: CONNECT_TIMEOUT_MS,
       maxFrameBytes: settings.maxFrameBytes,
     };
   }
@@ -358,55 +371,6 @@
     return first.some(entry => entry.vm === this.settings.vm);
   }
 
-  private addMethods(): void {
-    this.rpc.addMethod('group.reach', (params: ReachParams) =>
-      this.reach(params),
-    );
-    this.rpc.addMethod('session.cancel', (params: CancelParams) =>
-      this.listener.cancel(params.processId, params.secret),
-    );
-  }
-
-  private async askObserver(
-    vm: string,
-    service: string,
-    database: string,
-  ): Promise<boolean | undefined> {
-    const params: ReachParams = {service, database};
-    if (vm === this.settings.vm) return this.reach(params);
-    try {
-      const client = this.fleet.client(vm);
-      return await client?.call('group.reach', params, REACH_TIMEOUT_MS * 2);
-    } catch {
-      return undefined;
-    }
-  }
-
-  /** Whether a new connection to a database can be opened from here. */
-  private async reach(params: ReachParams): Promise<boolean | undefined> {
-    const service = findService(this.feed.config, params.service);
-    const database = service?.databases.find(d => d.name === params.database);
-    if (!database) return undefined;
-    const opened = await BackendConnection.connect({
-      ...this.targetOf(params.service, database),
-      connectTimeoutMs: REACH_TIMEOUT_MS,
-    });
-    if (opened.isOk()) opened.value.destroy();
-    // A refusal for want of room is an answer of a living database.
-    return opened.isOk() || /too many connections/.test(opened.error.message);
-  }
-
-  private async passCancel(processId: number, secret: number): Promise<void> {
-    const prefix = Math.floor(processId / 2 ** 16);
-    const vm = this.fleet.peers.find(peer => cancelPrefixOf(peer) === prefix);
-    if (vm === undefined) return;
-    const params: CancelParams = {processId, secret};
-    await this.fleet
-      .client(vm)
-      ?.call('session.cancel', params, REACH_TIMEOUT_MS)
-      .catch(() => undefined);
-  }
-
   /** Waits for a configuration: from the platform, else from several peers. */
   private async bootstrap(): Promise<void> {
     while (this.feed.config.version === 0 && !this.isDraining) {
@@ -448,21 +412,6 @@
   }
 }
 
-interface ReachParams {
-  readonly service: string;
-  readonly database: string;
-}
-
-interface CancelParams {
-  readonly processId: number;
-  readonly secret: number;
-}
-
-function cancelPrefixOf(vm: string): number {
-  const digest = createHash('sha1').update(vm).digest();
-  return digest.readUInt16BE(0) & CANCEL_PREFIX_MASK;
-}
-
 function processorMs(): number {
   const {user, system} = process.cpuUsage();
   return Math.round((user + system) / 1_000);
--- a/src/proxy/session.ts
+++ b/src/proxy/session.ts
@@ -260,13 +260,21 @@
       case 'refused':
         return this.refuse(failure('not_supported', plan.reason));
       case 'local':
-        if (this.lane) return this.sendOn(batch, this.laneAccess === 'write');
-        return this.serveLocally(batch, statements);
+        return this.belongsToLane(statements)
+          ? this.sendOn(batch, this.laneAccess === 'write')
+          : this.serveLocally(batch, statements);
       case 'run':
         return this.admitAndRun(batch, plan);
     }
   }
 
+  /** A bare Sync or Flush, or the rest of a flushed sequence, goes on. */
+  private belongsToLane(statements: readonly Statement[]): boolean {
+    return (
+      this.lane !== undefined && (statements.length === 0 || this.midFlush)
+    );
+  }
+
   private skip(batch: Batch): void {
     if (batch.boundary === Boundary.flush) {
       this.current = undefined;
--- a/test/clients.test.ts
+++ b/test/clients.test.ts
@@ -156,6 +156,20 @@
   await new Promise(resolve => socket.once('close', resolve));
 }
 
+test.serial('settings of the proxy work inside a transaction', async t => {
+  await withScene({}, async scene => {
+    const client = await connected(scene);
+    await client.query('BEGIN');
+    await client.query("INSERT INTO t (id) VALUES ('a')");
+    await client.query('SET mustardpass.max_staleness_ms = 9');
+    const shown = await client.query('SHOW mustardpass.max_staleness_ms');
+    t.is(shown.rows[0]['mustardpass.max_staleness_ms'], '9');
+    await client.query('COMMIT');
+    t.deepEqual(scene.group(SERVICE).committedIds('t'), ['a']);
+    await client.end();
+  });
+});
+
 test.serial('a failed transaction answers nothing but its end', async t => {
   await withScene({}, async scene => {
     const client = await connected(scene);
