--- a/bench/faults.ts
+++ b/bench/faults.ts
@@ -3,6 +3,7 @@
 import {xoroshiro128plus} from 'pure-rand/generator/xoroshiro128plus';
 import {Scene, SceneOptions} from '../src/standin/scene.js';
 import {Fault, FAULTS, SERVICE} from './fault_cases.js';
+import {measureWithdrawal} from './withdrawal.js';
 import {Accounts, Workload} from './workload.js';
 
 /** One row of the result. */
@@ -16,6 +17,7 @@
   readonly stale: number;
   readonly crossed: number;
   readonly unknown: number;
+  readonly unknown_says: Readonly<Record<string, number>>;
   readonly not_run: number;
   readonly gap_ms: number;
   readonly violations: number;
@@ -81,6 +83,7 @@
     stale: accounts.stale,
     crossed: accounts.crossed,
     unknown: accounts.unknown,
+    unknown_says: accounts.unknownSays,
     not_run: accounts.notRun,
     gap_ms: accounts.gapMs,
     violations: wrong + (accounts.gapMs > maxGapMs ? 1 : 0),
@@ -109,10 +112,13 @@
     say(JSON.stringify(row));
     rows.push(row);
   }
+  const withdrawal = await measureWithdrawal();
+  say(JSON.stringify(withdrawal));
   return {
     bench: 'faults',
     pair_seed: PAIR_SEED,
     rows,
+    key_withdrawal: withdrawal,
     total_violations: rows.reduce((sum, row) => sum + row.violations, 0),
   };
 }
--- a/bench/workload.ts
+++ b/bench/workload.ts
@@ -22,6 +22,8 @@
   readonly crossed: number;
   readonly unknown: number;
   readonly notRun: number;
+  /** What callers with an unknown outcome were told, with counts. */
+  readonly unknownSays: Readonly<Record<string, number>>;
   /** Longest time without an acknowledged write anywhere. */
   readonly gapMs: number;
 }
@@ -51,6 +53,7 @@
   private stale = 0;
   private crossed = 0;
   private notRun = 0;
+  private readonly unknownSays = new Map<string, number>();
 
   private constructor(
     private readonly scene: Scene,
@@ -94,6 +97,7 @@
       crossed: this.crossed,
       unknown: withTold('unknown').length,
       notRun: this.notRun,
+      unknownSays: Object.fromEntries(this.unknownSays),
       gapMs: this.gapMs,
     };
   }
@@ -176,11 +180,18 @@
       this.lastAckAtMs = nowMs;
     } catch (error) {
       this.note(ids, toldBy(error as pg.DatabaseError));
+      this.countUnknown(error as pg.DatabaseError);
       if ((error as pg.DatabaseError).code === UNIQUE_VIOLATION) this.doubled++;
       throw error;
     }
   }
 
+  private countUnknown(error: pg.DatabaseError): void {
+    if (toldBy(error) !== 'unknown') return;
+    const known = this.unknownSays.get(error.message) ?? 0;
+    this.unknownSays.set(error.message, known + 1);
+  }
+
   private note(ids: readonly string[], told: Told): void {
     for (const id of ids) this.told.set(id, told);
     if (told === 'not_run') this.notRun++;
--- a/src/core/fair_queue.ts
+++ b/src/core/fair_queue.ts
@@ -19,8 +19,8 @@
   readonly size: number;
   /** Adds a request, or returns false when it could not be served in time. */
   offer(entry: Waiting<T>, pace: Pace, nowMs: number): boolean;
-  /** Takes the next request. */
-  take(): Waiting<T> | undefined;
+  /** Takes the next request of a customer that is not blocked. */
+  take(isBlocked?: (customer: string) => boolean): Waiting<T> | undefined;
   /** Removes and returns the requests whose deadline has passed. */
   expire(nowMs: number): Waiting<T>[];
   /** Removes one item; true when it was waiting. */
@@ -70,9 +70,16 @@
     return true;
   }
 
-  take(): Waiting<T> | undefined {
-    while (this.ring.length > 0) {
+  take(isBlocked: (customer: string) => boolean = () => false) {
+    let passedOver = 0;
+    while (passedOver < this.ring.length) {
       const lane = this.ring[0];
+      if (isBlocked(lane.customer)) {
+        this.rotate();
+        passedOver++;
+        continue;
+      }
+      passedOver = 0;
       if (lane.deficit >= QUANTUM) return this.serve(lane);
       lane.deficit += QUANTUM * lane.weight;
       if (lane.deficit < QUANTUM) this.rotate();
--- a/src/core/pool_policy.ts
+++ b/src/core/pool_policy.ts
@@ -92,3 +92,24 @@
  */
 export const isPoolSilent = (retired: number, oldSurvivors: number): boolean =>
   retired > 0 && oldSurvivors === 0;
+
+/** Connections of one pool that a customer uses. */
+export interface CustomerUse {
+  readonly limit: number;
+  /** Connections in use by anyone. */
+  readonly used: number;
+  /** Connections in use by the customer. */
+  readonly held: number;
+}
+
+const MAX_CUSTOMER_PART = 0.5;
+const RESERVED_PART = 0.25;
+
+/**
+ * Whether a customer must leave a connection to others: it holds half of the
+ * pool, and only the last quarter is free. Open transactions keep connections,
+ * so that without this one customer could hold them all.
+ */
+export const mustLeaveRoom = (use: CustomerUse): boolean =>
+  use.held >= Math.ceil(use.limit * MAX_CUSTOMER_PART) &&
+  use.limit - use.used <= Math.floor(use.limit * RESERVED_PART);
--- a/src/proxy/database_pool.ts
+++ b/src/proxy/database_pool.ts
@@ -18,6 +18,7 @@
   connectionsToOpen,
   IdleAction,
   isPoolSilent,
+  mustLeaveRoom,
   NO_FAILURES,
 } from '../core/pool_policy.js';
 import {BackendConnection, BackendTarget} from '../pg/backend.js';
@@ -51,6 +52,8 @@
   private readonly queue: WaitingRoom<Job>;
   private readonly idle: BackendConnection[] = [];
   private readonly all = new Set<BackendConnection>();
+  /** Connections in use, with the customer that uses each. */
+  private readonly holders = new Map<BackendConnection, string>();
   /** Connections whose probe is unanswered. */
   private readonly suspects = new Set<BackendConnection>();
   private connecting = 0;
@@ -128,6 +131,7 @@
 
   /** Takes a clean connection back. */
   release(connection: BackendConnection): void {
+    this.holders.delete(connection);
     connection.attach(this.idleHandlers(connection));
     if (this.closed || this.all.size > this.limit) this.discard(connection);
     else if (!connection.closed) this.idle.push(connection);
@@ -136,6 +140,7 @@
 
   /** Closes a connection whose state is in doubt. */
   discard(connection: BackendConnection): void {
+    this.holders.delete(connection);
     this.all.delete(connection);
     connection.attach(undefined);
     connection.destroy();
@@ -205,23 +210,35 @@
       this.idle.length > 0 &&
       this.executing < Math.floor(this.concurrency.limit)
     ) {
-      this.startNext();
+      if (!this.startNext()) break;
     }
     this.openMore();
   }
 
-  private startNext(): void {
+  /** Starts one request; false when none may start. */
+  private startNext(): boolean {
     const connection = this.idle.pop();
-    if (!connection || connection.closed) return;
+    if (!connection || connection.closed) return true;
     if (connection.probedAtMs !== undefined) {
       // Its probe is unanswered: keep it out of use until it answers.
       this.suspects.add(connection);
-      return;
+      return true;
+    }
+    const next = this.queue.take(customer => this.isBlocked(customer));
+    if (!next) {
+      this.idle.push(connection);
+      return false;
     }
-    const next = this.queue.take();
-    if (!next) return void this.idle.push(connection);
     this.executing++;
+    this.holders.set(connection, next.customer);
     next.item.start(connection);
+    return true;
+  }
+
+  private isBlocked(customer: string): boolean {
+    let held = 0;
+    for (const holder of this.holders.values()) if (holder === customer) held++;
+    return mustLeaveRoom({limit: this.limit, used: this.holders.size, held});
   }
 
   private openMore(): void {
--- a/test/clients.test.ts
+++ b/test/clients.test.ts
@@ -209,6 +209,49 @@
   },
 );
 
+test.serial('a write lost in a failover is told, never silent', async t => {
+  await withScene(
+    {services: [{service: SERVICE, lagMs: 3_000, writeAck: 'primary'}]},
+    async scene => {
+      const client = await connected(scene);
+      await client.query("INSERT INTO t (id) VALUES ('lost')");
+      const group = scene.group(SERVICE);
+      group.primary.kill();
+      await until(() => group.primary.database.status().term === 2);
+      const read = () => client.query("SELECT id FROM t WHERE id = 'lost'");
+      const told = await rejection(read());
+      t.is(told.code, 'MP001');
+      t.regex(told.detail ?? '', /outcome=not_run/);
+      const write = client.query("INSERT INTO t (id) VALUES ('next')");
+      t.is((await rejection(write)).code, 'MP001');
+      await client.query("SET mustardpass.session = ''");
+      t.is((await read()).rows.length, 0);
+      await client.end();
+    },
+  );
+});
+
+test.serial('a customer with many open transactions leaves room', async t => {
+  const customers = [{name: CUSTOMER}, {name: 'small'}];
+  await withScene({customers}, async scene => {
+    const hoarders = await Promise.all(
+      Array.from({length: 30}, () => connected(scene)),
+    );
+    const begun = hoarders.map(client => client.query('BEGIN').catch(() => 0));
+    const small = scene.client(1, 'small', SERVICE);
+    await small.connect();
+    for (let n = 0; n < 5; n++) {
+      const {rowCount} = await small.query('INSERT INTO t (id) VALUES ($1)', [
+        `s${n}`,
+      ]);
+      t.is(rowCount, 1);
+    }
+    await small.end();
+    await Promise.all(hoarders.map(client => client.end()));
+    await Promise.all(begun);
+  });
+});
+
 test.serial(
   'no byte of a caller key reaches a backend server, log or dump',
   async t => {
