Tell a new owner which databases are leaving

When db1 leaves, the group's home moves and with it the owner; the new owner's failover was told of leaving databases only on a later change, so with equal logs it promoted the leaving one again, whose grant came first each time. Ruled out: a lane lost in a queue (it was parked), the lag (20 ms). Change: an owner notes leaving databases when it starts.

--- a/src/proxy/local_group.ts
+++ b/src/proxy/local_group.ts
@@ -108,6 +108,7 @@
       databases,
       sampler: this.sampler,
     });
+    this.noteLeaving();
   }
 
   static create(options: LocalGroupOptions): LocalGroup {
@@ -198,9 +199,7 @@
   update(service: ServiceConfig): void {
     if (JSON.stringify(service) === JSON.stringify(this.service)) return;
     this.service = service;
-    this.runner.setLeaving(
-      service.databases.filter(d => d.leaving).map(d => d.name),
-    );
+    this.noteLeaving();
   }
 
   /** Keeps few connections while another VM owns the pools. */
@@ -366,6 +365,11 @@
     this.sampler.setPace(this.paceNow());
   }
 
+  private noteLeaving(): void {
+    const leaving = this.service.databases.filter(entry => entry.leaving);
+    this.runner.setLeaving(leaving.map(entry => entry.name));
+  }
+
   private paceNow(): Pace {
     if (this.parked.size > 0 || this.ack.pending.length > 0) return Pace.urgent;
     const quiet = Date.now() - this.usedAtMs > QUIET_AFTER_MS;
--- a/src/standin/scene.ts
+++ b/src/standin/scene.ts
@@ -19,10 +19,16 @@
 /** A customer of a scene; its key is `key-<name>`. */
 export type SceneCustomer = Partial<CustomerConfig> & {readonly name: string};
 
+/** A service of a scene. */
+export type SceneService = Partial<GroupOptions & ServiceConfig> & {
+  /** Whether a database is leaving from the start, by index. */
+  readonly isLeaving?: (index: number) => boolean;
+};
+
 /** What to build. */
 export interface SceneOptions {
   readonly proxies: number;
-  readonly services?: readonly Partial<GroupOptions & ServiceConfig>[];
+  readonly services?: readonly SceneService[];
   readonly customers?: readonly SceneCustomer[];
   /** Flags for every proxy. */
   readonly flags?: Readonly<Record<string, unknown>>;
@@ -226,13 +232,14 @@
   }
 }
 
-function serviceOf(
-  group: StandinGroup,
-  extra: Partial<ServiceConfig>,
-): ServiceConfig {
+function serviceOf(group: StandinGroup, extra: SceneService): ServiceConfig {
+  const databases = group.databaseConfigs().map((database, index) => ({
+    ...database,
+    leaving: extra.isLeaving?.(index) ?? false,
+  }));
   return {
     name: group.options.service,
-    databases: group.databaseConfigs(),
+    databases,
     slots: group.options.slots,
     connections: group.options.connections,
     writeAck: extra.writeAck ?? 'replica',
--- a/test/drain.test.ts
+++ b/test/drain.test.ts
@@ -104,3 +104,22 @@
     }
   },
 );
+
+test.serial(
+  'an owner that starts with a leaving primary replaces it',
+  async t => {
+    const scene = await Scene.create({
+      proxies: 2,
+      services: [{service: SERVICE, isLeaving: index => index === 0}],
+    });
+    try {
+      const client = scene.client(0, 'villacres', SERVICE);
+      await client.connect();
+      await client.query("INSERT INTO t (id) VALUES ('a')");
+      t.not(scene.group(SERVICE).primary.database.name, `${SERVICE}-db1`);
+      await client.end();
+    } finally {
+      await scene.close();
+    }
+  },
+);
