Move a write that a fenced database has refused

Ruled out: the hand-over's own check for writes (it sees this VM's lanes only). Change: everything but rows of a batch that may commit is withheld to its end; a refusal as read-only, with nothing relayed or committed, is tried again at the present primary, at most 10 times 50 ms apart. Conclusion: fixed outside transactions; inside one the caller is told.

--- a/src/proxy/local_lane.ts
+++ b/src/proxy/local_lane.ts
@@ -18,6 +18,10 @@
 
 /** Longest pause between the statements of a transaction. */
 const IDLE_TRANSACTION_MS = 60_000;
+/** SQLSTATE field of a database that is not, or no longer, the primary. */
+const READ_ONLY_ERROR = 'C25006\0';
+const MAX_MOVES = 10;
+const MOVE_DELAY_MS = 50;
 const MAX_WITHHELD_BYTES = 8 * 1024 * 1024;
 
 /** What a lane asks of its group. */
@@ -51,6 +55,10 @@
   private relayed = false;
   private withheld: {code: number; frame: Buffer}[] | undefined;
   private withheldBytes = 0;
+  /** A completion has been withheld: rows after it are withheld too. */
+  private completed = false;
+  private refusedAsReadOnly = false;
+  private moves = 0;
   private committed: Position | undefined;
   private stopConfirm: (() => void) | undefined;
   private timer: NodeJS.Timeout | undefined;
@@ -186,16 +194,28 @@
   private receive(code: number, frame: Buffer): void {
     if (code === Code.parameterStatus && this.notePosition(frame)) return;
     if (code === Code.ready) return this.receiveReady(frame);
-    if (this.withheld && this.startsWithholding(code)) {
-      return this.withhold(code, frame);
+    if (!this.withheld) return this.relay(code, frame);
+    this.receiveWithheld(code, frame);
+  }
+
+  /** Rows pass; everything else of a batch that may commit is withheld. */
+  private receiveWithheld(code: number, frame: Buffer): void {
+    if (code === Code.dataRow && !this.completed) {
+      this.relayWithheld();
+      this.withheld = [];
+      return this.relay(code, frame);
+    }
+    if (code === Code.commandComplete) this.completed = true;
+    if (code === Code.error && frame.includes(READ_ONLY_ERROR)) {
+      this.refusedAsReadOnly = true;
     }
-    this.relay(code, frame);
+    this.withhold(code, frame);
   }
 
-  /** An answer is withheld from its first completion on. */
-  private startsWithholding(code: number): boolean {
-    const started = (this.withheld?.length ?? 0) > 0;
-    return started || code === Code.commandComplete;
+  private relayWithheld(): void {
+    for (const {code, frame} of this.withheld ?? []) this.relay(code, frame);
+    this.withheld = undefined;
+    this.withheldBytes = 0;
   }
 
   private withhold(code: number, frame: Buffer): void {
@@ -226,6 +246,7 @@
     const committed = this.committed;
     this.committed = undefined;
     if (idle) this.releaseConnection();
+    if (idle && this.mayMove(committed)) return this.move();
     if (!committed) return this.deliver(frame, undefined, idle);
     this.stopConfirm = this.host.confirm(committed, confirmed => {
       this.stopConfirm = undefined;
@@ -240,9 +261,8 @@
     idle: boolean,
   ): void {
     if (this.over) return;
-    for (const {code, frame} of this.withheld ?? []) this.relay(code, frame);
-    this.withheld = undefined;
-    this.withheldBytes = 0;
+    this.relayWithheld();
+    this.completed = false;
     const floor = position ?? this.learnedFloor;
     if (floor) this.sink.onPosition(floor);
     this.relay(Code.ready, ready);
@@ -300,10 +320,36 @@
   }
 
   private retry(): void {
+    this.forgetAnswer();
+    this.host.place(this);
+  }
+
+  private forgetAnswer(): void {
     this.readiesDue = 0;
     this.withheld = undefined;
+    this.withheldBytes = 0;
+    this.completed = false;
+    this.refusedAsReadOnly = false;
     this.committed = undefined;
-    this.host.place(this);
+  }
+
+  /** A write refused by a database just fenced has not run. */
+  private mayMove(committed: Position | undefined): boolean {
+    return (
+      this.refusedAsReadOnly &&
+      !this.relayed &&
+      !committed &&
+      this.moves < MAX_MOVES
+    );
+  }
+
+  /** Tries again, once the new primary may be known. */
+  private move(): void {
+    this.moves++;
+    this.forgetAnswer();
+    setTimeout(() => {
+      if (!this.over) this.host.place(this);
+    }, MOVE_DELAY_MS);
   }
 
   private expire(): void {
