Answer flushed batches of a write at once

Change: a batch without Sync is not withheld; its commit is acknowledged by ReadyForQuery, which is. An open service and startup options have a test.

--- a/src/proxy/local_lane.ts
+++ b/src/proxy/local_lane.ts
@@ -182,7 +182,8 @@
 
   private transmit(batch: LaneBatch): void {
     if (batch.expectsReady) this.readiesDue++;
-    if (batch.mayCommit) this.withheld ??= [];
+    // A flushed batch commits nothing before its Sync, and its caller waits.
+    if (batch.mayCommit && batch.expectsReady) this.withheld ??= [];
     this.running?.connection.send(batch.frames);
   }
 
--- a/test/clients.test.ts
+++ b/test/clients.test.ts
@@ -158,6 +158,29 @@
   await new Promise(resolve => socket.once('close', resolve));
 }
 
+test.serial(
+  'an open service needs no key; startup options are settings',
+  async t => {
+    await withScene(
+      {services: [{service: SERVICE, open: true}]},
+      async scene => {
+        const client = scene.client(0, 'whoever', SERVICE, {
+          password: undefined,
+          options: '-c mustardpass.max_staleness_ms=77',
+        });
+        await client.connect();
+        const shown = await client.query('SHOW mustardpass.max_staleness_ms');
+        t.is(shown.rows[0]['mustardpass.max_staleness_ms'], '77');
+        const {rows} = await client.query(
+          "INSERT INTO t (id) VALUES ('a') RETURNING id",
+        );
+        t.deepEqual(rows, [{id: 'a'}]);
+        await client.end();
+      },
+    );
+  },
+);
+
 test.serial('settings of the proxy work inside a transaction', async t => {
   await withScene({}, async scene => {
     const client = await connected(scene);
