--- a/bench/fault_cases.ts
+++ b/bench/fault_cases.ts
@@ -1,5 +1,5 @@
 /** The faults that the accounts are settled under. */
-import {StoreKey} from '../src/platform/store.js';
+import {StoreKey} from '../src/store/store.js';
 import {Scene, until} from '../src/standin/scene.js';
 
 /** Something that goes wrong, and how it ends. */
--- a/bench/path.ts
+++ b/bench/path.ts
@@ -7,7 +7,7 @@
 import {Worker} from 'node:worker_threads';
 import {Config, DatabaseConfig, digestKey} from '../src/core/config.js';
 import {ownerOf} from '../src/core/placement.js';
-import {StoreKey} from '../src/platform/store.js';
+import {StoreKey} from '../src/store/store.js';
 import {LoadTarget, openConnections, runLoad} from './load.js';
 import {WorkerCost, WorkerQuestion, WorkerRole} from './worker.js';
 
--- a/bench/worker.ts
+++ b/bench/worker.ts
@@ -4,7 +4,7 @@
 import {runInNewContext} from 'node:vm';
 import {parentPort, workerData} from 'node:worker_threads';
 import {loadModule} from 'libpg-query';
-import {StoreKey} from '../src/platform/store.js';
+import {StoreKey} from '../src/store/store.js';
 import {Proxy} from '../src/proxy/proxy.js';
 import {resolveSettings} from '../src/proxy/settings.js';
 import {GroupOptions, StandinGroup} from '../src/standin/group.js';
--- a/src/cli/standin_command.ts
+++ b/src/cli/standin_command.ts
@@ -2,7 +2,7 @@
 import {readFileSync} from 'node:fs';
 import {loadModule} from 'libpg-query';
 import {Config, digestKey} from '../core/config.js';
-import {StoreKey} from '../platform/store.js';
+import {StoreKey} from '../store/store.js';
 import {StandinGroup} from '../standin/group.js';
 import {StandinPlatform} from '../standin/platform.js';
 import {ExitCode} from './main.js';
--- a/src/core/errors.ts
+++ b/src/core/errors.ts
@@ -60,6 +60,12 @@
   transaction_lost: answer('40000', Outcome.notRun),
   canceled: answer('57014', Outcome.notRun),
   outcome_unknown: answer('08007', Outcome.unknown),
+  /** The configuration held here is too old to trust a key. */
+  stale_configuration: answer('57P03', Outcome.notRun),
+  /** A read without an answer within its time limit. */
+  timed_out: answer('57014', Outcome.unknown),
+  /** A transaction that has failed accepts only its end. */
+  transaction_failed: answer('25P02', Outcome.notRun),
 } as const satisfies Record<string, Answer>;
 
 export type ErrorKind = keyof typeof ANSWERS;
--- /dev/null
+++ b/src/front/control_link.ts
@@ -0,0 +1,38 @@
+/** Orders to one database: its report, and whether it receives. */
+import {KnownDatabase} from '../core/directory.js';
+import {DatabaseLink} from './database_link.js';
+import {DatabaseCodec, DatabaseReport, OwnStatement} from './wire_types.js';
+
+/** Name under which a front gives orders. */
+const CONTROL_CUSTOMER = 'mustardpass';
+const ORDER_TIMEOUT_MS = 700;
+
+/** Opens a connection, gives one order, and closes; undefined when it fails. */
+export function orderDatabase(
+  entry: KnownDatabase,
+  codec: DatabaseCodec,
+  statement: OwnStatement,
+  timeoutMs = ORDER_TIMEOUT_MS,
+): Promise<DatabaseReport | undefined> {
+  return new Promise(resolve => {
+    const finish = (report: DatabaseReport | undefined): void => {
+      clearTimeout(timer);
+      resolve(report);
+      link.close();
+    };
+    const timer = setTimeout(() => finish(undefined), timeoutMs);
+    const {host, port, service, id} = entry;
+    const link = DatabaseLink.open(
+      {host, port, service, customer: CONTROL_CUSTOMER, instance: id},
+      codec,
+      fault => {
+        if (fault !== undefined) return finish(undefined);
+        link.run([codec.own(statement)], (_, answer) =>
+          finish(answer.ok ? codec.report(answer.rows[0] ?? '') : undefined),
+        );
+      },
+      () => finish(undefined),
+      timeoutMs,
+    );
+  });
+}
--- /dev/null
+++ b/src/front/database_worker.ts
@@ -0,0 +1,733 @@
+/**
+ * Runs work at one database: a fair queue in front of what the database does at
+ * once, connections bound to customers, and the transactions that hold some.
+ */
+import {chooseConnection} from '../core/connection_choice.js';
+import {KnownDatabase} from '../core/directory.js';
+import {preparationFor, shapeKeyOf, valuesKeyOf} from '../core/session_state.js';
+import {
+  Access,
+  Fault,
+  faultReply,
+  LinkState,
+  provesNotRun,
+  Reply,
+  Work,
+  WorkMode,
+} from '../core/work.js';
+import {WorkQueue} from '../core/work_queue.js';
+import {DatabaseLink, StepAnswer} from './database_link.js';
+import {JsonLog} from './json_log.js';
+import {DatabaseCodec} from './wire_types.js';
+
+/** What a worker needs. */
+export interface WorkerOptions {
+  readonly entry: KnownDatabase;
+  readonly codec: DatabaseCodec;
+  readonly log: JsonLog;
+  /** Connections that this VM may hold at the database. */
+  readonly connectionLimit: () => number;
+  /** Round trip to the database, for how much may be on its way. */
+  readonly isNear: boolean;
+  readonly laneIdleMs: () => number;
+}
+
+/** Wait before a new connection after one was refused or failed. */
+const REOPEN_PAUSE_MS = 250;
+/** Silence of the database after which a new connection checks it. */
+const SILENCE_MS = 400;
+const PROBE_TIMEOUT_MS = 600;
+const CHECK_INTERVAL_MS = 100;
+const SMOOTHING = 0.1;
+const INITIAL_SERVICE_MS = 15;
+/** Name under which a front checks a database. */
+const PROBE_CUSTOMER = 'mustardpass';
+
+interface Connection {
+  readonly customer: string;
+  use: 'idle' | 'busy' | 'pinned';
+  lastUsedMs: number;
+  link: DatabaseLink;
+  lane?: Lane;
+  job?: Job;
+}
+
+interface Lane {
+  readonly id: string;
+  readonly connection: Connection;
+  readonly origin: string;
+  timer?: NodeJS.Timeout;
+}
+
+interface Job {
+  readonly work: Work;
+  readonly origin: string;
+  readonly arrivedMs: number;
+  readonly done: (reply: Reply) => void;
+  timer: NodeJS.Timeout;
+  sentMs: number;
+  over: boolean;
+}
+
+/** Counts that tell how a worker does. */
+export interface WorkerCounts {
+  opened: number;
+  ran: number;
+  refused: number;
+}
+
+/** One database at one VM. */
+export class DatabaseWorker {
+  readonly counts: WorkerCounts = {opened: 0, ran: 0, refused: 0};
+  /** Since when the database does not answer; undefined while it does. */
+  failingSinceMs: number | undefined;
+  private entry: KnownDatabase;
+  private readonly queue = WorkQueue.create<Job>();
+  private readonly jobs = new Map<string, Job>();
+  private readonly lanes = new Map<string, Lane>();
+  private connections: Connection[] = [];
+  private inFlight = 0;
+  private serviceMs = INITIAL_SERVICE_MS;
+  private heardAtMs = 0;
+  private reopenAtMs = 0;
+  private shrunkTo = Infinity;
+  private probing = false;
+  private laneCount = 0;
+  private readonly checks: NodeJS.Timeout;
+
+  private constructor(private readonly options: WorkerOptions) {
+    this.entry = options.entry;
+    this.checks = setInterval(() => this.check(), CHECK_INTERVAL_MS);
+  }
+
+  static create(options: WorkerOptions): DatabaseWorker {
+    return new DatabaseWorker(options);
+  }
+
+  update(entry: KnownDatabase): void {
+    this.entry = entry;
+  }
+
+  /** When the database was last heard, on the steady clock. */
+  get lastHeardMs(): number {
+    return this.heardAtMs;
+  }
+
+  /** Whether the database is being checked, or has failed a check. */
+  get isDoubtful(): boolean {
+    return this.probing || this.failingSinceMs !== undefined;
+  }
+
+  /** Whether nothing is under way. */
+  get isIdle(): boolean {
+    return this.jobs.size === 0 && this.lanes.size === 0;
+  }
+
+  /** Expected wait of one more statement. */
+  expectedWaitMs(customer: string, priority: number): number {
+    const entry = {customer, weight: 1, priority};
+    return this.queue.waitMs(entry, this.pace(), this.inFlight);
+  }
+
+  run(work: Work, origin: string): Promise<Reply> {
+    return new Promise(done => {
+      const nowMs = performance.now();
+      const job: Job = {
+        work,
+        origin,
+        arrivedMs: nowMs,
+        done,
+        sentMs: 0,
+        over: false,
+        timer: setTimeout(() => this.expire(job), work.budgetMs),
+      };
+      this.jobs.set(work.key, job);
+      if (work.mode === WorkMode.lane) this.runInLane(job);
+      else this.enqueue(job);
+    });
+  }
+
+  /** The caller has left: what has not been sent is not sent. */
+  cancel(key: string): void {
+    const job = this.jobs.get(key);
+    if (job && this.queue.remove(job)) this.refuse(job, 'caller left');
+  }
+
+  /** Rolls back a transaction whose caller is gone. */
+  endLane(id: string): void {
+    const lane = this.lanes.get(id);
+    if (lane) this.dropLane(lane);
+  }
+
+  /** Rolls back the transactions of a VM that is gone. */
+  endLanesOf(origin: string): void {
+    for (const lane of [...this.lanes.values()]) {
+      if (lane.origin === origin) this.dropLane(lane);
+    }
+  }
+
+  close(): void {
+    clearInterval(this.checks);
+    for (const connection of [...this.connections]) connection.link.close();
+  }
+
+  /** Closes idle connections, as when another VM takes over. */
+  releaseIdle(keep: number): void {
+    const idle = this.connections.filter(c => c.use === 'idle');
+    const surplus = this.connections.length - keep;
+    idle.slice(0, Math.max(0, surplus)).forEach(c => c.link.close());
+  }
+
+  /** Opens a new connection to see whether the database answers. */
+  probe(): Promise<boolean> {
+    return new Promise(resolve => {
+      const {codec} = this.options;
+      const link = DatabaseLink.open(
+        this.target(PROBE_CUSTOMER),
+        codec,
+        fault => {
+          const alive = fault === undefined || fault === Fault.tooMany;
+          if (alive) this.heard();
+          resolve(alive);
+          link?.close();
+        },
+        () => undefined,
+        PROBE_TIMEOUT_MS,
+      );
+    });
+  }
+
+  dump(): object {
+    return {
+      database: this.entry.id,
+      connections: this.connections.length,
+      lanes: this.lanes.size,
+      inFlight: this.inFlight,
+      queued: this.queue.size,
+      serviceMs: Math.round(this.serviceMs),
+      failing: this.failingSinceMs !== undefined,
+      ...this.counts,
+    };
+  }
+
+  private target(customer: string) {
+    const {host, port, service, id} = this.entry;
+    return {host, port, service, customer, instance: id};
+  }
+
+  private limit(): number {
+    const {slots} = this.entry;
+    return this.options.isNear ? slots + 1 : 2 * slots + 1;
+  }
+
+  private pace() {
+    return {concurrency: this.limit(), serviceTimeMs: this.serviceMs};
+  }
+
+  private enqueue(job: Job): void {
+    const {work} = job;
+    if (this.failingSinceMs !== undefined) {
+      return this.finish(
+        job,
+        faultReply(Fault.unreachable, 'database does not answer'),
+      );
+    }
+    const waitMs = this.expectedWaitMs(work.customer, work.priority);
+    if (waitMs + this.serviceMs > work.budgetMs) {
+      return this.refuse(job, 'queue is too long', waitMs);
+    }
+    const {customer, priority} = work;
+    this.queue.add(
+      {customer, weight: 1, priority, deadlineAtMs: Infinity, item: job},
+      this.pace(),
+    );
+    this.pump();
+  }
+
+  private pump(): void {
+    while (this.inFlight < this.limit()) {
+      const job = this.queue.take(customer => !this.canServe(customer));
+      if (!job) return;
+      this.start(job);
+    }
+  }
+
+  private connectionLimit(): number {
+    return Math.min(this.options.connectionLimit(), this.shrunkTo);
+  }
+
+  private choose(customer: string) {
+    return chooseConnection(this.connections, customer, this.connectionLimit());
+  }
+
+  private canServe(customer: string): boolean {
+    const choice = this.choose(customer);
+    if (choice.kind === 'open') return performance.now() >= this.reopenAtMs;
+    return choice.kind === 'use';
+  }
+
+  private start(job: Job): void {
+    const choice = this.choose(job.work.customer);
+    if (choice.kind === 'use') {
+      this.inFlight++;
+      this.begin(job, choice.connection);
+    } else if (choice.kind === 'open') {
+      choice.evict?.link.close('replaced by another customer');
+      this.inFlight++;
+      this.open(job);
+    } else {
+      this.refuse(job, 'no connection');
+    }
+  }
+
+  private open(job: Job): void {
+    this.counts.opened++;
+    const connection: Connection = {
+      customer: job.work.customer,
+      use: 'busy',
+      lastUsedMs: performance.now(),
+      link: DatabaseLink.open(
+        this.target(job.work.customer),
+        this.options.codec,
+        (fault, text) => this.onOpened(job, connection, fault, text),
+        () => this.onClosed(connection),
+      ),
+    };
+    connection.job = job;
+    this.connections.push(connection);
+  }
+
+  private onOpened(
+    job: Job,
+    connection: Connection,
+    fault: Fault | undefined,
+    text: string,
+  ): void {
+    if (fault === undefined) {
+      this.heard();
+      return this.begin(job, connection);
+    }
+    this.inFlight--;
+    this.options.log('connection_failed', {
+      database: this.entry.id,
+      request: job.work.requestId,
+      fault,
+      text,
+    });
+    if (fault === Fault.tooMany) {
+      this.heard();
+      const held = this.connections.length - 1;
+      this.shrunkTo = Math.max(1, held);
+      this.reopenAtMs = performance.now() + REOPEN_PAUSE_MS;
+    } else if (fault === Fault.unreachable) this.suspect(text);
+    this.finish(job, faultReply(fault, text));
+    setImmediate(() => this.pump());
+  }
+
+  /** Brings the connection to the session's state, then runs the statement. */
+  private begin(job: Job, connection: Connection): void {
+    if (job.over) {
+      this.inFlight--;
+      this.release(connection, LinkState.idle);
+      return this.pump();
+    }
+    connection.use = 'busy';
+    connection.job = job;
+    const {work} = job;
+    const texts = this.prepareTexts(connection.link, work);
+    const {codec} = this.options;
+    const statement = codec.statement(
+      work.requestId,
+      work.text,
+      work.mode === WorkMode.single ? work.after : undefined,
+    );
+    job.sentMs = performance.now();
+    if (work.mode === WorkMode.open || work.mode === WorkMode.openRead) {
+      const readOnly = work.mode === WorkMode.openRead;
+      texts.push(codec.own({kind: 'begin', readOnly}, work.after));
+      this.runSteps(job, connection, texts, texts.length - 1, answer =>
+        this.onBegun(job, connection, answer, statement),
+      );
+      return;
+    }
+    if (work.mode === WorkMode.fenced) {
+      texts.push(
+        codec.own({kind: 'begin', readOnly: false}),
+        statement,
+        codec.own({kind: 'rollback'}),
+      );
+      this.runFenced(job, connection, texts);
+      return;
+    }
+    texts.push(statement);
+    this.runSteps(job, connection, texts, texts.length - 1, answer =>
+      this.onSingle(job, connection, answer),
+    );
+  }
+
+  private prepareTexts(link: DatabaseLink, work: Work): string[] {
+    const {codec} = this.options;
+    const needed = preparationFor(link, work.session);
+    const texts: string[] = [];
+    if (needed.reset) {
+      texts.push(codec.own({kind: 'reset'}));
+      link.prepared.clear();
+    }
+    for (const [name, value] of needed.values) {
+      texts.push(codec.own({kind: 'set', name, value}));
+    }
+    if (needed.prepare) {
+      texts.push(codec.own({kind: 'prepare', prepared: needed.prepare}));
+      link.prepared.set(needed.prepare.name, shapeKeyOf(needed.prepare));
+    }
+    link.valuesKey = valuesKeyOf(work.session);
+    return texts;
+  }
+
+  /** Runs steps; a failed preparation is a connection not to be used. */
+  private runSteps(
+    job: Job,
+    connection: Connection,
+    texts: readonly string[],
+    main: number,
+    done: (answer: StepAnswer) => void,
+  ): void {
+    connection.link.run(texts, (index, answer) => {
+      this.heardUnlessLost(answer);
+      if (index < main && !answer.ok && answer.fault !== Fault.lost) {
+        connection.link.close(`preparation failed: ${answer.text}`);
+      } else if (index === main) done(answer);
+    });
+  }
+
+  private runFenced(
+    job: Job,
+    connection: Connection,
+    texts: readonly string[],
+  ): void {
+    const last = texts.length - 1;
+    let begun: StepAnswer | undefined;
+    let main: StepAnswer | undefined;
+    connection.link.run(texts, (index, answer) => {
+      this.heardUnlessLost(answer);
+      if (index < last - 2) {
+        if (!answer.ok) connection.link.close('preparation failed');
+      } else if (index === last - 2) begun = answer;
+      else if (index === last - 1) {
+        main = begun?.ok === false ? begun : answer;
+        this.finish(job, this.replyOf(main, {state: LinkState.idle}));
+        this.measure(job);
+      } else {
+        this.inFlight--;
+        this.release(connection, answer.ok ? answer.state : LinkState.idle);
+        this.pump();
+      }
+    });
+  }
+
+  private onBegun(
+    job: Job,
+    connection: Connection,
+    begun: StepAnswer,
+    statement: string,
+  ): void {
+    if (!begun.ok || job.over) {
+      this.inFlight--;
+      this.finish(
+        job,
+        begun.ok
+          ? faultReply(Fault.busy, 'not in time')
+          : this.replyOf(
+              {
+                ...begun,
+                fault: begun.fault === Fault.lost ? Fault.unreachable : begun.fault,
+              },
+              {state: LinkState.idle},
+            ),
+      );
+      this.release(connection, begun.state);
+      return this.pump();
+    }
+    const lane = this.pin(connection, job.origin);
+    job.sentMs = performance.now();
+    connection.link.run([statement], (_, answer) => {
+      this.heardUnlessLost(answer);
+      this.inFlight--;
+      this.afterLaneStep(job, lane, answer, true);
+      this.pump();
+    });
+  }
+
+  private onSingle(job: Job, connection: Connection, answer: StepAnswer): void {
+    this.inFlight--;
+    this.measure(job);
+    this.finish(job, this.replyOf(answer, {state: LinkState.idle}));
+    this.release(connection, answer.state);
+    this.pump();
+  }
+
+  private runInLane(job: Job): void {
+    const lane = this.lanes.get(job.work.lane ?? '');
+    if (!lane) {
+      return this.finish(job, {
+        ...faultReply(Fault.aborted, 'transaction is gone'),
+        state: LinkState.failed,
+      });
+    }
+    clearTimeout(lane.timer);
+    const {link} = lane.connection;
+    if (job.work.access === Access.rollback) {
+      this.dropLane(lane);
+      return this.finish(job, {
+        ok: true,
+        rows: [],
+        signature: '',
+        state: LinkState.idle,
+      });
+    }
+    const {session, requestId, text} = job.work;
+    const texts = this.laneTexts(link, session);
+    texts.push(this.options.codec.statement(requestId, text));
+    this.inFlight++;
+    job.sentMs = performance.now();
+    lane.connection.job = job;
+    this.runSteps(job, lane.connection, texts, texts.length - 1, answer => {
+      this.inFlight--;
+      this.afterLaneStep(job, lane, answer, false);
+      this.pump();
+    });
+  }
+
+  /** In a transaction only what is missing is added; nothing is reset. */
+  private laneTexts(link: DatabaseLink, session: Work['session']): string[] {
+    const {codec} = this.options;
+    const key = valuesKeyOf(session);
+    const texts: string[] = [];
+    if (key !== link.valuesKey) {
+      for (const [name, value] of session.values) {
+        texts.push(codec.own({kind: 'set', name, value}));
+      }
+      link.valuesKey = key;
+    }
+    const {prepared} = session;
+    if (prepared && link.prepared.get(prepared.name) !== shapeKeyOf(prepared)) {
+      texts.push(codec.own({kind: 'prepare', prepared}));
+      link.prepared.set(prepared.name, shapeKeyOf(prepared));
+    }
+    return texts;
+  }
+
+  private afterLaneStep(
+    job: Job,
+    lane: Lane,
+    answer: StepAnswer,
+    first: boolean,
+  ): void {
+    this.measure(job);
+    const lost = !answer.ok && answer.fault === Fault.lost;
+    const isCommit = job.work.access === Access.commit;
+    const undone = first && !answer.ok && provesNotRun(answer.fault);
+    const stays =
+      !lost && !undone && !isCommit && answer.state === LinkState.open;
+    if (stays) {
+      this.finish(job, this.replyOf(answer, {state: LinkState.open, lane: lane.id}));
+      if (job.over && this.lanes.has(lane.id)) this.armLane(lane);
+      return;
+    }
+    const failed = !isCommit && !undone ? LinkState.failed : LinkState.idle;
+    const fault = lost && !isCommit ? {...answer, fault: Fault.aborted} : answer;
+    this.finish(job, this.replyOf(fault as StepAnswer, {state: failed}));
+    this.unpin(lane);
+    if (!lost) this.release(lane.connection, answer.state);
+  }
+
+  private pin(connection: Connection, origin: string): Lane {
+    const id = `${this.entry.id}/${++this.laneCount}`;
+    const lane: Lane = {id, connection, origin};
+    connection.use = 'pinned';
+    connection.lane = lane;
+    this.lanes.set(id, lane);
+    return lane;
+  }
+
+  private armLane(lane: Lane): void {
+    clearTimeout(lane.timer);
+    const idleMs = this.options.laneIdleMs();
+    lane.timer = setTimeout(() => this.dropLane(lane), idleMs);
+  }
+
+  private unpin(lane: Lane): void {
+    clearTimeout(lane.timer);
+    this.lanes.delete(lane.id);
+    lane.connection.lane = undefined;
+  }
+
+  private dropLane(lane: Lane): void {
+    this.unpin(lane);
+    const {connection} = lane;
+    if (connection.link.pending > 0) connection.link.close('caller left');
+    else this.release(connection, LinkState.open);
+  }
+
+  /** Makes a connection free again, rolling back what is open. */
+  private release(connection: Connection, state: LinkState): void {
+    connection.job = undefined;
+    if (connection.link.closed) return;
+    if (state === LinkState.idle) {
+      connection.use = 'idle';
+      connection.lastUsedMs = performance.now();
+      if (this.connections.length > this.connectionLimit()) {
+        connection.link.close('above the limit');
+      }
+      return;
+    }
+    connection.use = 'busy';
+    const rollback = this.options.codec.own({kind: 'rollback'});
+    connection.link.run([rollback], (_, answer) => {
+      if (!answer.ok || answer.state !== LinkState.idle) {
+        connection.link.close('rollback failed');
+      } else {
+        this.release(connection, LinkState.idle);
+        this.pump();
+      }
+    });
+  }
+
+  private onClosed(connection: Connection): void {
+    this.connections = this.connections.filter(c => c !== connection);
+    if (connection.lane) this.unpin(connection.lane);
+    connection.job = undefined;
+    setImmediate(() => this.pump());
+  }
+
+  private replyOf(
+    answer: StepAnswer,
+    extra: {state: LinkState; lane?: string},
+  ): Reply {
+    const waitMs = this.queue.size > 0 ? this.expectedWaitMs('', 1) : 0;
+    return answer.ok
+      ? {
+          ok: true,
+          rows: answer.rows,
+          signature: answer.signature,
+          position: answer.position,
+          waitMs,
+          ...extra,
+        }
+      : {
+          ok: false,
+          fault: answer.fault,
+          text: answer.text,
+          position: answer.position,
+          waitMs,
+          ...extra,
+        };
+  }
+
+  private finish(job: Job, reply: Reply): void {
+    if (job.over) return;
+    job.over = true;
+    clearTimeout(job.timer);
+    this.jobs.delete(job.work.key);
+    this.counts.ran++;
+    job.done(reply);
+    if (reply.lane !== undefined) {
+      const lane = this.lanes.get(reply.lane);
+      if (lane) this.armLane(lane);
+    }
+  }
+
+  private refuse(job: Job, text: string, waitMs = 0): void {
+    this.counts.refused++;
+    const retryAfterMs = Math.max(50, Math.round(waitMs));
+    this.finish(job, faultReply(Fault.busy, text, {retryAfterMs, waitMs}));
+  }
+
+  /** The time limit: what was not sent did not run, the rest is unknown. */
+  private expire(job: Job): void {
+    if (job.over) return;
+    if (this.queue.remove(job) || job.sentMs === 0) {
+      return this.refuse(job, 'not in time', this.serviceMs);
+    }
+    const connection = this.connections.find(c => c.job === job);
+    const inLane = job.work.mode === WorkMode.lane;
+    const fault =
+      inLane && job.work.access !== Access.commit ? Fault.aborted : Fault.lost;
+    this.finish(job, {
+      ...faultReply(fault, 'no answer in time'),
+      state: inLane ? LinkState.failed : LinkState.idle,
+    });
+    connection?.link.close('no answer in time');
+    this.suspect('no answer in time');
+  }
+
+  private measure(job: Job): void {
+    const tookMs = performance.now() - job.sentMs;
+    this.serviceMs += SMOOTHING * (tookMs - this.serviceMs);
+  }
+
+  private heardUnlessLost(answer: StepAnswer): void {
+    if (answer.ok || answer.fault !== Fault.lost) this.heard();
+  }
+
+  private heard(): void {
+    this.heardAtMs = performance.now();
+    if (this.failingSinceMs === undefined) return;
+    this.options.log('database_regained', {
+      database: this.entry.id,
+      service: this.entry.service,
+      afterMs: Math.round(this.heardAtMs - this.failingSinceMs),
+    });
+    this.failingSinceMs = undefined;
+  }
+
+  /** Something went wrong: a new connection tells whether the database lives. */
+  private suspect(text: string): void {
+    if (this.probing) return;
+    this.probing = true;
+    const startedMs = performance.now();
+    void this.probe().then(alive => {
+      this.probing = false;
+      if (alive || this.heardAtMs > startedMs) return;
+      if (this.failingSinceMs === undefined) {
+        this.failingSinceMs = startedMs;
+        this.options.log('database_lost', {
+          database: this.entry.id,
+          service: this.entry.service,
+          text,
+          silentMs: Math.round(startedMs - this.heardAtMs),
+        });
+        this.failWaiting();
+      }
+    });
+  }
+
+  /** Work that waits for a database that does not answer goes elsewhere. */
+  private failWaiting(): void {
+    for (;;) {
+      const job = this.queue.take(() => false);
+      if (!job) break;
+      this.finish(job, faultReply(Fault.unreachable, 'database does not answer'));
+    }
+    for (const connection of [...this.connections]) {
+      const {job} = connection;
+      const isRead = job?.work.access === Access.read;
+      if (!job || isRead || connection.use === 'idle') {
+        connection.link.close('database does not answer');
+      }
+    }
+  }
+
+  private check(): void {
+    const nowMs = performance.now();
+    if (this.failingSinceMs !== undefined) return this.suspect('still silent');
+    if (this.shrunkTo !== Infinity && nowMs > this.reopenAtMs + 2_000) {
+      this.shrunkTo = Infinity;
+    }
+    const oldest = this.connections.find(
+      c => c.job && !c.job.over && nowMs - c.job.sentMs > SILENCE_MS && c.job.sentMs > 0,
+    );
+    if (oldest && nowMs - this.heardAtMs > SILENCE_MS) this.suspect('silent');
+    if (this.queue.size > 0) this.pump();
+  }
+}
--- /dev/null
+++ b/src/front/front.ts
@@ -0,0 +1,453 @@
+/** One front: everything a VM runs on a platform, composed and owned here. */
+import {createServer as createHttpServer, Server as HttpServer} from 'node:http';
+import {createServer, Server, Socket} from 'node:net';
+import {map, merge, Subscription} from 'rxjs';
+import {holdersOf} from '../core/fronts.js';
+import {proofLimitMs} from '../core/freshness.js';
+import {LentStretch} from '../core/rates.js';
+import {Reply, Work} from '../core/work.js';
+import {Lifecycle} from '../proxy/lifecycle.js';
+import {LendRequest, RateKeeper} from '../proxy/rate_keeper.js';
+import {KeyValues} from '../store/key_values.js';
+import {CallerSession, SessionHost} from './caller_session.js';
+import {Dispatcher, PeerMethodName} from './dispatcher.js';
+import {Duty} from './duty.js';
+import {FrontMetrics} from './front_metrics.js';
+import {Address, FrontSettings} from './front_settings.js';
+import {JsonLog} from './json_log.js';
+import {PeerMethod, servePeers} from './peer_service.js';
+import {Promote} from './promoter.js';
+import {frontsIn, Registration} from './registration.js';
+import {Router} from './router.js';
+import {StoreFeed, StoreLayout} from './store_feed.js';
+import {TakeoverRunner} from './takeover_runner.js';
+import {CallerCodec, DatabaseCodec} from './wire_types.js';
+
+/** What a platform supplies. */
+export interface FrontPorts {
+  readonly store: KeyValues;
+  readonly layout: StoreLayout;
+  readonly callers: CallerCodec;
+  readonly databases: DatabaseCodec;
+  readonly promote: Promote;
+  /** Path on which readiness is asked. */
+  readonly readyPath: string;
+  /** Where figures are shown; undefined: nowhere. */
+  readonly metrics: (Address & {readonly path: string}) | undefined;
+  readonly log: JsonLog;
+}
+
+/** Beats of silence after which a database counts as gone. */
+const MISSING_BEATS = 2;
+/** Fronts asked whether a primary answers. */
+const MAX_VOTERS = 5;
+const VOTE_TIMEOUT_MS = 700;
+/** A database heard this lately answers. */
+const HEARD_LATELY_MS = 150;
+const SUSPECT_INTERVAL_MS = 150;
+/** Lenders asked in one round: each call crosses the fleet. */
+const LENDERS_A_ROUND = 2;
+const LEND_TIMEOUT_MS = 150;
+const STOP_POLL_MS = 25;
+/** Time after the stop request that is left for closing. */
+const STOP_RESERVE_MS = 600;
+
+/** A running front. */
+export class Front {
+  private readonly lifecycle = Lifecycle.create();
+  private readonly sessions = new Set<CallerSession>();
+  private readonly feed: StoreFeed;
+  private readonly registration: Registration;
+  private readonly dispatcher: Dispatcher;
+  private readonly router: Router;
+  private readonly rates: RateKeeper;
+  private readonly duty: Duty;
+  private readonly takeover: TakeoverRunner;
+  private readonly metrics = FrontMetrics.create();
+  private readonly host: SessionHost;
+  private stopping = false;
+
+  private constructor(
+    private readonly settings: FrontSettings,
+    private readonly ports: FrontPorts,
+  ) {
+    const {log, store, layout} = ports;
+    this.feed = StoreFeed.create({
+      store,
+      layout,
+      regionOfZone: settings.regionOfZone,
+      proofLimitMs: proofLimitMs(settings.revokeMs, settings.thawMs),
+      holdMissingMs: MISSING_BEATS * settings.beatIntervalMs,
+      log,
+    });
+    this.registration = Registration.create({
+      member: this.member,
+      prefix: layout.ownPrefix,
+      store,
+      feed: this.feed,
+      log,
+    });
+    this.dispatcher = this.createDispatcher();
+    this.router = Router.create({
+      self: settings.vm,
+      place: settings.place,
+      directory: () => this.feed.directory,
+      dispatcher: this.dispatcher,
+      log,
+    });
+    this.rates = this.createRates();
+    this.duty = this.createDuty();
+    this.takeover = this.createTakeover();
+    this.host = this.createHost();
+  }
+
+  /** Starts a front; resolves once all addresses listen. */
+  static async start(
+    settings: FrontSettings,
+    ports: FrontPorts,
+  ): Promise<Front> {
+    const front = new Front(settings, ports);
+    await front.open();
+    return front;
+  }
+
+  /** Whether the balancer should send callers here. */
+  get isReady(): boolean {
+    return !this.stopping && this.feed.isFresh && this.isRegistered;
+  }
+
+  /** Graceful shutdown: finishes what is under way, cuts nothing. */
+  async stop(): Promise<void> {
+    if (this.stopping) return;
+    this.stopping = true;
+    const startedMs = performance.now();
+    const {log} = this.ports;
+    log('stopping', {sessions: this.sessions.size});
+    void this.registration.announceLeaving();
+    void this.duty.release();
+    const {graceMs} = this.settings;
+    for (;;) {
+      const ageMs = performance.now() - startedMs;
+      for (const session of this.sessions) {
+        if (ageMs > graceMs / 2) session.abortTransaction('shutdown');
+        session.closeIfIdle();
+      }
+      const done = this.sessions.size === 0 && this.dispatcher.isIdle;
+      if (done || ageMs > graceMs - STOP_RESERVE_MS) break;
+      await new Promise(resolve => setTimeout(resolve, STOP_POLL_MS));
+    }
+    log('stopped', {
+      sessions: this.sessions.size,
+      tookMs: Math.round(performance.now() - startedMs),
+    });
+    await this.lifecycle.close();
+  }
+
+  /** The state of the process, for people. */
+  dump(): object {
+    return {
+      vm: this.settings.vm,
+      ready: this.isReady,
+      stopping: this.stopping,
+      sessions: this.sessions.size,
+      duty: {held: this.duty.isHeld, holder: this.duty.holder},
+      fronts: [...this.fronts().keys()],
+      store: this.feed.dump(),
+      dispatcher: this.dispatcher.dump(),
+      rates: this.rates.dump(),
+    };
+  }
+
+  private get member() {
+    const {vm, host, peerPort, place} = this.settings;
+    return {vm, host, port: peerPort, place, leaving: false};
+  }
+
+  private get isRegistered(): boolean {
+    return this.fronts().has(this.settings.vm);
+  }
+
+  private fronts() {
+    return frontsIn(this.feed.own$.value, this.ports.layout.ownPrefix);
+  }
+
+  private createDispatcher(): Dispatcher {
+    const {settings, ports} = this;
+    let items = this.feed.own$.value;
+    let fronts = this.fronts();
+    return Dispatcher.create({
+      self: settings.vm,
+      zone: settings.place.zone,
+      codec: ports.databases,
+      log: ports.log,
+      directory: () => this.feed.directory,
+      fronts: () => {
+        if (items !== this.feed.own$.value) {
+          items = this.feed.own$.value;
+          fronts = this.fronts();
+        }
+        return fronts;
+      },
+      serviceOf: name => this.feed.config?.services.get(name),
+      idleTransactionMs: () => this.feed.config?.idleTransactionMs ?? 0,
+      secret: () => this.registration.secret,
+    });
+  }
+
+  private createRates(): RateKeeper {
+    const {vm, place} = this.settings;
+    return RateKeeper.create({
+      rates: () => {
+        const config = this.feed.config;
+        if (!config) return undefined;
+        return new Map([...config.customers].map(([n, c]) => [n, c.rate]));
+      },
+      changed$: this.feed.config$,
+      lenders: () =>
+        holdersOf(this.fronts(), vm, place)
+          .map(front => front.vm)
+          .filter(name => name !== vm),
+      maxLenders: LENDERS_A_ROUND,
+      askLender: async (peer, request) => {
+        const link = this.dispatcher.link(peer);
+        if (!link) return [];
+        const call = link.call<LentStretch[]>(PeerMethodName.lend, request);
+        return withTimeout(call, LEND_TIMEOUT_MS);
+      },
+      share: () => this.share(),
+    });
+  }
+
+  /** Equal shares among the registered fronts; none while out of touch. */
+  private share(): number {
+    const fronts = this.fronts();
+    if (!this.feed.isFresh || !fronts.has(this.settings.vm)) return 0;
+    return 1 / fronts.size;
+  }
+
+  private createDuty(): Duty {
+    const {settings, ports} = this;
+    return Duty.create({
+      self: settings.vm,
+      key: `${ports.layout.ownPrefix}duty`,
+      store: ports.store,
+      feed: this.feed,
+      minLeaseMs: settings.minLeaseMs,
+      rank: () => {
+        const names = [...this.fronts().keys()].sort();
+        return Math.max(0, names.indexOf(settings.vm));
+      },
+      mayHold: () => this.isReady,
+      log: ports.log,
+    });
+  }
+
+  private createTakeover(): TakeoverRunner {
+    const {settings, ports} = this;
+    return TakeoverRunner.create({
+      self: settings.vm,
+      duty: this.duty,
+      codec: ports.databases,
+      promote: ports.promote,
+      directory: () => this.feed.directory,
+      serviceOf: name => this.feed.config?.services.get(name),
+      leader: service => this.router.leader(service),
+      services: () => [...(this.feed.config?.services.keys() ?? [])],
+      termOf: service => this.router.termOf(service),
+      vote: database => this.vote(database),
+      log: ports.log,
+    });
+  }
+
+  private async vote(database: string): Promise<readonly boolean[]> {
+    const {vm} = this.settings;
+    const others = [...this.fronts().values()]
+      .filter(front => front.vm !== vm && !front.leaving)
+      .map(front => front.vm)
+      .sort(() => Math.random() - 0.5)
+      .slice(0, MAX_VOTERS - 1);
+    const votes = await Promise.all([
+      this.reaches(database),
+      ...others.map(peer => this.askVote(peer, database)),
+    ]);
+    return votes.filter((vote): vote is boolean => vote !== undefined);
+  }
+
+  private async askVote(
+    peer: string,
+    database: string,
+  ): Promise<boolean | undefined> {
+    try {
+      const link = this.dispatcher.link(peer);
+      const call = link?.call<boolean>(PeerMethodName.probe, {database});
+      return call && (await withTimeout(call, VOTE_TIMEOUT_MS));
+    } catch {
+      // A peer that does not answer has no vote.
+      return undefined;
+    }
+  }
+
+  private async reaches(database: string): Promise<boolean> {
+    const worker = this.dispatcher.worker(database);
+    if (!worker) return false;
+    const age = performance.now() - worker.lastHeardMs;
+    return age < HEARD_LATELY_MS || worker.probe();
+  }
+
+  private createHost(): SessionHost {
+    const {ports} = this;
+    return {
+      codec: ports.callers,
+      router: this.router,
+      log: ports.log,
+      config: () => this.feed.config,
+      isFresh: () => this.feed.isFresh,
+      admitRate: customer => this.rates.admit(customer),
+      endLane: (database, lane) => this.dispatcher.endLane(database, lane),
+      cancel: work => this.dispatcher.cancel(work),
+      isStopping: () => this.stopping,
+      ended: session => this.sessions.delete(session),
+      answered: (kind, tookMs) => this.metrics.answered(kind, tookMs),
+    };
+  }
+
+  private methods(): Readonly<Record<string, PeerMethod>> {
+    const {dispatcher} = this;
+    return {
+      [PeerMethodName.ping]: () => true,
+      [PeerMethodName.run]: (work: Work, from: string): Promise<Reply> =>
+        dispatcher.runHere(work, from),
+      [PeerMethodName.cancel]: (p: {database: string; key: string}) =>
+        dispatcher.cancelHere(p.database, p.key),
+      [PeerMethodName.endLane]: (p: {database: string; lane: string}) =>
+        dispatcher.endLaneHere(p.database, p.lane),
+      [PeerMethodName.lend]: (request: LendRequest) => this.rates.lend(request),
+      [PeerMethodName.probe]: (p: {database: string}) =>
+        this.reaches(p.database),
+      [PeerMethodName.suspect]: (p: {service: string; database: string}) =>
+        this.takeover.suspect(p.service, p.database),
+    };
+  }
+
+  private async open(): Promise<void> {
+    const {settings, ports, lifecycle} = this;
+    const {log} = ports;
+    const following = this.feed.run();
+    lifecycle.own(this.feed, feed => feed.stop());
+    void following;
+    const peers = await servePeers({
+      self: settings.vm,
+      address: {host: settings.host, port: settings.peerPort},
+      secret: () => this.registration.secret,
+      methods: this.methods(),
+      onGone: vm => this.dispatcher.endLanesOf(vm),
+      log,
+    });
+    lifecycle.own(peers, closeServer);
+    lifecycle.own(await this.serveReady(), closeServer);
+    if (ports.metrics) lifecycle.own(await this.serveMetrics(), closeServer);
+    lifecycle.own(await this.serveCallers(), closeServer);
+    lifecycle.own(this.followChanges(), s => s.unsubscribe());
+    const suspecting = setInterval(
+      () => this.reportSuspects(),
+      SUSPECT_INTERVAL_MS,
+    );
+    lifecycle.own(suspecting, timer => clearInterval(timer));
+    lifecycle.own(this.dispatcher, dispatcher => dispatcher.close());
+    lifecycle.own(this.rates, rates => rates.close());
+    lifecycle.own(this.takeover, takeover => takeover.close());
+    lifecycle.own(this.registration, registration => registration.close());
+    log('started', {
+      zone: settings.place.zone,
+      callers: settings.callerAddress,
+      peers: settings.peerPort,
+    });
+  }
+
+  private followChanges(): Subscription {
+    const {directory$, own$, config$} = this.feed;
+    const changes$ = merge(
+      directory$.pipe(map(() => undefined)),
+      own$.pipe(map(() => undefined)),
+      config$.pipe(map(() => undefined)),
+    );
+    return changes$.subscribe(() => this.dispatcher.refresh());
+  }
+
+  private serveCallers(): Promise<Server> {
+    const server = createServer((socket: Socket) => {
+      const session = CallerSession.create(socket, this.host);
+      this.sessions.add(session);
+    });
+    return listen(server, this.settings.callerAddress);
+  }
+
+  private serveReady(): Promise<HttpServer> {
+    const server = createHttpServer((request, response) => {
+      const known = request.url === this.ports.readyPath;
+      response.statusCode = !known ? 404 : this.isReady ? 200 : 503;
+      response.end();
+    });
+    return listen(server, this.settings.readyAddress);
+  }
+
+  private serveMetrics(): Promise<HttpServer> {
+    const {metrics} = this.ports;
+    const server = createHttpServer((request, response) => {
+      response.statusCode = request.url === metrics?.path ? 200 : 404;
+      response.setHeader('content-type', 'text/plain');
+      const gauges = {
+        sessions: this.sessions.size,
+        ready: this.isReady ? 1 : 0,
+        duty_held: this.duty.isHeld ? 1 : 0,
+        resident_bytes: process.memoryUsage.rss(),
+      };
+      response.end(
+        request.url === metrics?.path ? this.metrics.text(gauges) : '',
+      );
+    });
+    return listen(server, metrics ?? this.settings.readyAddress);
+  }
+
+  /** Tells the holder of the duty of primaries that do not answer. */
+  private reportSuspects(): void {
+    const {holder} = this.duty;
+    for (const [id, worker] of this.dispatcher.known) {
+      if (!worker.isDoubtful) continue;
+      const service = this.feed.directory.get(id)?.service;
+      if (service === undefined) continue;
+      if (this.router.leader(service)?.id !== id) continue;
+      if (holder === this.settings.vm) this.takeover.suspect(service, id);
+      else if (holder !== undefined) {
+        this.dispatcher
+          .link(holder)
+          ?.call(PeerMethodName.suspect, {service, database: id})
+          .catch((error: Error) =>
+            this.ports.log('suspect_untold', {holder, text: error.message}),
+          );
+      }
+    }
+  }
+}
+
+function withTimeout<T>(promise: Promise<T>, ms: number): Promise<T> {
+  let timer: NodeJS.Timeout | undefined;
+  const late = new Promise<never>((_, reject) => {
+    timer = setTimeout(() => reject(new Error('no answer in time')), ms);
+  });
+  return Promise.race([promise, late]).finally(() => clearTimeout(timer));
+}
+
+function listen<T extends Server>(server: T, address: Address): Promise<T> {
+  return new Promise((resolve, reject) => {
+    server.once('error', reject);
+    server.listen(address.port, address.host, 1_024, () => resolve(server));
+  });
+}
+
+function closeServer(server: Server): void {
+  server.close();
+  if ('closeAllConnections' in server) {
+    (server as HttpServer).closeAllConnections();
+  }
+}
--- /dev/null
+++ b/src/front/peer_service.ts
@@ -0,0 +1,79 @@
+/** Accepts other fronts and serves their calls. */
+import {randomBytes} from 'node:crypto';
+import {createServer, Server, Socket} from 'node:net';
+import {JSONRPCServer} from 'json-rpc-2.0';
+import {Address} from './front_settings.js';
+import {JsonLog} from './json_log.js';
+import {Hello, isProof, onLines, prove, sendLine} from './peer_protocol.js';
+
+/** A method that peers may call; `from` is the calling VM. */
+export type PeerMethod = (params: never, from: string) => unknown;
+
+/** What the service needs. */
+export interface PeerServiceOptions {
+  readonly self: string;
+  readonly address: Address;
+  readonly secret: () => string;
+  readonly methods: Readonly<Record<string, PeerMethod>>;
+  /** A peer's connection has ended. */
+  readonly onGone: (vm: string) => void;
+  readonly log: JsonLog;
+}
+
+const HELLO_TIMEOUT_MS = 2_000;
+const NONCE_BYTES = 16;
+
+/** Starts listening. */
+export function servePeers(options: PeerServiceOptions): Promise<Server> {
+  const server = createServer(socket => accept(socket, options));
+  return new Promise((resolve, reject) => {
+    server.once('error', reject);
+    server.listen(options.address.port, options.address.host, () =>
+      resolve(server),
+    );
+  });
+}
+
+function accept(socket: Socket, options: PeerServiceOptions): void {
+  const {self, secret, methods, log} = options;
+  const nonce = randomBytes(NONCE_BYTES).toString('hex');
+  let from: string | undefined;
+  let rpc: JSONRPCServer | undefined;
+  const limit = setTimeout(() => socket.destroy(), HELLO_TIMEOUT_MS);
+  socket.setNoDelay(true);
+  socket.on('error', error => log('peer_error', {peer: from, text: error.message}));
+  socket.on('close', () => {
+    clearTimeout(limit);
+    if (from !== undefined) options.onGone(from);
+  });
+  onLines(socket, message => {
+    if (rpc) {
+      void rpc.receive(message as never).then(answer => {
+        if (answer) sendLine(socket, answer);
+      });
+      return;
+    }
+    const hello = message as Partial<Hello>;
+    const expected = prove(secret(), nonce, String(hello.from), self);
+    if (hello.to !== self || !isProof(String(hello.proof), expected)) {
+      log('peer_refused', {peer: hello.from, to: hello.to});
+      return void socket.destroy();
+    }
+    clearTimeout(limit);
+    from = String(hello.from);
+    rpc = createRpc(methods, from);
+    sendLine(socket, {welcome: true});
+  });
+  sendLine(socket, {nonce});
+}
+
+function createRpc(
+  methods: PeerServiceOptions['methods'],
+  from: string,
+): JSONRPCServer {
+  const rpc = new JSONRPCServer();
+  for (const [name, method] of Object.entries(methods)) {
+    rpc.addMethod(name, params => method(params as never, from));
+  }
+  return rpc;
+}
--- /dev/null
+++ b/src/front/registration.ts
@@ -0,0 +1,158 @@
+/**
+ * Keeps this front registered in the store by a leased key, and the secret that
+ * fronts share to know one another.
+ */
+import {randomBytes} from 'node:crypto';
+import {FrontMember, Fronts} from '../core/fronts.js';
+import {KeyValues, StoredItem, StoreFaultKind} from '../store/key_values.js';
+import {StoreFeed} from './store_feed.js';
+import {JsonLog} from './json_log.js';
+
+/** What a registration needs. */
+export interface RegistrationOptions {
+  readonly member: FrontMember;
+  readonly prefix: string;
+  readonly store: KeyValues;
+  readonly feed: StoreFeed;
+  readonly log: JsonLog;
+}
+
+/** Longer than any proof: a front that stopped renewing serves no more. */
+const LEASE_MS = 8_000;
+const RENEW_INTERVAL_MS = 2_500;
+const RETRY_MS = 200;
+const SECRET_BYTES = 24;
+
+const memberKey = (prefix: string, vm: string): string =>
+  `${prefix}fronts/${vm}`;
+const secretKey = (prefix: string): string => `${prefix}secret`;
+
+/** Reads the registered fronts from the items under the own prefix. */
+export function frontsIn(
+  items: ReadonlyMap<string, StoredItem>,
+  prefix: string,
+): Fronts {
+  const fronts = new Map<string, FrontMember>();
+  for (const [key, item] of items) {
+    if (!key.startsWith(memberKey(prefix, ''))) continue;
+    const member = JSON.parse(item.value.toString('utf8')) as FrontMember;
+    fronts.set(member.vm, member);
+  }
+  return fronts;
+}
+
+/** This front's entry in the store. */
+export class Registration {
+  private leaseId = 0;
+  private busy = false;
+  private stopped = false;
+  private leaving = false;
+  private writtenRevision = 0;
+  private readonly timers: NodeJS.Timeout[] = [];
+
+  private constructor(private readonly options: RegistrationOptions) {
+    this.timers.push(
+      setInterval(() => void this.renew(), RENEW_INTERVAL_MS),
+      setInterval(() => void this.ensure(), RETRY_MS),
+    );
+  }
+
+  static create(options: RegistrationOptions): Registration {
+    return new Registration(options);
+  }
+
+  /** Secret that the fronts share; empty until known. */
+  get secret(): string {
+    const {feed, prefix} = this.options;
+    const item = feed.own$.value.get(secretKey(prefix));
+    return item?.value.toString('utf8') ?? '';
+  }
+
+  /** Tells the others that this front takes no new work. */
+  async announceLeaving(): Promise<void> {
+    this.leaving = true;
+    this.writtenRevision = 0;
+    await this.ensure();
+  }
+
+  /** Removes the entry. */
+  async close(): Promise<void> {
+    this.stopped = true;
+    this.timers.forEach(timer => clearInterval(timer));
+    const {leaseId} = this;
+    this.leaseId = 0;
+    if (leaseId !== 0) await this.options.store.revoke(leaseId);
+  }
+
+  private get isListed(): boolean {
+    const {feed, prefix, member} = this.options;
+    const item = feed.own$.value.get(memberKey(prefix, member.vm));
+    return item !== undefined && item.revision >= this.writtenRevision;
+  }
+
+  /** Registers when the entry is missing, as at start or after a lapse. */
+  private async ensure(): Promise<void> {
+    const {feed} = this.options;
+    const due = this.writtenRevision === 0 || !this.isListed;
+    if (this.busy || this.stopped || feed.isCutOff) return;
+    if (!due || feed.config === undefined) return;
+    this.busy = true;
+    await this.register();
+    this.busy = false;
+  }
+
+  private async register(): Promise<void> {
+    const {store, prefix, member, log, feed} = this.options;
+    if (this.leaseId === 0) {
+      const lease = await store.grant(LEASE_MS);
+      if (lease.isErr()) return;
+      this.leaseId = lease.value.leaseId;
+    }
+    const value = JSON.stringify({...member, leaving: this.leaving});
+    const entry = {
+      key: memberKey(prefix, member.vm),
+      value,
+      leaseId: this.leaseId,
+    };
+    const known = feed.own$.value.has(secretKey(prefix));
+    const fresh = randomBytes(SECRET_BYTES).toString('hex');
+    const secret = {key: secretKey(prefix), value: fresh, leaseId: 0};
+    const answer = await store.change({
+      expected: known ? [] : [{key: secretKey(prefix), revision: 0}],
+      writes: known ? [entry] : [entry, secret],
+      removals: [],
+    });
+    if (answer.isOk()) {
+      this.writtenRevision = answer.value;
+      log('registered', {revision: answer.value, leaving: this.leaving});
+    } else if (answer.error.kind === StoreFaultKind.leaseGone) {
+      this.leaseId = 0;
+    } else if (answer.error.kind === StoreFaultKind.conflict) {
+      // Another front has written the secret; the feed will show it.
+      await this.registerAlone(entry);
+    }
+  }
+
+  private async registerAlone(entry: {
+    key: string;
+    value: string;
+    leaseId: number;
+  }): Promise<void> {
+    const answer = await this.options.store.change({
+      expected: [],
+      writes: [entry],
+      removals: [],
+    });
+    if (answer.isOk()) this.writtenRevision = answer.value;
+  }
+
+  private async renew(): Promise<void> {
+    if (this.leaseId === 0 || this.stopped) return;
+    const answer = await this.options.store.renew(this.leaseId);
+    if (answer.isErr() && answer.error.kind === StoreFaultKind.leaseGone) {
+      this.options.log('registration_lapsed', {leaseId: this.leaseId});
+      this.leaseId = 0;
+      this.writtenRevision = 0;
+    }
+  }
+}
--- /dev/null
+++ b/src/front/router.ts
@@ -0,0 +1,345 @@
+/**
+ * Finds the database for a statement and tries the next when one provably did
+ * not run it. Keeps what answers tell: positions of leaders, loads, failures.
+ */
+import {databasesOf, KnownDatabase, leaderOf} from '../core/directory.js';
+import {Freshness, RouteConfig} from '../core/front_config.js';
+import {addMark, floorSince, laterPosition, Marks} from '../core/marks.js';
+import {Place} from '../core/placement.js';
+import {Position} from '../core/position.js';
+import {DatabaseLoad, NO_LOAD, rankForRead} from '../core/read_choice.js';
+import {
+  Access,
+  Fault,
+  faultReply,
+  provesNotRun,
+  Reply,
+  SessionSlice,
+  Work,
+  WorkMode,
+} from '../core/work.js';
+import {Directory} from '../core/directory.js';
+import {Dispatcher} from './dispatcher.js';
+import {JsonLog} from './json_log.js';
+
+/** One statement of a caller that starts an operation. */
+export interface Ask {
+  readonly route: RouteConfig;
+  readonly customer: string;
+  readonly requestId: string;
+  readonly text: string;
+  readonly access: Access;
+  /** Opens a transaction with this statement. */
+  readonly opens: 'no' | 'plain' | 'read';
+  readonly session: SessionSlice;
+  /** When the first byte that freshness counts from arrived. */
+  readonly sinceMs: number;
+  readonly deadlineMs: number;
+  /** The session's own last commit. */
+  readonly ownCommit: Position | undefined;
+  /** Called with each piece of work that is sent, for cancelling. */
+  readonly sent: (work: Work) => void;
+  readonly isGone: () => boolean;
+}
+
+/** A reply with the database that gave it. */
+export interface Routed {
+  readonly reply: Reply;
+  readonly database: string;
+}
+
+/** What a router needs. */
+export interface RouterOptions {
+  readonly self: string;
+  readonly place: Place;
+  readonly directory: () => Directory;
+  readonly dispatcher: Dispatcher;
+  readonly log: JsonLog;
+}
+
+/** Pause of asking a database after it could not be reached. */
+const AVOID_MS = 500;
+const LAGGING_MS = 80;
+const MAX_TRIES = 5;
+/** Part of the objective for which a statement waits for a leader. */
+const LEADER_WAIT_PART = 0.2;
+const LEADER_POLL_MS = 15;
+/** Time until a change of primary is usually over. */
+const CHANGE_OF_PRIMARY_MS = 1_500;
+/** Least time in which a statement can be served. */
+const LEAST_BUDGET_MS = 10;
+
+interface Target {
+  readonly entry: KnownDatabase;
+  readonly mode: WorkMode;
+  readonly after: Position | undefined;
+}
+
+/** Routes statements of this front's callers. */
+export class Router {
+  private readonly marks = new Map<string, Marks>();
+  private readonly loads = new Map<string, DatabaseLoad>();
+  /** Databases that denied leading, by the revision at which they claimed it. */
+  private readonly deposed = new Map<string, number>();
+  private workCount = 0;
+
+  private constructor(private readonly options: RouterOptions) {}
+
+  static create(options: RouterOptions): Router {
+    return new Router(options);
+  }
+
+  /** Runs the first statement of an operation. */
+  async run(ask: Ask): Promise<Routed> {
+    const startedMs = performance.now();
+    const tried = new Set<string>();
+    let last: Routed | undefined;
+    for (let tries = 0; tries < MAX_TRIES && !ask.isGone(); tries++) {
+      const target = await this.target(ask, tried, startedMs);
+      if (!target) break;
+      const routed = await this.tryAt(ask, target, tries);
+      if (routed.reply.ok || !this.mayRetry(ask, routed.reply)) return routed;
+      last = routed;
+      const {fault} = routed.reply;
+      if (fault !== Fault.readOnly && fault !== Fault.unreachable) {
+        tried.add(target.entry.id);
+      }
+    }
+    return last ?? this.noDatabase(ask);
+  }
+
+  /** Runs a further statement of a transaction. */
+  async runInLane(
+    work: Omit<Work, 'key' | 'mode'>,
+    provesLeader: boolean,
+  ): Promise<Reply> {
+    const sentMs = performance.now();
+    const {reply} = await this.options.dispatcher.run({
+      ...work,
+      key: this.nextKey(),
+      mode: WorkMode.lane,
+    });
+    if (provesLeader && reply.ok) this.mark(work.service, sentMs, reply);
+    return reply;
+  }
+
+  /** The database that leads a service, as far as known. */
+  leader(service: string): KnownDatabase | undefined {
+    const directory = this.options.directory();
+    return leaderOf(
+      directory,
+      service,
+      entry => this.deposed.get(entry.id) === entry.leadsSince,
+    );
+  }
+
+  /** Highest term that answers have shown; 0 when none has. */
+  termOf(service: string): number {
+    const marks = this.marks.get(service) ?? [];
+    return marks[marks.length - 1]?.position.term ?? 0;
+  }
+
+  private async target(
+    ask: Ask,
+    tried: ReadonlySet<string>,
+    startedMs: number,
+  ): Promise<Target | undefined> {
+    const {freshness} = ask.route;
+    const atLeader =
+      ask.access !== Access.read ||
+      ask.opens === 'plain' ||
+      freshness === Freshness.primary;
+    if (!atLeader) {
+      const target = this.replicaTarget(ask, tried);
+      if (target) return target;
+    }
+    const leader = await this.awaitLeader(ask, tried, startedMs);
+    if (!leader) return undefined;
+    const entry = leader;
+    if (ask.opens !== 'no') {
+      return {entry, mode: WorkMode.open, after: undefined};
+    }
+    const mode =
+      ask.access === Access.read ? WorkMode.fenced : WorkMode.single;
+    return {entry, mode, after: undefined};
+  }
+
+  private replicaTarget(
+    ask: Ask,
+    tried: ReadonlySet<string>,
+  ): Target | undefined {
+    const {route} = ask;
+    const marks = this.marks.get(route.service) ?? [];
+    const aged = floorSince(marks, ask.sinceMs - route.maxStalenessMs);
+    if (!aged) return undefined;
+    const own =
+      route.freshness === Freshness.readYourWrites ? ask.ownCommit : undefined;
+    const after = laterPosition(aged, own);
+    const databases = databasesOf(
+      this.options.directory(),
+      route.service,
+    ).filter(entry => !tried.has(entry.id));
+    const [entry] = rankForRead(
+      databases,
+      this.leader(route.service)?.id,
+      this.options.place,
+      id => this.loadOf(id, ask),
+      performance.now(),
+    );
+    if (!entry) return undefined;
+    const mode = ask.opens === 'read' ? WorkMode.openRead : WorkMode.single;
+    return {entry, mode, after};
+  }
+
+  private loadOf(id: string, ask: Ask): DatabaseLoad {
+    const known = this.loads.get(id) ?? NO_LOAD;
+    const localMs = this.options.dispatcher.localWaitMs(
+      id,
+      ask.customer,
+      ask.route.priority,
+    );
+    return localMs > known.waitMs ? {...known, waitMs: localMs} : known;
+  }
+
+  /** The leader, waiting a part of the objective for one to appear. */
+  private async awaitLeader(
+    ask: Ask,
+    tried: ReadonlySet<string>,
+    startedMs: number,
+  ): Promise<KnownDatabase | undefined> {
+    const {route} = ask;
+    const untilMs = Math.min(
+      startedMs + route.objectiveMs * LEADER_WAIT_PART,
+      ask.deadlineMs - LEAST_BUDGET_MS,
+    );
+    for (;;) {
+      const leader = this.leader(route.service);
+      const nowMs = performance.now();
+      const avoided = (this.loads.get(leader?.id ?? '') ?? NO_LOAD)
+        .avoidUntilMs;
+      if (leader && tried.has(leader.id)) return undefined;
+      if (leader && avoided <= nowMs) return leader;
+      if (nowMs >= untilMs || ask.isGone()) return undefined;
+      await new Promise(resolve => setTimeout(resolve, LEADER_POLL_MS));
+    }
+  }
+
+  private async tryAt(
+    ask: Ask,
+    target: Target,
+    tries: number,
+  ): Promise<Routed> {
+    const sentMs = performance.now();
+    const {entry, mode, after} = target;
+    const work: Work = {
+      key: this.nextKey(),
+      service: entry.service,
+      database: entry.id,
+      customer: ask.customer,
+      requestId: ask.requestId,
+      text: ask.text,
+      access: ask.access,
+      mode,
+      session: ask.session,
+      after,
+      priority: ask.route.priority,
+      budgetMs: Math.max(1, ask.deadlineMs - sentMs),
+    };
+    ask.sent(work);
+    const {reply, holder} = await this.options.dispatcher.run(work);
+    this.learn(entry, mode, ask, sentMs, reply);
+    this.options.log('statement', {
+      request: ask.requestId,
+      customer: ask.customer,
+      route: ask.route.name,
+      access: ask.access,
+      mode,
+      database: entry.id,
+      leads: entry.isLeader,
+      holder,
+      after: after && `${after.term}.${after.offset}`,
+      tries,
+      outcome: reply.ok ? 'ok' : reply.fault,
+      text: reply.ok ? undefined : reply.text,
+      waitMs: reply.waitMs && Math.round(reply.waitMs),
+      tookMs: Math.round(performance.now() - sentMs),
+    });
+    return {reply, database: entry.id};
+  }
+
+  /** What an answer tells of its database and its service. */
+  private learn(
+    entry: KnownDatabase,
+    mode: WorkMode,
+    ask: Ask,
+    sentMs: number,
+    reply: Reply,
+  ): void {
+    const nowMs = performance.now();
+    const known = this.loads.get(entry.id) ?? NO_LOAD;
+    if (reply.ok) {
+      const led =
+        mode === WorkMode.fenced ||
+        mode === WorkMode.open ||
+        ask.access === Access.write;
+      if (led) this.mark(entry.service, sentMs, reply);
+      this.loads.set(entry.id, {
+        ...known,
+        waitMs: reply.waitMs ?? 0,
+        avoidUntilMs: 0,
+      });
+      return;
+    }
+    switch (reply.fault) {
+      case Fault.readOnly:
+        this.deposed.set(entry.id, entry.leadsSince);
+        return;
+      case Fault.lagging:
+        this.loads.set(entry.id, {
+          ...known,
+          laggingUntilMs: nowMs + LAGGING_MS,
+        });
+        return;
+      case Fault.unreachable:
+      case Fault.misrouted:
+        this.loads.set(entry.id, {...known, avoidUntilMs: nowMs + AVOID_MS});
+        return;
+      default:
+        this.loads.set(entry.id, {...known, waitMs: reply.waitMs ?? 0});
+    }
+  }
+
+  private mark(service: string, sentMs: number, reply: Reply): void {
+    if (!reply.position) return;
+    const marks = this.marks.get(service) ?? [];
+    const mark = {atMs: sentMs, position: reply.position};
+    this.marks.set(service, addMark(marks, mark));
+  }
+
+  /** Another database may be asked when this one provably did not run it. */
+  private mayRetry(ask: Ask, reply: Reply): boolean {
+    if (reply.ok) return false;
+    const inTime = ask.deadlineMs - performance.now() > LEAST_BUDGET_MS;
+    if (!inTime) return false;
+    if (provesNotRun(reply.fault)) return true;
+    return reply.fault === Fault.lost && ask.access === Access.read;
+  }
+
+  private noDatabase(ask: Ask): Routed {
+    const reply = faultReply(Fault.unreachable, 'no database to serve this', {
+      retryAfterMs: CHANGE_OF_PRIMARY_MS,
+    });
+    this.options.log('statement_refused', {
+      request: ask.requestId,
+      customer: ask.customer,
+      route: ask.route.name,
+      access: ask.access,
+      leader: this.leader(ask.route.service)?.id,
+    });
+    return {reply, database: ''};
+  }
+
+  private nextKey(): string {
+    return `${this.options.self}/${++this.workCount}`;
+  }
+}
--- /dev/null
+++ b/src/front/takeover_runner.ts
@@ -0,0 +1,279 @@
+/**
+ * Changes the primary of a service while this front holds the duty: asks
+ * whether the primary is lost, stops the replicas' logs, and promotes the
+ * furthest one.
+ */
+import {databasesOf, Directory, KnownDatabase} from '../core/directory.js';
+import {FrontService} from '../core/front_config.js';
+import {
+  chooseTakeover,
+  isLost,
+  StoppedLog,
+  TakeoverChoice,
+} from '../core/takeover.js';
+import {orderDatabase} from './control_link.js';
+import {Duty} from './duty.js';
+import {JsonLog} from './json_log.js';
+import {Promote} from './promoter.js';
+import {DatabaseCodec} from './wire_types.js';
+
+/** What the runner needs. */
+export interface TakeoverOptions {
+  readonly self: string;
+  readonly duty: Duty;
+  readonly codec: DatabaseCodec;
+  readonly promote: Promote;
+  readonly directory: () => Directory;
+  readonly serviceOf: (name: string) => FrontService | undefined;
+  readonly leader: (service: string) => KnownDatabase | undefined;
+  readonly services: () => readonly string[];
+  /** Highest term that answers have shown. */
+  readonly termOf: (service: string) => number;
+  /** Votes of several fronts on whether a database answers. */
+  readonly vote: (database: string) => Promise<readonly boolean[]>;
+  readonly log: JsonLog;
+}
+
+const CHECK_INTERVAL_MS = 150;
+/** Time for which a service may list no primary before one is chosen. */
+const NO_LEADER_MS = 600;
+const STEP_PAUSE_MS = 120;
+/** Time after which an attempt without enough logs asks anew. */
+const ATTEMPT_MS = 2_500;
+/** Pause after a change, in which the directory catches up. */
+const SETTLE_MS = 1_500;
+/** Pause after the primary was found to answer. */
+const CALM_MS = 400;
+
+const pause = (ms: number): Promise<void> =>
+  new Promise(resolve => setTimeout(resolve, ms));
+
+type Reason = 'lost' | 'leaving' | 'none';
+
+/** Watches all services while the duty is held. */
+export class TakeoverRunner {
+  private readonly running = new Set<string>();
+  private readonly restUntilMs = new Map<string, number>();
+  private readonly leaderlessSinceMs = new Map<string, number>();
+  /** An order whose outcome is unknown may still be carried out. */
+  private readonly inDoubt = new Set<string>();
+  private readonly timer: NodeJS.Timeout;
+
+  private constructor(private readonly options: TakeoverOptions) {
+    this.timer = setInterval(() => this.check(), CHECK_INTERVAL_MS);
+  }
+
+  static create(options: TakeoverOptions): TakeoverRunner {
+    return new TakeoverRunner(options);
+  }
+
+  /** A front has doubts about a primary. */
+  suspect(service: string, database: string): void {
+    if (!this.options.duty.isHeld) return;
+    if (this.options.leader(service)?.id !== database) return;
+    this.start(service, 'lost');
+  }
+
+  close(): void {
+    clearInterval(this.timer);
+  }
+
+  private check(): void {
+    if (!this.options.duty.isHeld) return this.leaderlessSinceMs.clear();
+    const nowMs = performance.now();
+    for (const service of this.options.services()) {
+      const leader = this.options.leader(service);
+      if (leader) {
+        this.leaderlessSinceMs.delete(service);
+        if (leader.leaving) this.start(service, 'leaving');
+        continue;
+      }
+      const since = this.leaderlessSinceMs.get(service) ?? nowMs;
+      this.leaderlessSinceMs.set(service, since);
+      if (nowMs - since >= NO_LEADER_MS) this.start(service, 'none');
+    }
+  }
+
+  private start(service: string, reason: Reason): void {
+    const restMs = this.restUntilMs.get(service) ?? 0;
+    if (this.running.has(service) || performance.now() < restMs) return;
+    this.running.add(service);
+    void this.run(service, reason)
+      .catch(error =>
+        this.options.log('takeover_error', {
+          service,
+          text: (error as Error).stack,
+        }),
+      )
+      .finally(() => this.running.delete(service));
+  }
+
+  private async run(service: string, reason: Reason): Promise<void> {
+    const {log, duty} = this.options;
+    const leader = this.options.leader(service);
+    if (reason === 'lost') {
+      if (!leader || !(await this.isLeaderLost(service, leader))) {
+        return this.rest(service, CALM_MS);
+      }
+    }
+    log('takeover_begun', {service, reason, leader: leader?.id});
+    const startedMs = performance.now();
+    const done = await this.replace(service, leader, reason);
+    log('takeover_ended', {
+      service,
+      done,
+      held: duty.isHeld,
+      tookMs: Math.round(performance.now() - startedMs),
+    });
+    this.rest(service, done ? SETTLE_MS : CALM_MS);
+  }
+
+  private rest(service: string, ms: number): void {
+    this.restUntilMs.set(service, performance.now() + ms);
+  }
+
+  private async isLeaderLost(
+    service: string,
+    leader: KnownDatabase,
+  ): Promise<boolean> {
+    const votes = await this.options.vote(leader.id);
+    const lost = isLost(votes);
+    this.options.log('takeover_votes', {
+      service,
+      database: leader.id,
+      reached: votes.filter(Boolean).length,
+      votes: votes.length,
+      lost,
+    });
+    return lost;
+  }
+
+  /** Stops logs and promotes; true once a database was promoted. */
+  private async replace(
+    service: string,
+    leader: KnownDatabase | undefined,
+    reason: Reason,
+  ): Promise<boolean> {
+    const untilMs = performance.now() + ATTEMPT_MS;
+    const {duty} = this.options;
+    for (;;) {
+      const choice = await this.chooseOnce(service, leader);
+      if (!duty.isHeld) return false;
+      if (choice.kind === 'promote') {
+        const done = await this.order(service, choice.database);
+        if (done !== undefined) return done;
+      } else if (choice.kind === 'catch_up') {
+        await this.resumeAll(service, leader);
+      }
+      const mayStop = !this.inDoubt.has(service);
+      if (mayStop && performance.now() > untilMs) break;
+      if (mayStop && reason === 'lost' && (await this.isBack(service, leader))) {
+        break;
+      }
+      await pause(STEP_PAUSE_MS);
+      if (!duty.isHeld) return false;
+    }
+    await this.resumeAll(service, leader);
+    return false;
+  }
+
+  private async isBack(
+    service: string,
+    leader: KnownDatabase | undefined,
+  ): Promise<boolean> {
+    if (!leader) return false;
+    return !(await this.isLeaderLost(service, leader));
+  }
+
+  private replicas(service: string, leader?: KnownDatabase): KnownDatabase[] {
+    return databasesOf(this.options.directory(), service).filter(
+      entry => entry.id !== leader?.id,
+    );
+  }
+
+  private async chooseOnce(
+    service: string,
+    leader: KnownDatabase | undefined,
+  ): Promise<TakeoverChoice> {
+    const {codec, log, serviceOf} = this.options;
+    const replicas = this.replicas(service, leader);
+    const term = await this.nextTerm(service, replicas);
+    const reports = await Promise.all(
+      replicas.map(async entry => ({
+        entry,
+        report: await orderDatabase(entry, codec, {kind: 'pause', term}),
+      })),
+    );
+    const logs: StoppedLog[] = [];
+    for (const {entry, report} of reports) {
+      if (!report) continue;
+      const {position} = report;
+      logs.push({database: entry.id, position, leaving: entry.leaving});
+    }
+    const size = replicas.length + 1;
+    const syncReplicas = serviceOf(service)?.syncReplicas ?? 0;
+    const choice = chooseTakeover({size, syncReplicas}, logs);
+    log('takeover_choice', {
+      service,
+      term,
+      size,
+      logs: logs.map(
+        l => `${l.database}=${l.position.term}.${l.position.offset}`,
+      ),
+      choice,
+    });
+    return choice;
+  }
+
+  private async nextTerm(
+    service: string,
+    replicas: readonly KnownDatabase[],
+  ): Promise<number> {
+    const known = this.options.termOf(service);
+    if (known > 0) return known + 1;
+    const {codec} = this.options;
+    const reports = await Promise.all(
+      replicas.map(entry => orderDatabase(entry, codec, {kind: 'status'})),
+    );
+    return 1 + Math.max(0, ...reports.map(report => report?.term ?? 0));
+  }
+
+  /** Orders the promotion; undefined when another round is needed. */
+  private async order(
+    service: string,
+    database: string,
+  ): Promise<boolean | undefined> {
+    const {duty, promote, self, log} = this.options;
+    const fence = this.inDoubt.has(service)
+      ? await duty.raiseFence()
+      : duty.currentFence;
+    if (fence === undefined) return undefined;
+    const outcome = await promote({service, database, holder: self, fence});
+    log('promotion_ordered', {service, database, fence, outcome});
+    switch (outcome) {
+      case 'done':
+        this.inDoubt.delete(service);
+        return true;
+      case 'refused':
+        await duty.raiseFence();
+        return undefined;
+      case 'unknown':
+        this.inDoubt.add(service);
+        return undefined;
+      case 'not_done':
+        return undefined;
+    }
+  }
+
+  private async resumeAll(
+    service: string,
+    leader: KnownDatabase | undefined,
+  ): Promise<void> {
+    const {codec, duty} = this.options;
+    await Promise.all(
+      this.replicas(service, leader).map(async entry => {
+        if (duty.isHeld) await orderDatabase(entry, codec, {kind: 'resume'});
+      }),
+    );
+  }
+}
--- a/src/index.ts
+++ b/src/index.ts
@@ -54,5 +54,5 @@
   LaneRequest,
   LaneSink,
 } from './core/lane.js';
-export {type Store, type StoreError, StoreErrorKind} from './platform/store.js';
+export {type Store, type StoreError, StoreErrorKind} from './store/store.js';
 export {enableLogs} from './proxy/log.js';
--- a/src/proxy/config_feed.ts
+++ b/src/proxy/config_feed.ts
@@ -19,7 +19,7 @@
   newerConfig,
 } from '../core/config.js';
 import {EMPTY_ROSTER, newerRoster, Roster} from '../core/roster.js';
-import {Store, StoreKey, Versioned} from '../platform/store.js';
+import {Store, StoreKey, Versioned} from '../store/store.js';
 import {Log} from './log.js';
 
 /** What the feed needs. */
--- a/src/proxy/intents.ts
+++ b/src/proxy/intents.ts
@@ -15,7 +15,7 @@
   StoreError,
   StoreErrorKind,
   StoreKey,
-} from '../platform/store.js';
+} from '../store/store.js';
 
 /** Why an operator's request failed. */
 export const IntentErrorKind = {
--- a/src/proxy/membership_feed.ts
+++ b/src/proxy/membership_feed.ts
@@ -9,7 +9,7 @@
   withMember,
   withoutMembers,
 } from '../core/roster.js';
-import {Store, StoreKey} from '../platform/store.js';
+import {Store, StoreKey} from '../store/store.js';
 import {ConfigFeed} from './config_feed.js';
 import {Fleet} from './fleet.js';
 import {Log} from './log.js';
--- a/src/proxy/proxy.ts
+++ b/src/proxy/proxy.ts
@@ -13,7 +13,7 @@
 import {BackendTarget} from '../pg/backend.js';
 import {PeerAddress} from '../peer/client.js';
 import {PeerServer} from '../peer/server.js';
-import {EtcdStore} from '../platform/etcd.js';
+import {EtcdStore} from '../store/etcd.js';
 import {ConfigFeed} from './config_feed.js';
 import {Fleet} from './fleet.js';
 import {FleetExecutor} from './fleet_executor.js';
@@ -26,6 +26,7 @@
 import {Metrics} from './metrics.js';
 import {OperatorServer} from './operators.js';
 import {cancelPrefixOf, PeerMethods} from './peer_methods.js';
+import {createFleetRates} from './fleet_rates.js';
 import {RateKeeper} from './rate_keeper.js';
 import {SessionHost} from './session.js';
 import {describeSettings, ResolvedSettings, Settings} from './settings.js';
@@ -203,7 +204,7 @@
   }
 
   private createRates(): RateKeeper {
-    return RateKeeper.create({
+    return createFleetRates({
       fleet: this.fleet,
       feed: this.feed,
       rpc: this.rpc,
--- a/src/proxy/rate_keeper.ts
+++ b/src/proxy/rate_keeper.ts
@@ -1,8 +1,5 @@
 /** Grants requests from this VM's share of each rate, borrowing from peers. */
-import {JSONRPCServer} from 'json-rpc-2.0';
-import {interval, Subscription} from 'rxjs';
-import {z} from 'zod';
-import {Config, CustomerConfig, findCustomer} from '../core/config.js';
+import {interval, Observable, Subscription} from 'rxjs';
 import {
   addDemand,
   balance,
@@ -21,14 +18,28 @@
   wantedTokens,
 } from '../core/rates.js';
 import {score} from '../core/placement.js';
-import {ConfigFeed} from './config_feed.js';
-import {Fleet} from './fleet.js';
+
+/** A request for tokens of one customer. */
+export interface LendRequest {
+  readonly customer: string;
+  readonly wanted: number;
+}
 
 /** What the keeper needs. */
 export interface RateKeeperOptions {
-  readonly fleet: Fleet;
-  readonly feed: ConfigFeed;
-  readonly rpc: JSONRPCServer;
+  /** Rates by customer; undefined until a configuration is known. */
+  readonly rates: () => ReadonlyMap<string, Rate> | undefined;
+  /** Emits when the rates may have changed. */
+  readonly changed$: Observable<unknown>;
+  /** VMs that may lend, best first. */
+  readonly lenders: () => readonly string[];
+  /** Asks another VM; fails when it does not answer. */
+  readonly askLender: (
+    vm: string,
+    request: LendRequest,
+  ) => Promise<readonly LentStretch[]>;
+  /** VMs asked in one round. */
+  readonly maxLenders?: number;
   /** This VM's present share of every rate, 0 to 1. */
   readonly share: () => number;
 }
@@ -46,22 +57,8 @@
   nextBorrowAtMs: number;
 }
 
-const lendSchema = z.object({
-  customer: z.string(),
-  wanted: z.number().positive(),
-});
-
-const stretchSchema = z.array(
-  z.object({
-    oldestAgeMs: z.number(),
-    newestAgeMs: z.number(),
-    tokensPerMs: z.number().min(0),
-  }),
-);
-
 /** Rate of callers on open services that are no configured customer. */
 const DEFAULT_RATE: Rate = {ratePerS: 100, burst: 100};
-const LEND_TIMEOUT_MS = 150;
 const BORROW_SPACING_MS = 20;
 const MAX_LENDERS = 8;
 const MAX_WAITING = 1_000;
@@ -80,14 +77,11 @@
   private known: ReadonlySet<string> | undefined;
 
   private constructor(private readonly options: RateKeeperOptions) {
-    options.rpc.addMethod('rate.lend', params => this.lend(params));
     this.subscriptions.add(
-      options.feed.config$.subscribe(config => this.reshapeAll(config)),
+      options.changed$.subscribe(() => this.reshapeAll()),
     );
     this.subscriptions.add(
-      interval(REFRESH_MS).subscribe(() =>
-        this.reshapeAll(options.feed.config),
-      ),
+      interval(REFRESH_MS).subscribe(() => this.reshapeAll()),
     );
   }
 
@@ -137,9 +131,9 @@
   private accountOf(customer: string): Account {
     const known = this.accounts.get(customer);
     if (known) return known;
-    const config = findCustomer(this.options.feed.config, customer);
+    const rate = this.options.rates()?.get(customer) ?? DEFAULT_RATE;
     const account: Account = {
-      bucket: emptyBucket(rateOf(config), this.options.share(), monotonicMs()),
+      bucket: emptyBucket(rate, this.options.share(), monotonicMs()),
       demand: NO_DEMAND,
       waiting: [],
       borrowing: false,
@@ -149,27 +143,28 @@
     return account;
   }
 
-  private reshapeAll(config: Config): void {
-    if (config.version === 0) return;
+  private reshapeAll(): void {
+    const rates = this.options.rates();
+    if (!rates) return;
     const share = this.options.share();
     const nowMs = monotonicMs();
-    for (const customer of config.customers) {
-      this.reshapeOne(customer, share, nowMs);
+    for (const [customer, rate] of rates) {
+      this.reshapeOne(customer, rate, share, nowMs);
     }
-    this.known ??= new Set(config.customers.map(customer => customer.name));
+    this.known ??= new Set(rates.keys());
   }
 
   private reshapeOne(
-    customer: CustomerConfig,
+    customer: string,
+    rate: Rate,
     share: number,
     nowMs: number,
   ): void {
-    const rate = rateOf(customer);
     const isNew =
       this.known !== undefined &&
-      !this.known.has(customer.name) &&
-      !this.accounts.has(customer.name);
-    const account = this.accountOf(customer.name);
+      !this.known.has(customer) &&
+      !this.accounts.has(customer);
+    const account = this.accountOf(customer);
     if (isNew) {
       // Nobody can have spent a token of a customer that has just appeared.
       account.bucket = fullBucket(rate, share, nowMs);
@@ -223,10 +218,8 @@
   ): Promise<void> {
     const requestedAtMs = monotonicMs();
     try {
-      const answer = await this.options.fleet
-        .client(vm)
-        ?.call<unknown>('rate.lend', {customer, wanted}, LEND_TIMEOUT_MS);
-      const lent: LentStretch[] = stretchSchema.parse(answer);
+      const request = {customer, wanted};
+      const lent = await this.options.askLender(vm, request);
       account.bucket = receive(
         account.bucket,
         lent,
@@ -254,18 +247,19 @@
   }
 
   private lenders(customer: string): string[] {
-    const {peers} = this.options.fleet;
-    if (peers.length <= MAX_LENDERS) return peers;
+    const peers = this.options.lenders();
+    const most = this.options.maxLenders ?? MAX_LENDERS;
+    if (peers.length <= most) return [...peers];
     const turn = String(Math.floor(monotonicMs() / 1_000));
     return peers
       .map(vm => ({vm, order: score(`${customer}/${turn}`, vm)}))
       .sort((a, b) => a.order - b.order)
-      .slice(0, MAX_LENDERS)
+      .slice(0, most)
       .map(entry => entry.vm);
   }
 
-  private lend(params: unknown): readonly LentStretch[] {
-    const {customer, wanted} = lendSchema.parse(params);
+  /** Lends tokens to another VM. */
+  lend({customer, wanted}: LendRequest): readonly LentStretch[] {
     const account = this.accountOf(customer);
     if (account.waiting.length > 0) return [];
     const nowMs = monotonicMs();
@@ -275,8 +269,3 @@
     return result.lent;
   }
 }
-
-const rateOf = (customer: CustomerConfig | undefined): Rate =>
-  customer
-    ? {ratePerS: customer.ratePerS, burst: customer.burst}
-    : DEFAULT_RATE;
--- a/src/standin/scene.ts
+++ b/src/standin/scene.ts
@@ -9,7 +9,7 @@
   digestKey,
   ServiceConfig,
 } from '../core/config.js';
-import {StoreKey} from '../platform/store.js';
+import {StoreKey} from '../store/store.js';
 import {Lifecycle} from '../proxy/lifecycle.js';
 import {Proxy, ProxyHooks} from '../proxy/proxy.js';
 import {resolveSettings} from '../proxy/settings.js';
