--- a/src/core/marks.ts
+++ b/src/core/marks.ts
@@ -12,15 +12,49 @@
 /** Marks of one service, ascending by time. Immutable. */
 export type Marks = readonly PrimaryMark[];
 
-/** Adds a mark in its order of time; marks close together keep the older. */
+/** Adds a mark in its order of time, unless another is close to it. */
 export function addMark(marks: Marks, mark: PrimaryMark): Marks {
-  const last = marks[marks.length - 1];
-  if (last && mark.atMs - last.atMs < SPACING_MS) return marks;
-  const oldestMs = mark.atMs - HISTORY_MS;
-  const kept = marks.length > 0 && marks[0].atMs < oldestMs;
-  return [...(kept ? marks.filter(m => m.atMs >= oldestMs) : marks), mark];
+  let at = marks.length;
+  while (at > 0 && marks[at - 1].atMs > mark.atMs) at--;
+  const near = (other: PrimaryMark | undefined): boolean =>
+    other !== undefined && Math.abs(other.atMs - mark.atMs) < SPACING_MS;
+  if (near(marks[at - 1]) || near(marks[at])) return marks;
+  const oldestMs = marks.length > 0 ? marks[marks.length - 1].atMs : mark.atMs;
+  const kept = marks.slice(0, at).filter(m => m.atMs >= oldestMs - HISTORY_MS);
+  return [...kept, mark, ...marks.slice(at)];
 }
 
+/** A mark as sent to another VM, by age instead of by clock. */
+export type MarkByAge = readonly [ageMs: number, term: number, offset: number];
+
+/** Marks younger than `sinceAgeMs`, by age. */
+export const marksByAge = (
+  marks: Marks,
+  sinceAgeMs: number,
+  nowMs: number,
+): MarkByAge[] =>
+  marks
+    .filter(mark => nowMs - mark.atMs < sinceAgeMs)
+    .map(({atMs, position}) => [
+      Math.ceil(nowMs - atMs),
+      position.term,
+      position.offset,
+    ]);
+
+/**
+ * Marks of another VM on this VM's clock. Their ages held when the other VM
+ * answered, which was after the question: dating them from the question makes
+ * them older than they are, never younger.
+ */
+export const marksFromAge = (
+  ages: readonly MarkByAge[],
+  askedAtMs: number,
+): PrimaryMark[] =>
+  ages.map(([ageMs, term, offset]) => ({
+    atMs: askedAtMs - ageMs,
+    position: {term, offset},
+  }));
+
 /** The oldest mark taken at or after `sinceMs`: the least that must be seen. */
 export function floorSince(
   marks: Marks,
--- a/src/core/read_choice.ts
+++ b/src/core/read_choice.ts
@@ -10,12 +10,15 @@
   readonly avoidUntilMs: number;
   /** Until when it is known to lag behind what reads need. */
   readonly laggingUntilMs: number;
+  /** Length of the last such pause. */
+  readonly laggingMs: number;
 }
 
 export const NO_LOAD: DatabaseLoad = {
   waitMs: 0,
   avoidUntilMs: 0,
   laggingUntilMs: 0,
+  laggingMs: 0,
 };
 
 /** Round trips by distance, for comparing a way with a wait. */
--- a/src/front/database_worker.ts
+++ b/src/front/database_worker.ts
@@ -4,6 +4,7 @@
  */
 import {chooseConnection} from '../core/connection_choice.js';
 import {KnownDatabase} from '../core/directory.js';
+import {addMark, Marks} from '../core/marks.js';
 import {preparationFor, shapeKeyOf, valuesKeyOf} from '../core/session_state.js';
 import {
   Access,
@@ -38,6 +39,8 @@
 const SILENCE_MS = 400;
 const PROBE_TIMEOUT_MS = 600;
 const CHECK_INTERVAL_MS = 100;
+/** Age from which the newest mark is renewed on request. */
+const MARK_AGE_MS = 200;
 const SMOOTHING = 0.1;
 const INITIAL_SERVICE_MS = 15;
 /** Name under which a front checks a database. */
@@ -81,6 +84,8 @@
   readonly counts: WorkerCounts = {opened: 0, ran: 0, refused: 0};
   /** Since when the database does not answer; undefined while it does. */
   failingSinceMs: number | undefined;
+  /** What the database has shown of its log while it led. */
+  private proven: Marks = [];
   private entry: KnownDatabase;
   private readonly queue = WorkQueue.create<Job>();
   private readonly jobs = new Map<string, Job>();
@@ -171,6 +176,45 @@
     for (const connection of [...this.connections]) connection.link.close();
   }
 
+  /** Marks of this database as a leader; asks it when the newest is old. */
+  async marks(): Promise<Marks> {
+    const newest = this.proven[this.proven.length - 1];
+    const nowMs = performance.now();
+    if (newest && nowMs - newest.atMs < MARK_AGE_MS) return this.proven;
+    const idle = this.connections.find(c => c.use === 'idle');
+    if (idle) await this.proveLead(idle);
+    return this.proven;
+  }
+
+  /** Opens and ends an empty transaction, which only a leader allows. */
+  private proveLead(connection: Connection): Promise<void> {
+    const {codec} = this.options;
+    const sentMs = performance.now();
+    connection.use = 'busy';
+    return new Promise(resolve => {
+      connection.link.run(
+        [
+          codec.own({kind: 'begin', readOnly: false}),
+          codec.own({kind: 'rollback'}),
+        ],
+        (index, answer) => {
+          this.heardUnlessLost(answer);
+          if (index === 0) return this.prove(sentMs, answer);
+          this.release(connection, answer.state);
+          this.pump();
+          resolve();
+        },
+      );
+    });
+  }
+
+  /** Keeps the position of an answer that only a leader gives. */
+  private prove(sentMs: number, answer: StepAnswer): void {
+    if (!answer.ok || !answer.position) return;
+    const mark = {atMs: sentMs, position: answer.position};
+    this.proven = addMark(this.proven, mark);
+  }
+
   /** Closes idle connections, as when another VM takes over. */
   releaseIdle(keep: number): void {
     const idle = this.connections.filter(c => c.use === 'idle');
@@ -415,6 +459,7 @@
       } else if (index === last - 2) begun = answer;
       else if (index === last - 1) {
         main = begun?.ok === false ? begun : answer;
+        this.prove(job.sentMs, main);
         this.finish(job, this.replyOf(main, {state: LinkState.idle}));
         this.measure(job);
       } else {
@@ -448,6 +493,7 @@
       this.release(connection, begun.state);
       return this.pump();
     }
+    if (job.work.mode === WorkMode.open) this.prove(job.sentMs, begun);
     const lane = this.pin(connection, job.origin);
     job.sentMs = performance.now();
     connection.link.run([statement], (_, answer) => {
@@ -461,6 +507,7 @@
   private onSingle(job: Job, connection: Connection, answer: StepAnswer): void {
     this.inFlight--;
     this.measure(job);
+    if (job.work.access === Access.write) this.prove(job.sentMs, answer);
     this.finish(job, this.replyOf(answer, {state: LinkState.idle}));
     this.release(connection, answer.state);
     this.pump();
--- a/src/front/dispatcher.ts
+++ b/src/front/dispatcher.ts
@@ -15,6 +15,7 @@
   WorkMode,
 } from '../core/work.js';
 import {DatabaseWorker} from './database_worker.js';
+import {MarkByAge, Marks, marksByAge, marksFromAge} from '../core/marks.js';
 import {JsonLog} from './json_log.js';
 import {PeerLink, PeerLost} from './peer_link.js';
 import {DatabaseCodec} from './wire_types.js';
@@ -40,6 +41,7 @@
   lend: 'rate.lend',
   probe: 'database.probe',
   suspect: 'duty.suspect',
+  marks: 'database.marks',
   ping: 'ping',
 } as const;
 
@@ -49,6 +51,8 @@
 const MAX_HOLDERS = 2;
 /** Time that an answer may take on its way beyond the work's own limit. */
 const TRANSIT_MS = 60;
+/** Age up to which marks are told to another front. */
+const MARKS_SENT_MS = 800;
 const LANE_EXTRA_MS = 1_500;
 /** Separates the holder from its lane in a lane's name between fronts. */
 const LANE_SEPARATOR = '|';
@@ -165,6 +169,28 @@
     );
   }
 
+  /** Marks of a leader from the front that holds it, on this front's clock. */
+  async marksOf(database: string): Promise<Marks> {
+    const entry = this.options.directory().get(database);
+    const [holder] = entry ? this.holders(entry) : [];
+    if (!holder) return [];
+    if (holder.vm === this.options.self) {
+      return this.worker(database)?.marks() ?? [];
+    }
+    const askedAtMs = performance.now();
+    const call = this.link(holder.vm)?.call<MarkByAge[]>(
+      PeerMethodName.marks,
+      {database},
+    );
+    return call ? marksFromAge(await call, askedAtMs) : [];
+  }
+
+  /** The same for another front, by age. */
+  async marksHere(database: string): Promise<MarkByAge[]> {
+    const marks = (await this.worker(database)?.marks()) ?? [];
+    return marksByAge(marks, MARKS_SENT_MS, performance.now());
+  }
+
   /** Takes in changes of the directory and of the fronts. */
   refresh(): void {
     const directory = this.options.directory();
--- a/src/front/front.ts
+++ b/src/front/front.ts
@@ -2,7 +2,7 @@
 import {createServer as createHttpServer, Server as HttpServer} from 'node:http';
 import {createServer, Server, Socket} from 'node:net';
 import {map, merge, Subscription} from 'rxjs';
-import {holdersOf} from '../core/fronts.js';
+import {Fronts, holdersOf} from '../core/fronts.js';
 import {proofLimitMs} from '../core/freshness.js';
 import {LentStretch} from '../core/rates.js';
 import {Reply, Work} from '../core/work.js';
@@ -48,6 +48,8 @@
 /** Lenders asked in one round: each call crosses the fleet. */
 const LENDERS_A_ROUND = 2;
 const LEND_TIMEOUT_MS = 150;
+/** Interval at which positions of leaders are learned for replica reads. */
+const MARKS_INTERVAL_MS = 350;
 const STOP_POLL_MS = 25;
 /** Time after the stop request that is left for closing. */
 const STOP_RESERVE_MS = 600;
@@ -66,6 +68,8 @@
   private readonly metrics = FrontMetrics.create();
   private readonly host: SessionHost;
   private stopping = false;
+  private frontItems: unknown;
+  private knownFronts: Fronts = new Map();
 
   private constructor(
     private readonly settings: FrontSettings,
@@ -167,27 +171,24 @@
     return this.fronts().has(this.settings.vm);
   }
 
-  private fronts() {
-    return frontsIn(this.feed.own$.value, this.ports.layout.ownPrefix);
+  private fronts(): Fronts {
+    const items = this.feed.own$.value;
+    if (items !== this.frontItems) {
+      this.frontItems = items;
+      this.knownFronts = frontsIn(items, this.ports.layout.ownPrefix);
+    }
+    return this.knownFronts;
   }
 
   private createDispatcher(): Dispatcher {
     const {settings, ports} = this;
-    let items = this.feed.own$.value;
-    let fronts = this.fronts();
     return Dispatcher.create({
       self: settings.vm,
       zone: settings.place.zone,
       codec: ports.databases,
       log: ports.log,
       directory: () => this.feed.directory,
-      fronts: () => {
-        if (items !== this.feed.own$.value) {
-          items = this.feed.own$.value;
-          fronts = this.fronts();
-        }
-        return fronts;
-      },
+      fronts: () => this.fronts(),
       serviceOf: name => this.feed.config?.services.get(name),
       idleTransactionMs: () => this.feed.config?.idleTransactionMs ?? 0,
       secret: () => this.registration.secret,
@@ -324,6 +325,8 @@
       [PeerMethodName.lend]: (request: LendRequest) => this.rates.lend(request),
       [PeerMethodName.probe]: (p: {database: string}) =>
         this.reaches(p.database),
+      [PeerMethodName.marks]: (p: {database: string}) =>
+        dispatcher.marksHere(p.database),
       [PeerMethodName.suspect]: (p: {service: string; database: string}) =>
         this.takeover.suspect(p.service, p.database),
     };
@@ -353,6 +356,11 @@
       SUSPECT_INTERVAL_MS,
     );
     lifecycle.own(suspecting, timer => clearInterval(timer));
+    const marking = setInterval(
+      () => void this.router.renewMarks(),
+      MARKS_INTERVAL_MS,
+    );
+    lifecycle.own(marking, timer => clearInterval(timer));
     lifecycle.own(this.dispatcher, dispatcher => dispatcher.close());
     lifecycle.own(this.rates, rates => rates.close());
     lifecycle.own(this.takeover, takeover => takeover.close());
--- a/src/front/router.ts
+++ b/src/front/router.ts
@@ -60,6 +60,10 @@
 /** Pause of asking a database after it could not be reached. */
 const AVOID_MS = 500;
 const LAGGING_MS = 80;
+/** Longest pause of asking a database that lags. */
+const MAX_LAGGING_MS = 640;
+/** Time after a service's last read for which its marks are renewed. */
+const MARKS_WANTED_MS = 3_000;
 const MAX_TRIES = 5;
 /** Part of the objective for which a statement waits for a leader. */
 const LEADER_WAIT_PART = 0.2;
@@ -81,6 +85,9 @@
   private readonly loads = new Map<string, DatabaseLoad>();
   /** Databases that denied leading, by the revision at which they claimed it. */
   private readonly deposed = new Map<string, number>();
+  /** When each service was last read from a replica's point of view. */
+  private readonly readAtMs = new Map<string, number>();
+  private readonly renewing = new Set<string>();
   private workCount = 0;
 
   private constructor(private readonly options: RouterOptions) {}
@@ -133,6 +140,31 @@
     );
   }
 
+  /** Renews the marks of services that are being read. */
+  async renewMarks(): Promise<void> {
+    const nowMs = performance.now();
+    const wanted = [...this.readAtMs]
+      .filter(([, atMs]) => nowMs - atMs < MARKS_WANTED_MS)
+      .map(([service]) => service);
+    await Promise.all(wanted.map(service => this.renewMarksOf(service)));
+  }
+
+  private async renewMarksOf(service: string): Promise<void> {
+    const leader = this.leader(service);
+    if (!leader || this.renewing.has(service)) return;
+    this.renewing.add(service);
+    try {
+      for (const mark of await this.options.dispatcher.marksOf(leader.id)) {
+        this.marks.set(service, addMark(this.marks.get(service) ?? [], mark));
+      }
+    } catch (error) {
+      const text = (error as Error).message;
+      this.options.log('marks_missed', {service, database: leader.id, text});
+    } finally {
+      this.renewing.delete(service);
+    }
+  }
+
   /** Highest term that answers have shown; 0 when none has. */
   termOf(service: string): number {
     const marks = this.marks.get(service) ?? [];
@@ -169,6 +201,7 @@
     tried: ReadonlySet<string>,
   ): Target | undefined {
     const {route} = ask;
+    this.readAtMs.set(route.service, performance.now());
     const marks = this.marks.get(route.service) ?? [];
     const aged = floorSince(marks, ask.sinceMs - route.maxStalenessMs);
     if (!aged) return undefined;
@@ -287,6 +320,7 @@
         ...known,
         waitMs: reply.waitMs ?? 0,
         avoidUntilMs: 0,
+        laggingMs: 0,
       });
       return;
     }
@@ -295,10 +329,7 @@
         this.deposed.set(entry.id, entry.leadsSince);
         return;
       case Fault.lagging:
-        this.loads.set(entry.id, {
-          ...known,
-          laggingUntilMs: nowMs + LAGGING_MS,
-        });
+        this.loads.set(entry.id, {...known, ...lagFurther(known, nowMs)});
         return;
       case Fault.unreachable:
       case Fault.misrouted:
@@ -343,3 +374,16 @@
     return `${this.options.self}/${++this.workCount}`;
   }
 }
+
+/** A database that lags again is left alone for twice as long. */
+function lagFurther(
+  known: DatabaseLoad,
+  nowMs: number,
+): Pick<DatabaseLoad, 'laggingMs' | 'laggingUntilMs'> {
+  if (known.laggingUntilMs > nowMs) return known;
+  const laggingMs = Math.min(
+    MAX_LAGGING_MS,
+    Math.max(LAGGING_MS, known.laggingMs * 2),
+  );
+  return {laggingMs, laggingUntilMs: nowMs + laggingMs};
+}
--- a/src/front/takeover_runner.ts
+++ b/src/front/takeover_runner.ts
@@ -37,6 +37,8 @@
 const CHECK_INTERVAL_MS = 150;
 /** Time for which a service may list no primary before one is chosen. */
 const NO_LEADER_MS = 600;
+/** The same for a service that has listed none since this front knows it. */
+const NEVER_LED_MS = 6_000;
 const STEP_PAUSE_MS = 120;
 /** Time after which an attempt without enough logs asks anew. */
 const ATTEMPT_MS = 2_500;
@@ -55,6 +57,7 @@
   private readonly running = new Set<string>();
   private readonly restUntilMs = new Map<string, number>();
   private readonly leaderlessSinceMs = new Map<string, number>();
+  private readonly everLed = new Set<string>();
   /** An order whose outcome is unknown may still be carried out. */
   private readonly inDoubt = new Set<string>();
   private readonly timer: NodeJS.Timeout;
@@ -85,12 +88,14 @@
       const leader = this.options.leader(service);
       if (leader) {
         this.leaderlessSinceMs.delete(service);
+        this.everLed.add(service);
         if (leader.leaving) this.start(service, 'leaving');
         continue;
       }
       const since = this.leaderlessSinceMs.get(service) ?? nowMs;
       this.leaderlessSinceMs.set(service, since);
-      if (nowMs - since >= NO_LEADER_MS) this.start(service, 'none');
+      const limitMs = this.everLed.has(service) ? NO_LEADER_MS : NEVER_LED_MS;
+      if (nowMs - since >= limitMs) this.start(service, 'none');
     }
   }
 
@@ -161,33 +166,36 @@
       if (!duty.isHeld) return false;
       if (choice.kind === 'promote') {
         const done = await this.order(service, choice.database);
-        if (done !== undefined) return done;
+        if (done) {
+          await this.resumeAll(service, choice.database);
+          return true;
+        }
       } else if (choice.kind === 'catch_up') {
-        await this.resumeAll(service, leader);
+        await this.resumeAll(service, leader?.id);
       }
       const mayStop = !this.inDoubt.has(service);
       if (mayStop && performance.now() > untilMs) break;
-      if (mayStop && reason === 'lost' && (await this.isBack(service, leader))) {
-        break;
-      }
+      if (mayStop && (await this.isBack(service, leader, reason))) break;
       await pause(STEP_PAUSE_MS);
       if (!duty.isHeld) return false;
     }
-    await this.resumeAll(service, leader);
+    await this.resumeAll(service, leader?.id);
     return false;
   }
 
   private async isBack(
     service: string,
     leader: KnownDatabase | undefined,
+    reason: Reason,
   ): Promise<boolean> {
-    if (!leader) return false;
+    if (reason === 'none') return this.options.leader(service) !== undefined;
+    if (!leader || reason === 'leaving') return false;
     return !(await this.isLeaderLost(service, leader));
   }
 
-  private replicas(service: string, leader?: KnownDatabase): KnownDatabase[] {
+  private replicas(service: string, leader?: string): KnownDatabase[] {
     return databasesOf(this.options.directory(), service).filter(
-      entry => entry.id !== leader?.id,
+      entry => entry.id !== leader,
     );
   }
 
@@ -196,7 +204,7 @@
     leader: KnownDatabase | undefined,
   ): Promise<TakeoverChoice> {
     const {codec, log, serviceOf} = this.options;
-    const replicas = this.replicas(service, leader);
+    const replicas = this.replicas(service, leader?.id);
     const term = await this.nextTerm(service, replicas);
     const reports = await Promise.all(
       replicas.map(async entry => ({
@@ -238,16 +246,16 @@
     return 1 + Math.max(0, ...reports.map(report => report?.term ?? 0));
   }
 
-  /** Orders the promotion; undefined when another round is needed. */
+  /** Orders the promotion; false when another round is needed. */
   private async order(
     service: string,
     database: string,
-  ): Promise<boolean | undefined> {
+  ): Promise<boolean> {
     const {duty, promote, self, log} = this.options;
     const fence = this.inDoubt.has(service)
       ? await duty.raiseFence()
       : duty.currentFence;
-    if (fence === undefined) return undefined;
+    if (fence === undefined) return false;
     const outcome = await promote({service, database, holder: self, fence});
     log('promotion_ordered', {service, database, fence, outcome});
     switch (outcome) {
@@ -256,18 +264,18 @@
         return true;
       case 'refused':
         await duty.raiseFence();
-        return undefined;
+        return false;
       case 'unknown':
         this.inDoubt.add(service);
-        return undefined;
+        return false;
       case 'not_done':
-        return undefined;
+        return false;
     }
   }
 
   private async resumeAll(
     service: string,
-    leader: KnownDatabase | undefined,
+    leader: string | undefined,
   ): Promise<void> {
     const {codec, duty} = this.options;
     await Promise.all(
