--- a/src/core/freshness.ts
+++ b/src/core/freshness.ts
@@ -36,9 +36,13 @@
   return newer ? proof : known;
 }
 
-/** Margin for a frozen process and for late timers. */
-const MARGIN_MS = 500;
+/**
+ * Margin for what lies between the check of a request and its arrival here.
+ * Freezes need none: a request is sent before it is checked, and a proof is
+ * dated from when its call was sent.
+ */
+const MARGIN_MS = 200;
 
 /** Longest age of a proof that still allows keyed requests. */
-export const proofLimitMs = (revokeMs: number, thawMs: number): number =>
-  Math.max(0, revokeMs - thawMs - MARGIN_MS);
+export const proofLimitMs = (revokeMs: number): number =>
+  Math.max(0, revokeMs - MARGIN_MS);
--- a/src/front/front.ts
+++ b/src/front/front.ts
@@ -80,7 +80,7 @@
       store,
       layout,
       regionOfZone: settings.regionOfZone,
-      proofLimitMs: proofLimitMs(settings.revokeMs, settings.thawMs),
+      proofLimitMs: proofLimitMs(settings.revokeMs),
       holdMissingMs: MISSING_BEATS * settings.beatIntervalMs,
       log,
     });
--- a/src/front/front_settings.ts
+++ b/src/front/front_settings.ts
@@ -26,7 +26,6 @@
   readonly beatIntervalMs: number;
   /** Time within which a withdrawn key must have ended. */
   readonly revokeMs: number;
-  readonly thawMs: number;
   /** Time from the request to stop until the process is killed. */
   readonly graceMs: number;
 }
--- a/src/front/takeover_runner.ts
+++ b/src/front/takeover_runner.ts
@@ -39,6 +39,8 @@
 const NO_LEADER_MS = 600;
 /** The same for a service that has listed none since this front knows it. */
 const NEVER_LED_MS = 6_000;
+/** Time in which an ordered promotion must show in the directory. */
+const PROMOTION_MS = 4_000;
 const STEP_PAUSE_MS = 120;
 /** Time after which an attempt without enough logs asks anew. */
 const ATTEMPT_MS = 2_500;
@@ -166,10 +168,7 @@
       if (!duty.isHeld) return false;
       if (choice.kind === 'promote') {
         const done = await this.order(service, choice.database);
-        if (done) {
-          await this.resumeAll(service, choice.database);
-          return true;
-        }
+        if (done) return this.settle(service, choice.database);
       } else if (choice.kind === 'catch_up') {
         await this.resumeAll(service, leader?.id);
       }
@@ -183,6 +182,21 @@
     return false;
   }
 
+  /**
+   * Waits until the promoted database leads. Until then the old primary still
+   * serves, so that the replicas must not receive from it again.
+   */
+  private async settle(service: string, database: string): Promise<boolean> {
+    const {leader, duty} = this.options;
+    const untilMs = performance.now() + PROMOTION_MS;
+    while (leader(service)?.id !== database) {
+      if (performance.now() > untilMs || !duty.isHeld) return false;
+      await pause(STEP_PAUSE_MS);
+    }
+    await this.resumeAll(service, database);
+    return true;
+  }
+
   private async isBack(
     service: string,
     leader: KnownDatabase | undefined,
