--- /dev/null
+++ b/test/platform/front.test.ts
@@ -0,0 +1,205 @@
+/** The whole path over stand-ins of the platform: two fronts, three databases. */
+import test from 'ava';
+import {
+  openSession,
+  operatorConfig,
+  startFleet,
+  until,
+  WireClient,
+} from './fleet_fixture.js';
+
+test('serves reads and writes through both fronts for the right customer', async t => {
+  const fleet = await startFleet();
+  t.teardown(() => fleet.stop());
+  const [first, second] = fleet.fronts;
+  const ana = await openSession(first, 'primary', 'ana-key');
+  const bea = await openSession(second, 'primary', 'bea-key');
+  const written = await ana.query('WRITE k1 hello');
+  t.regex(written.done ?? '', /^sig\./);
+  t.is(written.state, 'I');
+  t.deepEqual((await bea.query('READ k1')).rows, ['hello']);
+  const runs = fleet.group.databases.flatMap(database => database.runs);
+  t.deepEqual([...new Set(runs.map(run => run.customer))].sort(), [
+    'ana',
+    'bea',
+  ]);
+});
+
+test('refuses unknown databases and keys', async t => {
+  const fleet = await startFleet(['norte']);
+  t.teardown(() => fleet.stop());
+  const {port} = fleet.fronts[0].settings.callerAddress;
+  const noDatabase = await WireClient.start(port, 'nowhere', 'ana-key');
+  t.regex(noDatabase.answer.error ?? '', /^NODB/);
+  const noKey = await WireClient.start(port, 'primary', 'wrong');
+  t.regex(noKey.answer.error ?? '', /^NOAUTH/);
+});
+
+test('a session reads its own writes, also when replicas are far behind', async t => {
+  const fleet = await startFleet();
+  t.teardown(() => fleet.stop());
+  const session = await openSession(
+    fleet.fronts[1],
+    'read_your_writes',
+    'ana-key',
+  );
+  for (let round = 0; round < 10; round++) {
+    t.truthy((await session.query(`WRITE k v${round}`)).done);
+    t.deepEqual((await session.query('READ k')).rows, [`v${round}`]);
+  }
+});
+
+test('bounded reads go to replicas once positions are known', async t => {
+  const fleet = await startFleet();
+  t.teardown(() => fleet.stop());
+  const writer = await openSession(fleet.fronts[0], 'primary', 'ana-key');
+  await writer.query('WRITE k v');
+  const reader = await openSession(fleet.fronts[1], 'bounded', 'ana-key');
+  for (let round = 0; round < 40; round++) await reader.query('READ k');
+  const {leader, databases} = fleet.group;
+  const replicaReads = databases
+    .filter(database => database !== leader)
+    .flatMap(database => database.runs).length;
+  t.true(replicaReads >= 30, `${replicaReads} of 40 on replicas`);
+});
+
+test('a transaction keeps its connection, its values and its prepared names', async t => {
+  const fleet = await startFleet();
+  t.teardown(() => fleet.stop());
+  const [first, second] = fleet.fronts;
+  const ana = await openSession(first, 'primary', 'ana-key');
+  const other = await openSession(second, 'primary', 'ana-key');
+  await ana.query('SET color red');
+  await other.query('SET color blue');
+  await ana.query('PREPARE s1 WRITE shape-a');
+  await other.query('PREPARE s1 READ shape-b');
+  t.is((await ana.query('BEGIN')).state, 'T');
+  t.is((await ana.query('EXECUTE s1 k1 one', 'w1')).state, 'T');
+  t.truthy((await other.query('EXECUTE s1 k1', 'r1')).done);
+  t.is((await ana.query('COMMIT')).state, 'I');
+  t.deepEqual((await other.query('EXECUTE s1 k1', 'r2')).rows, ['one']);
+  const runs = fleet.group.databases.flatMap(database => database.runs);
+  const valueOf = (id: string): string | undefined =>
+    runs.find(run => run.requestId === id)?.values.get('color');
+  t.is(valueOf('w1'), 'red');
+  t.is(valueOf('r2'), 'blue');
+});
+
+test('a rolled back transaction leaves nothing, nor does one whose caller left', async t => {
+  const fleet = await startFleet(['norte']);
+  t.teardown(() => fleet.stop());
+  const [front] = fleet.fronts;
+  const ana = await openSession(front, 'primary', 'ana-key');
+  await ana.query('BEGIN');
+  await ana.query('WRITE k1 gone');
+  t.is((await ana.query('ROLLBACK')).state, 'I');
+  const leaver = await openSession(front, 'primary', 'ana-key');
+  await leaver.query('BEGIN');
+  await leaver.query('WRITE k2 gone');
+  leaver.close();
+  t.deepEqual((await ana.query('READ k1')).rows, ['-']);
+  t.deepEqual((await ana.query('READ k2')).rows, ['-']);
+  t.is(fleet.group.acknowledged.length, 0);
+});
+
+test('a transaction that rests too long is ended, and says so', async t => {
+  const fleet = await startFleet(['norte']);
+  t.teardown(() => fleet.stop());
+  const ana = await openSession(fleet.fronts[0], 'primary', 'ana-key');
+  await ana.query('BEGIN');
+  await ana.query('WRITE k1 gone');
+  await new Promise(resolve => setTimeout(resolve, 700));
+  const late = await ana.query('WRITE k1 late');
+  t.truthy(late.error);
+  t.is(late.state, 'E');
+  t.is((await ana.query('ROLLBACK')).state, 'I');
+  t.is(fleet.group.acknowledged.length, 0);
+});
+
+test('a withdrawn key ends for a connected session, and a new route applies', async t => {
+  const fleet = await startFleet(['norte']);
+  t.teardown(() => fleet.stop());
+  const [front] = fleet.fronts;
+  const ana = await openSession(front, 'primary', 'ana-key');
+  t.truthy((await ana.query('WRITE k v')).done);
+  const next = operatorConfig('orders', {version: 4});
+  next.tenants[0].api_keys = [];
+  fleet.store.put('op/config', next);
+  await until(() => front.events('config_applied').length === 2);
+  t.regex((await ana.query('READ k')).error ?? '', /^NOAUTH/);
+});
+
+test('without proof of the configuration nothing runs, and the front is not ready', async t => {
+  const fleet = await startFleet(['norte']);
+  t.teardown(() => fleet.stop());
+  const [{front}] = fleet.fronts;
+  const ana = await openSession(fleet.fronts[0], 'primary', 'ana-key');
+  t.truthy((await ana.query('WRITE k v')).done);
+  fleet.store.trouble = 'silent';
+  await until(() => !front.isReady);
+  t.regex((await ana.query('READ k')).error ?? '', /^BUSY retry_after_ms=/);
+  fleet.store.trouble = 'none';
+  await until(() => front.isReady);
+  t.deepEqual((await ana.query('READ k')).rows, ['v']);
+});
+
+test('a crashed primary is replaced and no acknowledged commit is lost', async t => {
+  const fleet = await startFleet();
+  t.teardown(() => fleet.stop());
+  const {group} = fleet;
+  const ana = await openSession(fleet.fronts[1], 'primary', 'ana-key');
+  for (let n = 0; n < 5; n++) await ana.query(`WRITE k${n} v${n}`);
+  const old = group.leader;
+  await old?.crash();
+  let served = false;
+  const endMs = performance.now() + 8_000;
+  while (!served && performance.now() < endMs) {
+    served = (await ana.query('WRITE after v')).done !== undefined;
+  }
+  t.true(served);
+  t.not(group.leader, old);
+  const log = group.leader?.log ?? [];
+  for (const commit of group.acknowledged) {
+    t.true(log.some(c => c.requestId === commit.requestId));
+  }
+});
+
+test('replicas receive nothing from the old primary while a promotion is under way', async t => {
+  const fleet = await startFleet();
+  t.teardown(() => fleet.stop());
+  const {group, store} = fleet;
+  group.promoteMs = 600;
+  const ana = await openSession(fleet.fronts[0], 'primary', 'ana-key');
+  await ana.query('WRITE k v0');
+  const [old] = group.databases;
+  old.draining = true;
+  store.register();
+  let stop = false;
+  const writing = (async () => {
+    for (let n = 1; !stop; n++) await ana.query(`WRITE k v${n}`);
+  })();
+  await until(() => group.leader !== undefined && group.leader !== old);
+  stop = true;
+  await writing;
+  const log = group.leader?.log ?? [];
+  const lost = group.acknowledged.filter(
+    commit => !log.some(c => c.requestId === commit.requestId),
+  );
+  t.deepEqual(lost, []);
+  await until(() => group.databases.every(database => !database.paused));
+});
+
+test('a planned stop cuts no statement and closes idle sessions', async t => {
+  const fleet = await startFleet();
+  t.teardown(() => fleet.stop());
+  const [first] = fleet.fronts;
+  const busy = await openSession(first, 'primary', 'ana-key');
+  const idle = await openSession(first, 'primary', 'ana-key');
+  for (const database of fleet.group.databases) database.workMs = 150;
+  const answer = busy.query('WRITE k v');
+  await new Promise(resolve => setTimeout(resolve, 30));
+  const stopped = first.front.stop();
+  t.truthy((await answer).done);
+  await stopped;
+  t.true(idle.isEnded);
+});
--- /dev/null
+++ b/test/platform/standin_store.ts
@@ -0,0 +1,285 @@
+/** A stand-in of the platform's store and of the address for promotions. */
+import {createServer, IncomingMessage, Server, ServerResponse} from 'node:http';
+import {StandinGroup} from './standin_database.js';
+
+interface Item {
+  readonly key: string;
+  readonly value: string;
+  readonly revision: number;
+  readonly created: number;
+  readonly lease_id: number;
+}
+
+interface Change {
+  readonly expected_rev: ReadonlyArray<{key: string; revision: number}>;
+  readonly writes: ReadonlyArray<{
+    key: string;
+    value: string;
+    lease_id: number;
+  }>;
+  readonly remove: readonly string[];
+}
+
+/** How the store misbehaves. */
+export const StoreTrouble = {
+  none: 'none',
+  /** Answers 503. */
+  busy: 'busy',
+  /** Never answers. */
+  silent: 'silent',
+  /** Does what is asked and drops the connection. */
+  loses: 'loses',
+} as const;
+export type StoreTrouble = (typeof StoreTrouble)[keyof typeof StoreTrouble];
+
+/** The store and its history. */
+export class StandinStore {
+  trouble: StoreTrouble = StoreTrouble.none;
+  calls = 0;
+  port = 0;
+  /** Orders to promote, as they arrived. */
+  readonly promotions: Array<{
+    service: string;
+    id: string;
+    holder: string;
+    fence: number;
+  }> = [];
+  private revision = 1;
+  private oldest = 0;
+  private readonly items = new Map<string, Item>();
+  private events: Array<Item | {key: string; revision: number; tombstone: true}> =
+    [];
+  private readonly leases = new Map<number, {ttlMs: number; timer: NodeJS.Timeout}>();
+  private readonly watchers = new Set<() => void>();
+  private server: Server | undefined;
+  private leaseCount = 0;
+  private seenFence = 0;
+
+  private constructor(private readonly groups: readonly StandinGroup[]) {}
+
+  static async start(groups: readonly StandinGroup[]): Promise<StandinStore> {
+    const store = new StandinStore(groups);
+    store.server = createServer((request, response) =>
+      store.serve(request, response),
+    );
+    await new Promise<void>(resolve =>
+      store.server?.listen(0, '127.0.0.1', resolve),
+    );
+    store.port = (store.server.address() as {port: number}).port;
+    for (const group of groups) group.onChange = () => store.register();
+    store.register();
+    return store;
+  }
+
+  /** Writes an item as the operator or a database does. */
+  put(key: string, value: unknown, leaseId = 0): void {
+    const text =
+      typeof value === 'string' ? value : JSON.stringify(value);
+    this.write(key, Buffer.from(text).toString('base64'), leaseId);
+    this.wake();
+  }
+
+  remove(key: string): void {
+    if (!this.items.delete(key)) return;
+    this.revision++;
+    this.events.push({key, revision: this.revision, tombstone: true});
+    this.wake();
+  }
+
+  get(key: string): Item | undefined {
+    return this.items.get(key);
+  }
+
+  /** Writes the entries of all databases that run. */
+  register(): void {
+    for (const group of this.groups) {
+      for (const database of group.databases) {
+        const key = `servers/${database.id}`;
+        const value = JSON.stringify(database.entry());
+        const known = this.items.get(key);
+        const same =
+          known && Buffer.from(known.value, 'base64').toString() === value;
+        if (!same) this.put(key, value);
+      }
+    }
+  }
+
+  /** Forgets the history, so that waiting watches must list anew. */
+  compact(): void {
+    this.oldest = this.revision;
+    this.events = [];
+    this.wake();
+  }
+
+  async stop(): Promise<void> {
+    for (const {timer} of this.leases.values()) clearTimeout(timer);
+    this.server?.closeAllConnections();
+    await new Promise(resolve => this.server?.close(resolve));
+  }
+
+  private write(key: string, value: string, leaseId: number): void {
+    this.revision++;
+    const created = this.items.get(key)?.created ?? this.revision;
+    const item = {key, value, revision: this.revision, created, lease_id: leaseId};
+    this.items.set(key, item);
+    this.events.push(item);
+  }
+
+  private wake(): void {
+    for (const watcher of [...this.watchers]) watcher();
+  }
+
+  private serve(request: IncomingMessage, response: ServerResponse): void {
+    this.calls++;
+    if (this.trouble === StoreTrouble.silent) return;
+    if (this.trouble === StoreTrouble.busy) {
+      response.statusCode = 503;
+      return void response.end();
+    }
+    const chunks: Buffer[] = [];
+    request.on('data', (chunk: Buffer) => chunks.push(chunk));
+    request.on('end', () => {
+      const text = Buffer.concat(chunks).toString();
+      const body = text === '' ? {} : (JSON.parse(text) as object);
+      const url = new URL(request.url ?? '/', 'http://store');
+      this.route(request, url, body, (status, answer) => {
+        if (this.trouble === StoreTrouble.loses) {
+          return void request.socket.destroy();
+        }
+        response.statusCode = status;
+        response.setHeader('content-type', 'application/json');
+        response.end(JSON.stringify(answer));
+      });
+    });
+  }
+
+  private route(
+    request: IncomingMessage,
+    url: URL,
+    body: object,
+    answer: (status: number, body: object) => void,
+  ): void {
+    const path = `${request.method} ${url.pathname}`;
+    const id = Number(url.pathname.split('/').pop());
+    if (path === 'GET /-/kv-range') return this.range(url, answer);
+    if (path === 'GET /-/kv-watch') return this.watch(url, answer);
+    if (path === 'POST /-/kv-txn') return this.change(body as Change, answer);
+    if (path === 'POST /-/kv-lease') {
+      return this.grant((body as {ttl_ms: number}).ttl_ms, answer);
+    }
+    if (path.startsWith('POST /-/kv-keep/')) return this.keep(id, answer);
+    if (path.startsWith('DELETE /-/kv-lease-end/')) {
+      this.endLease(id);
+      return answer(200, {});
+    }
+    if (path === 'POST /promotion') return this.promote(request, body, answer);
+    answer(404, {});
+  }
+
+  private range(
+    url: URL,
+    answer: (status: number, body: object) => void,
+  ): void {
+    const prefix = url.searchParams.get('prefix') ?? '';
+    const after = url.searchParams.get('after') ?? '';
+    const pageSize = 4;
+    const found = [...this.items.values()]
+      .filter(item => item.key.startsWith(prefix) && item.key > after)
+      .sort((a, b) => (a.key < b.key ? -1 : 1));
+    answer(200, {
+      items: found.slice(0, pageSize),
+      has_more: found.length > pageSize,
+      as_of: this.revision,
+    });
+  }
+
+  private watch(
+    url: URL,
+    answer: (status: number, body: object) => void,
+  ): void {
+    const after = Number(url.searchParams.get('after'));
+    const waitMs = Number(url.searchParams.get('wait_ms'));
+    const prefix = url.searchParams.get('prefix') ?? '';
+    const timer = setTimeout(() => finish(true), waitMs);
+    const finish = (last: boolean): void => {
+      if (after < this.oldest) return end(410, {});
+      const events = this.events.filter(
+        event => event.revision > after && event.key.startsWith(prefix),
+      );
+      if (events.length > 0 || last) end(200, {events, as_of: this.revision});
+    };
+    const end = (status: number, body: object): void => {
+      clearTimeout(timer);
+      this.watchers.delete(check);
+      answer(status, body);
+    };
+    const check = (): void => finish(false);
+    this.watchers.add(check);
+    check();
+  }
+
+  private change(
+    change: Change,
+    answer: (status: number, body: object) => void,
+  ): void {
+    const moved = change.expected_rev.some(
+      row => (this.items.get(row.key)?.revision ?? 0) !== row.revision,
+    );
+    if (moved) return answer(412, {items: []});
+    const unknown = change.writes.some(
+      write => write.lease_id !== 0 && !this.leases.has(write.lease_id),
+    );
+    if (unknown) return answer(404, {});
+    for (const write of change.writes) {
+      this.write(write.key, write.value, write.lease_id);
+    }
+    for (const key of change.remove) this.remove(key);
+    this.wake();
+    answer(200, {revision: this.revision});
+  }
+
+  private grant(
+    ttlMs: number,
+    answer: (status: number, body: object) => void,
+  ): void {
+    const id = ++this.leaseCount;
+    const timer = setTimeout(() => this.endLease(id), ttlMs);
+    this.leases.set(id, {ttlMs, timer});
+    answer(200, {lease_id: id, ttl_ms: ttlMs});
+  }
+
+  private keep(
+    id: number,
+    answer: (status: number, body: object) => void,
+  ): void {
+    const lease = this.leases.get(id);
+    if (!lease) return answer(404, {});
+    lease.timer.refresh();
+    answer(200, {ttl_ms: lease.ttlMs});
+  }
+
+  private endLease(id: number): void {
+    const lease = this.leases.get(id);
+    if (!lease) return;
+    clearTimeout(lease.timer);
+    this.leases.delete(id);
+    for (const item of [...this.items.values()]) {
+      if (item.lease_id === id) this.remove(item.key);
+    }
+  }
+
+  private promote(
+    request: IncomingMessage,
+    body: object,
+    answer: (status: number, body: object) => void,
+  ): void {
+    const {service, id} = body as {service: string; id: string};
+    const fence = Number(request.headers['mustardpass-fence-token']);
+    const holder = String(request.headers['mustardpass-duty-holder']);
+    this.promotions.push({service, id, holder, fence});
+    if (fence < this.seenFence) return answer(409, {});
+    this.seenFence = fence;
+    const group = this.groups.find(g => g.service === service);
+    answer(group?.promote(id) ? 200 : 409, {});
+  }
+}
