--- a/src/core/marks.ts
+++ b/src/core/marks.ts
@@ -27,19 +27,25 @@
 /** A mark as sent to another VM, by age instead of by clock. */
 export type MarkByAge = readonly [ageMs: number, term: number, offset: number];
 
-/** Marks younger than `sinceAgeMs`, by age. */
-export const marksByAge = (
+/** Distance in time of marks that are sent to another VM. */
+const SENT_SPACING_MS = 150;
+
+/** Marks younger than `sinceAgeMs`, by age, the newest and some before it. */
+export function marksByAge(
   marks: Marks,
   sinceAgeMs: number,
   nowMs: number,
-): MarkByAge[] =>
-  marks
-    .filter(mark => nowMs - mark.atMs < sinceAgeMs)
-    .map(({atMs, position}) => [
-      Math.ceil(nowMs - atMs),
-      position.term,
-      position.offset,
-    ]);
+): MarkByAge[] {
+  const out: MarkByAge[] = [];
+  let lastMs = Infinity;
+  for (const {atMs, position} of [...marks].reverse()) {
+    if (nowMs - atMs >= sinceAgeMs) break;
+    if (lastMs - atMs < SENT_SPACING_MS) continue;
+    lastMs = atMs;
+    out.push([Math.ceil(nowMs - atMs), position.term, position.offset]);
+  }
+  return out;
+}
 
 /**
  * Marks of another VM on this VM's clock. Their ages held when the other VM
--- a/src/front/database_worker.ts
+++ b/src/front/database_worker.ts
@@ -98,11 +98,11 @@
   private shrunkTo = Infinity;
   private probing = false;
   private laneCount = 0;
-  private readonly checks: NodeJS.Timeout;
+  /** Runs while there is something to check. */
+  private checks: NodeJS.Timeout | undefined;
 
   private constructor(private readonly options: WorkerOptions) {
     this.entry = options.entry;
-    this.checks = setInterval(() => this.check(), CHECK_INTERVAL_MS);
   }
 
   static create(options: WorkerOptions): DatabaseWorker {
@@ -147,6 +147,7 @@
         timer: setTimeout(() => this.expire(job), work.budgetMs),
       };
       this.jobs.set(work.key, job);
+      this.checks ??= setInterval(() => this.check(), CHECK_INTERVAL_MS);
       if (work.mode === WorkMode.lane) this.runInLane(job);
       else this.enqueue(job);
     });
@@ -776,5 +777,8 @@
     );
     if (oldest && nowMs - this.heardAtMs > SILENCE_MS) this.suspect('silent');
     if (this.queue.size > 0) this.pump();
+    if (this.jobs.size > 0 || this.shrunkTo !== Infinity) return;
+    clearInterval(this.checks);
+    this.checks = undefined;
   }
 }
--- a/src/front/dispatcher.ts
+++ b/src/front/dispatcher.ts
@@ -52,7 +52,7 @@
 /** Time that an answer may take on its way beyond the work's own limit. */
 const TRANSIT_MS = 60;
 /** Age up to which marks are told to another front. */
-const MARKS_SENT_MS = 800;
+const MARKS_SENT_MS = 900;
 const LANE_EXTRA_MS = 1_500;
 /** Separates the holder from its lane in a lane's name between fronts. */
 const LANE_SEPARATOR = '|';
@@ -67,6 +67,9 @@
 export class Dispatcher {
   private readonly workers = new Map<string, DatabaseWorker>();
   private readonly links = new Map<string, PeerLink>();
+  /** Holders by database, for one set of fronts. */
+  private readonly ranked = new Map<string, FrontMember[]>();
+  private rankedFronts: Fronts | undefined;
 
   private constructor(private readonly options: DispatcherOptions) {}
 
@@ -193,6 +196,7 @@
 
   /** Takes in changes of the directory and of the fronts. */
   refresh(): void {
+    this.ranked.clear();
     const directory = this.options.directory();
     for (const [id, worker] of this.workers) {
       const entry = directory.get(id);
@@ -231,7 +235,16 @@
 
   /** Fronts that should hold a database, best first. */
   holders(entry: KnownDatabase): FrontMember[] {
-    return holdersOf(this.options.fronts(), entry.id, entry.place);
+    const fronts = this.options.fronts();
+    if (fronts !== this.rankedFronts) {
+      this.rankedFronts = fronts;
+      this.ranked.clear();
+    }
+    const known = this.ranked.get(entry.id);
+    if (known) return known;
+    const holders = holdersOf(fronts, entry.id, entry.place);
+    this.ranked.set(entry.id, holders);
+    return holders;
   }
 
   close(): void {
--- a/src/front/front.ts
+++ b/src/front/front.ts
@@ -49,7 +49,7 @@
 const LENDERS_A_ROUND = 2;
 const LEND_TIMEOUT_MS = 150;
 /** Interval at which positions of leaders are learned for replica reads. */
-const MARKS_INTERVAL_MS = 350;
+const MARKS_INTERVAL_MS = 600;
 const STOP_POLL_MS = 25;
 /** Time after the stop request that is left for closing. */
 const STOP_RESERVE_MS = 600;
--- a/src/front/json_log.ts
+++ b/src/front/json_log.ts
@@ -45,6 +45,7 @@
       ...fields,
     }) + '\n';
   const flush = (done?: () => void): void => {
+    timer = undefined;
     if (dropped > 0) {
       waiting.push(line('log_dropped', {lines: dropped}));
       dropped = 0;
@@ -54,17 +55,17 @@
     if (text === '' || broken) return done?.();
     output.write(text, () => done?.());
   };
-  const timer = setInterval(() => flush(), FLUSH_INTERVAL_MS);
-  timer.unref();
+  let timer: NodeJS.Timeout | undefined;
   return {
     log: (event, fields = {}) => {
       const queued = output.writableLength;
       if (broken || queued > MAX_WAITING_BYTES || waiting.length > 5_000) {
         dropped++;
       } else waiting.push(line(event, fields));
+      timer ??= setTimeout(() => flush(), FLUSH_INTERVAL_MS);
     },
     close: () => {
-      clearInterval(timer);
+      clearTimeout(timer);
       return new Promise(resolve => flush(resolve));
     },
   };
--- a/src/front/registration.ts
+++ b/src/front/registration.ts
@@ -3,6 +3,7 @@
  * fronts share to know one another.
  */
 import {randomBytes} from 'node:crypto';
+import {Subscription} from 'rxjs';
 import {FrontMember, Fronts} from '../core/fronts.js';
 import {KeyValues, StoredItem, StoreFaultKind} from '../store/key_values.js';
 import {StoreFeed} from './store_feed.js';
@@ -20,7 +21,7 @@
 /** Longer than any proof: a front that stopped renewing serves no more. */
 const LEASE_MS = 8_000;
 const RENEW_INTERVAL_MS = 2_500;
-const RETRY_MS = 200;
+const RETRY_MS = 500;
 const SECRET_BYTES = 24;
 
 const memberKey = (prefix: string, vm: string): string =>
@@ -49,12 +50,14 @@
   private leaving = false;
   private writtenRevision = 0;
   private readonly timers: NodeJS.Timeout[] = [];
+  private readonly following: Subscription;
 
   private constructor(private readonly options: RegistrationOptions) {
     this.timers.push(
       setInterval(() => void this.renew(), RENEW_INTERVAL_MS),
       setInterval(() => void this.ensure(), RETRY_MS),
     );
+    this.following = options.feed.config$.subscribe(() => void this.ensure());
   }
 
   static create(options: RegistrationOptions): Registration {
@@ -79,6 +82,7 @@
   async close(): Promise<void> {
     this.stopped = true;
     this.timers.forEach(timer => clearInterval(timer));
+    this.following.unsubscribe();
     const {leaseId} = this;
     this.leaseId = 0;
     if (leaseId !== 0) await this.options.store.revoke(leaseId);
--- /dev/null
+++ b/test/platform/codec.test.ts
@@ -0,0 +1,267 @@
+/** The platform's formats, by the examples of its pages and by fuzzing. */
+import test from 'ava';
+import fc from 'fast-check';
+import {decodeConfiguration} from '../../platform/configuration.js';
+import {decodeEntry} from '../../platform/directory.js';
+import {parseSettings} from '../../platform/settings.js';
+import {
+  callerCodec,
+  databaseCodec,
+  MAX_LINE_BYTES,
+  parsePosition,
+} from '../../platform/wire.js';
+
+const callerMessages = (text: string) =>
+  callerCodec.decoder().push(Buffer.from(text, 'latin1'));
+const databaseMessages = (text: string) =>
+  databaseCodec.decoder().push(Buffer.from(text, 'latin1'));
+
+test('reads a caller start and its statements', t => {
+  t.deepEqual(callerMessages('START lepu270 u3f1\r\n'), [
+    {kind: 'start', database: 'lepu270', key: 'u3f1'},
+  ]);
+  const [prepare] = callerMessages(
+    'QUERY 5c0e7a21d94b36f8 PREPARE s1 WRITE q2c\r\n',
+  );
+  t.like(prepare, {
+    kind: 'query',
+    id: '5c0e7a21d94b36f8',
+    text: 'PREPARE s1 WRITE q2c',
+    statement: {
+      kind: 'prepare',
+      prepared: {name: 's1', access: 'write', shape: 'q2c'},
+    },
+  });
+  const [execute] = callerMessages('QUERY 5c0e EXECUTE s1 1a4 xkqpwnzd\r\n');
+  t.like(execute, {statement: {kind: 'execute', name: 's1'}});
+});
+
+test('passes a statement on unchanged but for the position asked for', t => {
+  t.is(
+    databaseCodec.statement('5c0e7a21d94b36f8', 'READ 1a4', {
+      term: 3,
+      offset: 1207,
+    }),
+    'QUERY 5c0e7a21d94b36f8 AFTER 3.1207 READ 1a4\r\n',
+  );
+  t.is(
+    databaseCodec.start('huvo11a', 'tenant', 'i-7f3a91c2'),
+    'START huvo11a tenant i-7f3a91c2\r\n',
+  );
+});
+
+test('reads what a database answers', t => {
+  t.deepEqual(
+    databaseMessages(
+      'ROW qhzkwmtrbelo\r\nDONE 7.1f3.c.2b.90e1c4d2a7b3f655\r\nREADY I 3.1209\r\n',
+    ),
+    [
+      {kind: 'row', data: 'qhzkwmtrbelo'},
+      {kind: 'done', signature: '7.1f3.c.2b.90e1c4d2a7b3f655'},
+      {kind: 'ready', state: 'idle', position: {term: 3, offset: 1209}},
+    ],
+  );
+  t.deepEqual(databaseMessages('ERROR READONLY i-7f3a91c2\r\nREADY E 3.1209\r\n'), [
+    {kind: 'error', fault: 'read_only', text: 'i-7f3a91c2'},
+    {kind: 'ready', state: 'failed', position: {term: 3, offset: 1209}},
+  ]);
+  t.deepEqual(databaseCodec.report('replica 3 3.1209 0 12 2 17'), {
+    isLeader: false,
+    term: 3,
+    position: {term: 3, offset: 1209},
+  });
+});
+
+test('writes answers to callers', t => {
+  t.is(callerCodec.encode({kind: 'ready', state: 'idle'}), 'READY I -\r\n');
+  t.is(
+    callerCodec.encode({
+      kind: 'error',
+      error: 'rate_exceeded',
+      text: 'retry_after_ms=5',
+    }),
+    'ERROR BUSY retry_after_ms=5\r\n',
+  );
+  t.is(
+    callerCodec.encode({kind: 'error', error: 'outcome_unknown', text: 'x'}),
+    'ERROR INDOUBT x\r\n',
+  );
+});
+
+test('finds the same messages however the bytes are cut', t => {
+  const line = fc.constantFrom(
+    'START a b',
+    'QUERY 1 READ k',
+    'QUERY 2 WRITE k v w',
+    'QUERY 3 BEGIN READ',
+    'BYE',
+    'nonsense',
+  );
+  fc.assert(
+    fc.property(
+      fc.array(line, {maxLength: 12}),
+      fc.array(fc.integer({min: 1, max: 9}), {minLength: 1}),
+      (lines, sizes) => {
+        const bytes = Buffer.from(lines.map(l => `${l}\r\n`).join(''));
+        const decoder = callerCodec.decoder();
+        const out: unknown[] = [];
+        for (let at = 0, n = 0; at < bytes.length; n++) {
+          const size = sizes[n % sizes.length];
+          out.push(...decoder.push(bytes.subarray(at, at + size)));
+          at += size;
+        }
+        t.deepEqual(out, callerMessages(bytes.toString()));
+      },
+    ),
+    {seed: 7, numRuns: 200},
+  );
+});
+
+test('survives any bytes, and keeps those that are not text', t => {
+  fc.assert(
+    fc.property(fc.uint8Array({maxLength: 400}), bytes => {
+      const buffer = Buffer.from(bytes);
+      callerCodec.decoder().push(buffer);
+      databaseCodec.decoder().push(buffer);
+      decodeEntry('i-1', buffer);
+      t.true(decodeConfiguration(buffer).isErr());
+    }),
+    {seed: 7, numRuns: 300},
+  );
+  const [row] = databaseMessages('ROW \xff\x00\x80\r\n');
+  t.deepEqual(row, {kind: 'row', data: '\xff\x00\x80'});
+});
+
+test('a line beyond the limit is told once and skipped', t => {
+  const decoder = callerCodec.decoder();
+  const half = Buffer.alloc(MAX_LINE_BYTES / 2 + 10, 'x');
+  const out = [
+    ...decoder.push(half),
+    ...decoder.push(half),
+    ...decoder.push(half),
+    ...decoder.push(Buffer.from('\r\nBYE\r\n')),
+  ];
+  t.deepEqual(out, [{kind: 'too_large'}, {kind: 'bye'}]);
+});
+
+test('positions round trip and nothing else is one', t => {
+  t.deepEqual(parsePosition('3.1207'), {term: 3, offset: 1207});
+  for (const text of ['-', '3', '3.', '.7', '3.-1', '3.1.2', 'a.b']) {
+    t.is(parsePosition(text), undefined);
+  }
+});
+
+const ENTRY = {
+  service: 'huvo11a',
+  addr: '10.128.0.9:8080',
+  zone: 'quito-norte',
+  version: 'v1',
+  slots: 2,
+  state: 'ready',
+  cold_left_ms: 0,
+  db_role: 'replica',
+  seq: 4,
+};
+
+test('an entry names a database only when every field fits', t => {
+  const decode = (changes: object) =>
+    decodeEntry('i-1', Buffer.from(JSON.stringify({...ENTRY, ...changes})));
+  t.like(decode({}), {id: 'i-1', host: '10.128.0.9', port: 8080, slots: 2});
+  t.like(decode({state: 'draining'}), {leaving: true});
+  t.like(decode({db_role: 'primary'}), {isLeader: true});
+  for (const wrong of [
+    {service: 7},
+    {addr: 'nowhere'},
+    {zone: null},
+    {slots: '2'},
+    {slots: 0},
+    {state: 'resting'},
+    {db_role: 'leader'},
+  ]) {
+    t.is(decode(wrong), undefined, JSON.stringify(wrong));
+  }
+});
+
+const CONFIGURATION = {
+  version: 7,
+  routes: [
+    {
+      name: 'r-8w8p4gv',
+      host: 'xapu221ny95',
+      prefix: '/',
+      kind: 'bounded',
+      timeout_ms: 1500,
+      slo_ms: 800,
+      priority: 2,
+      service: 'huvo11a',
+      max_attempts: 2,
+      max_staleness_ms: 1500,
+      public: false,
+    },
+  ],
+  services: [{name: 'huvo11a', max_conns: 16, sync_replicas: 1}],
+  limits: {tx_idle_ms: 3000},
+  tenants: [
+    {name: 'nypu920', api_keys: ['k1', 'k2'], rate_per_s: 97, burst: 97},
+  ],
+};
+
+test('decodes a configuration by host and key', t => {
+  const decoded = decodeConfiguration(
+    Buffer.from(JSON.stringify(CONFIGURATION)),
+  );
+  const config = decoded._unsafeUnwrap();
+  t.is(config.version, 7);
+  t.like(config.routes.get('xapu221ny95'), {
+    freshness: 'bounded',
+    timeoutMs: 1_500,
+    objectiveMs: 800,
+  });
+  t.is(config.customerOfKey.get('k2'), 'nypu920');
+  t.is(config.services.get('huvo11a')?.syncReplicas, 1);
+  t.is(config.idleTransactionMs, 3_000);
+});
+
+const SETTINGS = `
+node_name: "front-quito-norte-1"
+ip: "10.1.0.26"
+zone: "quito-norte"
+region: "sierra"
+zones:
+  quito-norte: "sierra"
+listen:
+  front: "10.1.0.26:8465"
+  ready_addr: "10.1.0.26:8460"
+port_range:
+  - 7560
+  - 7575
+something_new: [1, 2]
+bounds:
+  revoke_ms: 5000
+  grace_s: 6
+platform:
+  addr: "10.200.1.7:8466"
+cloud_api:
+  addr: "10.200.0.2:8466"
+`;
+
+test('reads a settings file and ignores what it does not know', t => {
+  const settings = parseSettings(SETTINGS)._unsafeUnwrap();
+  t.like(settings, {
+    vm: 'front-quito-norte-1',
+    peerPort: 7_560,
+    graceMs: 6_000,
+    callerAddress: {host: '10.1.0.26', port: 8_465},
+  });
+});
+
+test('names each wrong field of a settings file', t => {
+  const wrong = SETTINGS.replace('"10.1.0.26:8465"', 'true').replace(
+    'zone: "quito-norte"',
+    'zone: 7',
+  );
+  const error = parseSettings(wrong)._unsafeUnwrapErr();
+  t.regex(error, /listen\.front is true/);
+  t.regex(error, /zone is 7/);
+  t.true(parseSettings('a: [').isErr());
+});
