--- a/src/front/caller_session.ts
+++ b/src/front/caller_session.ts
@@ -106,9 +106,14 @@
     return !this.busy && this.waiting.length === 0 && !this.transaction && !this.failed;
   }
 
-  /** Closes the session when nothing is under way. */
+  /**
+   * Closes the session when nothing is under way. Both directions close: a
+   * statement that is on its way must not be read, as it could not be answered.
+   */
   closeIfIdle(): void {
-    if (this.isIdle) this.socket.end();
+    if (!this.isIdle || this.gone) return;
+    this.socket.destroy();
+    this.leave();
   }
 
   /** Ends an open transaction that rests, as at the end of a shutdown. */
--- a/src/front/front.ts
+++ b/src/front/front.ts
@@ -402,21 +402,24 @@
   private serveMetrics(): Promise<HttpServer> {
     const {metrics} = this.ports;
     const server = createHttpServer((request, response) => {
-      response.statusCode = request.url === metrics?.path ? 200 : 404;
+      const known = request.url === metrics?.path;
+      response.statusCode = known ? 200 : 404;
       response.setHeader('content-type', 'text/plain');
-      const gauges = {
-        sessions: this.sessions.size,
-        ready: this.isReady ? 1 : 0,
-        duty_held: this.duty.isHeld ? 1 : 0,
-        resident_bytes: process.memoryUsage.rss(),
-      };
-      response.end(
-        request.url === metrics?.path ? this.metrics.text(gauges) : '',
-      );
+      if (!known) return void response.end();
+      void this.metrics.text(this.gauges()).then(text => response.end(text));
     });
     return listen(server, metrics ?? this.settings.readyAddress);
   }
 
+  private gauges(): Readonly<Record<string, number>> {
+    return {
+      sessions: this.sessions.size,
+      ready: this.isReady ? 1 : 0,
+      duty_held: this.duty.isHeld ? 1 : 0,
+      resident_bytes: process.memoryUsage.rss(),
+    };
+  }
+
   /** Tells the holder of the duty of primaries that do not answer. */
   private reportSuspects(): void {
     const {holder} = this.duty;
--- a/test/platform/fleet_fixture.ts
+++ b/test/platform/fleet_fixture.ts
@@ -213,6 +213,7 @@
       this.ended = true;
       this.waiting?.();
     };
+    socket.on('end', end);
     socket.on('close', end);
     socket.on('error', end);
   }
@@ -223,7 +224,7 @@
     database: string,
     key: string,
   ): Promise<{client: WireClient; answer: ClientAnswer}> {
-    const socket = connect({host: HOST, port});
+    const socket = connect({host: HOST, port, allowHalfOpen: true});
     const client = new WireClient(socket);
     client.send(`START ${database} ${key}`);
     return {client, answer: await client.answer()};
@@ -234,7 +235,11 @@
   }
 
   /** Sends a statement and waits for its whole answer. */
-  query(text: string, id = `q${++this.queries}`): Promise<ClientAnswer> {
+  async query(
+    text: string,
+    id = `q${++this.queries}`,
+  ): Promise<ClientAnswer> {
+    if (this.ended) throw new Error('connection has ended');
     this.send(`QUERY ${id} ${text}`);
     return this.answer();
   }
--- a/test/platform/front.test.ts
+++ b/test/platform/front.test.ts
@@ -203,3 +203,15 @@
   await stopped;
   t.true(idle.isEnded);
 });
+
+test('a statement that crosses the close of its idle session is not run', async t => {
+  const fleet = await startFleet();
+  t.teardown(() => fleet.stop());
+  const [first] = fleet.fronts;
+  const idle = await openSession(first, 'primary', 'ana-key');
+  const stopped = first.front.stop();
+  idle.send('QUERY crossing WRITE k v');
+  await stopped;
+  const runs = fleet.group.databases.flatMap(database => database.runs);
+  t.false(runs.some(run => run.requestId === 'crossing'));
+});
