--- a/src/core/read_choice.ts
+++ b/src/core/read_choice.ts
@@ -50,8 +50,7 @@
     .filter(entry => !entry.leaving)
     .filter(entry => loadOf(entry.id).avoidUntilMs <= nowMs)
     .filter(
-      entry =>
-        entry.id === leader || loadOf(entry.id).laggingUntilMs <= nowMs,
+      entry => entry.id === leader || loadOf(entry.id).laggingUntilMs <= nowMs,
     )
     .map(entry => ({entry, cost: costOf(entry)}))
     .sort((a, b) => a.cost - b.cost)
--- a/src/front/caller_session.ts
+++ b/src/front/caller_session.ts
@@ -4,7 +4,12 @@
  */
 import {Socket} from 'node:net';
 import {ErrorKind} from '../core/errors.js';
-import {admit, ANONYMOUS, FrontConfig, RouteConfig} from '../core/front_config.js';
+import {
+  admit,
+  ANONYMOUS,
+  FrontConfig,
+  RouteConfig,
+} from '../core/front_config.js';
 import {laterPosition} from '../core/marks.js';
 import {Position} from '../core/position.js';
 import {
@@ -26,7 +31,12 @@
 } from '../core/work.js';
 import {JsonLog} from './json_log.js';
 import {Router} from './router.js';
-import {CallerAnswer, CallerCodec, CallerMessage, WIRE_ENCODING} from './wire_types.js';
+import {
+  CallerAnswer,
+  CallerCodec,
+  CallerMessage,
+  WIRE_ENCODING,
+} from './wire_types.js';
 
 /** What a session needs of its front. */
 export interface SessionHost {
@@ -103,7 +113,12 @@
 
   /** Whether closing now would cut nothing. */
   get isIdle(): boolean {
-    return !this.busy && this.waiting.length === 0 && !this.transaction && !this.failed;
+    return (
+      !this.busy &&
+      this.waiting.length === 0 &&
+      !this.transaction &&
+      !this.failed
+    );
   }
 
   /**
@@ -191,7 +206,9 @@
     }
     const admission = admit(config, message.database, message.key);
     if (admission.kind !== 'admitted') {
-      const error = this.host.isFresh() ? admission.kind : 'stale_configuration';
+      const error = this.host.isFresh()
+        ? admission.kind
+        : 'stale_configuration';
       this.host.log('login_refused', {
         database: message.database,
         error,
@@ -208,7 +225,11 @@
 
   private async query(query: Query, atMs: number): Promise<void> {
     const {statement} = query;
-    if (this.failed && statement.kind !== 'rollback' && statement.kind !== 'commit') {
+    if (
+      this.failed &&
+      statement.kind !== 'rollback' &&
+      statement.kind !== 'commit'
+    ) {
       return this.fail('transaction_failed', 'transaction has failed');
     }
     switch (statement.kind) {
@@ -300,7 +321,15 @@
     }
     const deadlineMs = atMs + route.timeoutMs - RETURN_MS;
     const reply = first
-      ? await this.runFirst(query, access, prepared, route, customer, atMs, deadlineMs)
+      ? await this.runFirst(
+          query,
+          access,
+          prepared,
+          route,
+          customer,
+          atMs,
+          deadlineMs,
+        )
       : await this.runNext(query, access, prepared, customer, deadlineMs);
     this.sentWork = undefined;
     if (this.gone) {
@@ -393,7 +422,7 @@
         lane,
         session: sliceFor(this.state, prepared),
         priority: route.priority,
-        budgetMs: Math.max(1, deadlineMs - performance.now()),
+        budgetMs: Math.max(1, Math.floor(deadlineMs - performance.now())),
       },
       proves,
     );
@@ -408,7 +437,8 @@
         transaction.lane = reply.lane ?? transaction.lane;
         if (access === Access.write) transaction.wrote = true;
       }
-      const commits = access === Access.commit || (access === Access.write && !transaction);
+      const commits =
+        access === Access.commit || (access === Access.write && !transaction);
       if (commits) {
         this.ownCommit = laterPosition(this.ownCommit, reply.position);
         this.transaction = undefined;
@@ -440,7 +470,8 @@
       return {kind: 'fault', fault, text};
     }
     if (fault === Fault.lost) {
-      if (access === Access.read) return {kind: 'error', error: 'timed_out', text: reply.text};
+      if (access === Access.read)
+        return {kind: 'error', error: 'timed_out', text: reply.text};
       if (access === Access.commit && !wrote) {
         return {kind: 'fault', fault: Fault.aborted, text: reply.text};
       }
--- a/src/front/database_link.ts
+++ b/src/front/database_link.ts
@@ -60,8 +60,10 @@
   private readonly steps: Step[] = [];
   private readonly decoder;
   private rows: string[] = [];
-  private result: {signature: string} | {fault: Fault; text: string} | undefined;
-  private opened: ((fault: Fault | undefined, text: string) => void) | undefined;
+  private result:
+    {signature: string} | {fault: Fault; text: string} | undefined;
+  private opened:
+    ((fault: Fault | undefined, text: string) => void) | undefined;
   private openTimer: NodeJS.Timeout | undefined;
 
   private constructor(
--- a/src/front/database_worker.ts
+++ b/src/front/database_worker.ts
@@ -5,7 +5,11 @@
 import {chooseConnection} from '../core/connection_choice.js';
 import {KnownDatabase} from '../core/directory.js';
 import {addMark, Marks} from '../core/marks.js';
-import {preparationFor, shapeKeyOf, valuesKeyOf} from '../core/session_state.js';
+import {
+  preparationFor,
+  shapeKeyOf,
+  valuesKeyOf,
+} from '../core/session_state.js';
 import {
   Access,
   Fault,
@@ -97,6 +101,7 @@
   private reopenAtMs = 0;
   private shrunkTo = Infinity;
   private probing = false;
+  private closed = false;
   private laneCount = 0;
   /** Runs while there is something to check. */
   private checks: NodeJS.Timeout | undefined;
@@ -135,6 +140,9 @@
   }
 
   run(work: Work, origin: string): Promise<Reply> {
+    if (this.closed) {
+      return Promise.resolve(faultReply(Fault.unreachable, 'front is closing'));
+    }
     return new Promise(done => {
       const nowMs = performance.now();
       const job: Job = {
@@ -173,7 +181,12 @@
   }
 
   close(): void {
+    this.closed = true;
     clearInterval(this.checks);
+    for (const lane of this.lanes.values()) clearTimeout(lane.timer);
+    for (const job of [...this.jobs.values()]) {
+      if (job.sentMs === 0) this.refuse(job, 'front is closing');
+    }
     for (const connection of [...this.connections]) connection.link.close();
   }
 
@@ -486,7 +499,8 @@
           : this.replyOf(
               {
                 ...begun,
-                fault: begun.fault === Fault.lost ? Fault.unreachable : begun.fault,
+                fault:
+                  begun.fault === Fault.lost ? Fault.unreachable : begun.fault,
               },
               {state: LinkState.idle},
             ),
@@ -578,12 +592,16 @@
     const stays =
       !lost && !undone && !isCommit && answer.state === LinkState.open;
     if (stays) {
-      this.finish(job, this.replyOf(answer, {state: LinkState.open, lane: lane.id}));
+      this.finish(
+        job,
+        this.replyOf(answer, {state: LinkState.open, lane: lane.id}),
+      );
       if (job.over && this.lanes.has(lane.id)) this.armLane(lane);
       return;
     }
     const failed = !isCommit && !undone ? LinkState.failed : LinkState.idle;
-    const fault = lost && !isCommit ? {...answer, fault: Fault.aborted} : answer;
+    const fault =
+      lost && !isCommit ? {...answer, fault: Fault.aborted} : answer;
     this.finish(job, this.replyOf(fault as StepAnswer, {state: failed}));
     this.unpin(lane);
     if (!lost) this.release(lane.connection, answer.state);
@@ -731,7 +749,7 @@
 
   /** Something went wrong: a new connection tells whether the database lives. */
   private suspect(text: string): void {
-    if (this.probing) return;
+    if (this.probing || this.closed) return;
     this.probing = true;
     const startedMs = performance.now();
     void this.probe().then(alive => {
@@ -755,7 +773,10 @@
     for (;;) {
       const job = this.queue.take(() => false);
       if (!job) break;
-      this.finish(job, faultReply(Fault.unreachable, 'database does not answer'));
+      this.finish(
+        job,
+        faultReply(Fault.unreachable, 'database does not answer'),
+      );
     }
     for (const connection of [...this.connections]) {
       const {job} = connection;
@@ -773,7 +794,11 @@
       this.shrunkTo = Infinity;
     }
     const oldest = this.connections.find(
-      c => c.job && !c.job.over && nowMs - c.job.sentMs > SILENCE_MS && c.job.sentMs > 0,
+      c =>
+        c.job &&
+        !c.job.over &&
+        nowMs - c.job.sentMs > SILENCE_MS &&
+        c.job.sentMs > 0,
     );
     if (oldest && nowMs - this.heardAtMs > SILENCE_MS) this.suspect('silent');
     if (this.queue.size > 0) this.pump();
--- a/src/front/dispatcher.ts
+++ b/src/front/dispatcher.ts
@@ -70,6 +70,7 @@
   /** Holders by database, for one set of fronts. */
   private readonly ranked = new Map<string, FrontMember[]>();
   private rankedFronts: Fronts | undefined;
+  private closed = false;
 
   private constructor(private readonly options: DispatcherOptions) {}
 
@@ -86,7 +87,7 @@
     const holders = this.holders(entry).slice(0, MAX_HOLDERS);
     let last: Dispatched | undefined;
     for (const holder of holders) {
-      const budgetMs = deadlineMs - performance.now();
+      const budgetMs = Math.floor(deadlineMs - performance.now());
       if (budgetMs <= 0) break;
       const done = await this.runAt(holder, {...work, budgetMs});
       if (done && (done.reply.ok || done.reply.fault !== Fault.unreachable)) {
@@ -141,7 +142,7 @@
     const known = this.workers.get(database);
     if (known) return known;
     const entry = this.options.directory().get(database);
-    if (!entry) return undefined;
+    if (!entry || this.closed) return undefined;
     const {codec, log, zone} = this.options;
     const worker = DatabaseWorker.create({
       entry,
@@ -167,9 +168,7 @@
 
   /** Expected wait at a database that this front holds. */
   localWaitMs(database: string, customer: string, priority: number): number {
-    return (
-      this.workers.get(database)?.expectedWaitMs(customer, priority) ?? 0
-    );
+    return this.workers.get(database)?.expectedWaitMs(customer, priority) ?? 0;
   }
 
   /** Marks of a leader from the front that holds it, on this front's clock. */
@@ -181,10 +180,9 @@
       return this.worker(database)?.marks() ?? [];
     }
     const askedAtMs = performance.now();
-    const call = this.link(holder.vm)?.call<MarkByAge[]>(
-      PeerMethodName.marks,
-      {database},
-    );
+    const call = this.link(holder.vm)?.call<MarkByAge[]>(PeerMethodName.marks, {
+      database,
+    });
     return call ? marksFromAge(await call, askedAtMs) : [];
   }
 
@@ -219,7 +217,7 @@
   /** The link to another front, made when first needed. */
   link(vm: string): PeerLink | undefined {
     const member = this.options.fronts().get(vm);
-    if (!member) return undefined;
+    if (!member || this.closed) return undefined;
     const known = this.links.get(vm);
     if (known?.reaches(member)) return known;
     known?.close();
@@ -248,6 +246,7 @@
   }
 
   close(): void {
+    this.closed = true;
     for (const worker of this.workers.values()) worker.close();
     for (const link of this.links.values()) link.close();
   }
--- a/src/front/duty.ts
+++ b/src/front/duty.ts
@@ -154,7 +154,8 @@
   }
 
   private lose(reason: string): void {
-    if (this.fence > 0) this.options.log('duty_lost', {fence: this.fence, reason});
+    if (this.fence > 0)
+      this.options.log('duty_lost', {fence: this.fence, reason});
     this.fence = 0;
     this.leaseId = 0;
     this.renewedAtMs = -Infinity;
--- a/src/front/front.ts
+++ b/src/front/front.ts
@@ -1,5 +1,8 @@
 /** One front: everything a VM runs on a platform, composed and owned here. */
-import {createServer as createHttpServer, Server as HttpServer} from 'node:http';
+import {
+  createServer as createHttpServer,
+  Server as HttpServer,
+} from 'node:http';
 import {createServer, Server, Socket} from 'node:net';
 import {map, merge, Subscription} from 'rxjs';
 import {Fronts, holdersOf} from '../core/fronts.js';
--- a/src/front/peer_link.ts
+++ b/src/front/peer_link.ts
@@ -5,7 +5,7 @@
 import {connect, Socket} from 'node:net';
 import {JSONRPCClient} from 'json-rpc-2.0';
 import {JsonLog} from './json_log.js';
-import {Hello, onLines, prove, sendLine} from './peer_protocol.js';
+import {Hello, openChannel, PeerChannel, prove} from './peer_protocol.js';
 
 /** Whom a link reaches. */
 export interface PeerTarget {
@@ -124,7 +124,7 @@
       CONNECT_TIMEOUT_MS,
     );
     let nonce: string | undefined;
-    onLines(socket, message => {
+    const channel = openChannel(socket, message => {
       this.heardAtMs = performance.now();
       if (nonce === undefined) {
         nonce = String((message as {nonce?: unknown}).nonce);
@@ -133,10 +133,10 @@
           to: target.vm,
           proof: prove(secret(), nonce, self, target.vm),
         };
-        sendLine(socket, hello);
+        channel.send(hello);
       } else if (this.state === 'connecting') {
         clearTimeout(limit);
-        this.open(socket);
+        this.open(channel);
         log('peer_connected', {peer: target.vm});
       } else this.client?.receive(message as never);
     });
@@ -147,9 +147,9 @@
     });
   }
 
-  private open(socket: Socket): void {
+  private open(channel: PeerChannel): void {
     this.state = 'open';
-    this.client = new JSONRPCClient(request => sendLine(socket, request));
+    this.client = new JSONRPCClient(request => channel.send(request));
     for (const done of this.waiting.splice(0)) done(undefined);
   }
 
--- a/src/front/peer_protocol.ts
+++ b/src/front/peer_protocol.ts
@@ -1,15 +1,15 @@
 /**
- * Framing and authentication between fronts: JSON-RPC 2.0, one message a line.
+ * Framing and authentication between fronts: JSON-RPC 2.0 in MessagePack.
  * The side that accepts sends a nonce; the side that dials proves that it holds
  * the fleet's secret and names both ends.
  */
 import {createHmac, timingSafeEqual} from 'node:crypto';
 import {Socket} from 'node:net';
+import {PackrStream, UnpackrStream} from 'msgpackr';
 
-/** Longest line of a peer; an answer's rows make the bulk of it. */
-const MAX_LINE_CHARS = 4 * 1_048_576;
-
-/** First line of the dialling side. */
+/** Longest message of a peer; an answer's rows make the bulk of it. */
+const MAX_MESSAGE_BYTES = 4 * 1_048_576;
+/** First message of the dialling side. */
 export interface Hello {
   readonly from: string;
   readonly to: string;
@@ -23,9 +23,7 @@
   from: string,
   to: string,
 ): string =>
-  createHmac('sha256', secret)
-    .update(`${nonce}\n${from}\n${to}`)
-    .digest('hex');
+  createHmac('sha256', secret).update(`${nonce}\n${from}\n${to}`).digest('hex');
 
 /** Checks a proof in constant time. */
 export function isProof(given: string, expected: string): boolean {
@@ -34,30 +32,34 @@
   return a.length === b.length && timingSafeEqual(a, b);
 }
 
-/** Writes one message. */
-export function sendLine(socket: Socket, message: unknown): void {
-  if (!socket.destroyed) socket.write(JSON.stringify(message) + '\n');
+/** One side of a connection between fronts, as a channel of messages. */
+export interface PeerChannel {
+  send(message: unknown): void;
 }
 
-/** Calls back for each message; a line that cannot be read ends the socket. */
-export function onLines(
+/**
+ * Sends and receives messages over a socket. Field names are sent once a
+ * connection. Bytes that are no message end the socket.
+ */
+export function openChannel(
   socket: Socket,
   take: (message: unknown) => void,
-): void {
-  let rest = '';
-  socket.setEncoding('utf8');
-  socket.on('data', (chunk: string) => {
-    const lines = (rest + chunk).split('\n');
-    rest = lines.pop() ?? '';
-    if (rest.length > MAX_LINE_CHARS) return void socket.destroy();
-    for (const line of lines) {
-      let message: unknown;
-      try {
-        message = JSON.parse(line);
-      } catch {
-        return void socket.destroy();
-      }
-      take(message);
-    }
+): PeerChannel {
+  const encoder = new PackrStream();
+  const decoder = new UnpackrStream();
+  let held = 0;
+  socket.on('data', chunk => {
+    held += chunk.length;
+    if (held > MAX_MESSAGE_BYTES) return void socket.destroy();
+    decoder.write(chunk);
+  });
+  decoder.on('data', message => {
+    held = 0;
+    take(message);
+  });
+  decoder.on('error', () => socket.destroy());
+  encoder.on('data', chunk => {
+    if (!socket.destroyed) socket.write(chunk as Buffer);
   });
+  return {send: message => void encoder.write(message)};
 }
--- a/src/front/peer_service.ts
+++ b/src/front/peer_service.ts
@@ -4,7 +4,7 @@
 import {JSONRPCServer} from 'json-rpc-2.0';
 import {Address} from './front_settings.js';
 import {JsonLog} from './json_log.js';
-import {Hello, isProof, onLines, prove, sendLine} from './peer_protocol.js';
+import {Hello, isProof, openChannel, prove} from './peer_protocol.js';
 
 /** A method that peers may call; `from` is the calling VM. */
 export type PeerMethod = (params: never, from: string) => unknown;
@@ -41,15 +41,17 @@
   let rpc: JSONRPCServer | undefined;
   const limit = setTimeout(() => socket.destroy(), HELLO_TIMEOUT_MS);
   socket.setNoDelay(true);
-  socket.on('error', error => log('peer_error', {peer: from, text: error.message}));
+  socket.on('error', error =>
+    log('peer_error', {peer: from, text: error.message}),
+  );
   socket.on('close', () => {
     clearTimeout(limit);
     if (from !== undefined) options.onGone(from);
   });
-  onLines(socket, message => {
+  const channel = openChannel(socket, message => {
     if (rpc) {
       void rpc.receive(message as never).then(answer => {
-        if (answer) sendLine(socket, answer);
+        if (answer) channel.send(answer);
       });
       return;
     }
@@ -62,9 +64,9 @@
     clearTimeout(limit);
     from = String(hello.from);
     rpc = createRpc(methods, from);
-    sendLine(socket, {welcome: true});
+    channel.send({welcome: true});
   });
-  sendLine(socket, {nonce});
+  channel.send({nonce});
 }
 
 function createRpc(
--- a/src/front/router.ts
+++ b/src/front/router.ts
@@ -191,8 +191,7 @@
     if (ask.opens !== 'no') {
       return {entry, mode: WorkMode.open, after: undefined};
     }
-    const mode =
-      ask.access === Access.read ? WorkMode.fenced : WorkMode.single;
+    const mode = ask.access === Access.read ? WorkMode.fenced : WorkMode.single;
     return {entry, mode, after: undefined};
   }
 
@@ -276,7 +275,7 @@
       session: ask.session,
       after,
       priority: ask.route.priority,
-      budgetMs: Math.max(1, ask.deadlineMs - sentMs),
+      budgetMs: Math.max(1, Math.floor(ask.deadlineMs - sentMs)),
     };
     ask.sent(work);
     const {reply, holder} = await this.options.dispatcher.run(work);
--- a/src/front/store_feed.ts
+++ b/src/front/store_feed.ts
@@ -117,7 +117,9 @@
       } else {
         if (done === 'list') listed = false;
         const ms = RETRY_PAUSE_MS * 2 ** Math.min(this.failures, 4);
-        await pause(Math.min(MAX_RETRY_PAUSE_MS, ms) * (0.7 + Math.random() * 0.6));
+        await pause(
+          Math.min(MAX_RETRY_PAUSE_MS, ms) * (0.7 + Math.random() * 0.6),
+        );
       }
     }
   }
@@ -217,7 +219,10 @@
     const config = decoded.value;
     const known = this.config?.version ?? -1;
     if (config.version <= known) return;
-    this.options.log('config_applied', {version: config.version, before: known});
+    this.options.log('config_applied', {
+      version: config.version,
+      before: known,
+    });
     this.config$.next(config);
   }
 
@@ -226,7 +231,8 @@
     const id = event.key.slice(layout.databasePrefix.length);
     const known = directory.get(id);
     if (event.kind === 'removed') {
-      if (known) log('database_unlisted', {database: id, service: known.service});
+      if (known)
+        log('database_unlisted', {database: id, service: known.service});
       return this.remove(directory, id);
     }
     const entry = layout.decodeDatabase(id, event.value);
--- a/src/front/takeover_runner.ts
+++ b/src/front/takeover_runner.ts
@@ -261,10 +261,7 @@
   }
 
   /** Orders the promotion; false when another round is needed. */
-  private async order(
-    service: string,
-    database: string,
-  ): Promise<boolean> {
+  private async order(service: string, database: string): Promise<boolean> {
     const {duty, promote, self, log} = this.options;
     const fence = this.inDoubt.has(service)
       ? await duty.raiseFence()
--- a/src/proxy/intents.ts
+++ b/src/proxy/intents.ts
@@ -10,12 +10,7 @@
   parseIntent,
   Plan,
 } from '../core/plan.js';
-import {
-  Store,
-  StoreError,
-  StoreErrorKind,
-  StoreKey,
-} from '../store/store.js';
+import {Store, StoreError, StoreErrorKind, StoreKey} from '../store/store.js';
 
 /** Why an operator's request failed. */
 export const IntentErrorKind = {
--- a/src/proxy/rate_keeper.ts
+++ b/src/proxy/rate_keeper.ts
@@ -55,6 +55,8 @@
   waiting: Waiter[];
   borrowing: boolean;
   nextBorrowAtMs: number;
+  /** Rounds of borrowing so far. */
+  rounds: number;
 }
 
 /** Rate of callers on open services that are no configured customer. */
@@ -77,9 +79,7 @@
   private known: ReadonlySet<string> | undefined;
 
   private constructor(private readonly options: RateKeeperOptions) {
-    this.subscriptions.add(
-      options.changed$.subscribe(() => this.reshapeAll()),
-    );
+    this.subscriptions.add(options.changed$.subscribe(() => this.reshapeAll()));
     this.subscriptions.add(
       interval(REFRESH_MS).subscribe(() => this.reshapeAll()),
     );
@@ -138,6 +138,7 @@
       waiting: [],
       borrowing: false,
       nextBorrowAtMs: 0,
+      rounds: 0,
     };
     this.accounts.set(customer, account);
     return account;
@@ -197,7 +198,7 @@
   /** One round: borrow, answer those who wait, and go on while any does. */
   private async round(customer: string, account: Account): Promise<void> {
     const wanted = this.wanted(account, monotonicMs());
-    const lenders = this.lenders(customer);
+    const lenders = this.lenders(customer, account);
     if (wanted > 0 && lenders.length > 0) {
       const each = (wanted / lenders.length) * 1.5;
       await Promise.all(
@@ -246,16 +247,17 @@
     }
   }
 
-  private lenders(customer: string): string[] {
+  /** The next lenders in turn, so that all are asked before one again. */
+  private lenders(customer: string, account: Account): string[] {
     const peers = this.options.lenders();
     const most = this.options.maxLenders ?? MAX_LENDERS;
     if (peers.length <= most) return [...peers];
-    const turn = String(Math.floor(monotonicMs() / 1_000));
-    return peers
-      .map(vm => ({vm, order: score(`${customer}/${turn}`, vm)}))
+    const ordered = peers
+      .map(vm => ({vm, order: score(customer, vm)}))
       .sort((a, b) => a.order - b.order)
-      .slice(0, most)
       .map(entry => entry.vm);
+    const start = (account.rounds++ * most) % ordered.length;
+    return [...ordered.slice(start), ...ordered.slice(0, start)].slice(0, most);
   }
 
   /** Lends tokens to another VM. */
--- a/test/platform/codec.test.ts
+++ b/test/platform/codec.test.ts
@@ -61,10 +61,13 @@
       {kind: 'ready', state: 'idle', position: {term: 3, offset: 1209}},
     ],
   );
-  t.deepEqual(databaseMessages('ERROR READONLY i-7f3a91c2\r\nREADY E 3.1209\r\n'), [
-    {kind: 'error', fault: 'read_only', text: 'i-7f3a91c2'},
-    {kind: 'ready', state: 'failed', position: {term: 3, offset: 1209}},
-  ]);
+  t.deepEqual(
+    databaseMessages('ERROR READONLY i-7f3a91c2\r\nREADY E 3.1209\r\n'),
+    [
+      {kind: 'error', fault: 'read_only', text: 'i-7f3a91c2'},
+      {kind: 'ready', state: 'failed', position: {term: 3, offset: 1209}},
+    ],
+  );
   t.deepEqual(databaseCodec.report('replica 3 3.1209 0 12 2 17'), {
     isLeader: false,
     term: 3,
--- a/test/platform/fleet_fixture.ts
+++ b/test/platform/fleet_fixture.ts
@@ -14,6 +14,7 @@
 
 export const ZONES = ['norte', 'puerto', 'parque'] as const;
 const HOST = '127.0.0.1';
+const HALF_OPEN_MS = 200;
 
 /** A configuration as the operator writes it. */
 export interface OperatorConfig {
@@ -213,7 +214,11 @@
       this.ended = true;
       this.waiting?.();
     };
-    socket.on('end', end);
+    socket.on('end', () => {
+      end();
+      // Until then the other side still gets what was sent meanwhile.
+      setTimeout(() => socket.destroy(), HALF_OPEN_MS);
+    });
     socket.on('close', end);
     socket.on('error', end);
   }
@@ -235,10 +240,7 @@
   }
 
   /** Sends a statement and waits for its whole answer. */
-  async query(
-    text: string,
-    id = `q${++this.queries}`,
-  ): Promise<ClientAnswer> {
+  async query(text: string, id = `q${++this.queries}`): Promise<ClientAnswer> {
     if (this.ended) throw new Error('connection has ended');
     this.send(`QUERY ${id} ${text}`);
     return this.answer();
--- a/test/platform/standin_database.ts
+++ b/test/platform/standin_database.ts
@@ -71,7 +71,7 @@
 
   /** Ends the process; its log stays. */
   async crash(): Promise<void> {
-    for (const socket of this.sockets) socket.resetAndDestroy();
+    for (const socket of this.sockets) socket.destroy();
     const {server} = this;
     this.server = undefined;
     if (server) await new Promise(resolve => server.close(resolve));
@@ -130,7 +130,11 @@
   ): Promise<StandinGroup> {
     const group = new StandinGroup(service);
     for (const [index, zone] of zones.entries()) {
-      const database = new StandinDatabase(group, `i-${service}-${index}`, zone);
+      const database = new StandinDatabase(
+        group,
+        `i-${service}-${index}`,
+        zone,
+      );
       database.leads = index === 0;
       group.databases.push(database);
       await database.start();
--- a/test/platform/standin_store.ts
+++ b/test/platform/standin_store.ts
@@ -47,9 +47,13 @@
   private revision = 1;
   private oldest = 0;
   private readonly items = new Map<string, Item>();
-  private events: Array<Item | {key: string; revision: number; tombstone: true}> =
-    [];
-  private readonly leases = new Map<number, {ttlMs: number; timer: NodeJS.Timeout}>();
+  private events: Array<
+    Item | {key: string; revision: number; tombstone: true}
+  > = [];
+  private readonly leases = new Map<
+    number,
+    {ttlMs: number; timer: NodeJS.Timeout}
+  >();
   private readonly watchers = new Set<() => void>();
   private server: Server | undefined;
   private leaseCount = 0;
@@ -73,8 +77,7 @@
 
   /** Writes an item as the operator or a database does. */
   put(key: string, value: unknown, leaseId = 0): void {
-    const text =
-      typeof value === 'string' ? value : JSON.stringify(value);
+    const text = typeof value === 'string' ? value : JSON.stringify(value);
     this.write(key, Buffer.from(text).toString('base64'), leaseId);
     this.wake();
   }
@@ -120,7 +123,13 @@
   private write(key: string, value: string, leaseId: number): void {
     this.revision++;
     const created = this.items.get(key)?.created ?? this.revision;
-    const item = {key, value, revision: this.revision, created, lease_id: leaseId};
+    const item = {
+      key,
+      value,
+      revision: this.revision,
+      created,
+      lease_id: leaseId,
+    };
     this.items.set(key, item);
     this.events.push(item);
   }
