--- a/eslint.config.js
+++ b/eslint.config.js
@@ -1,7 +1,7 @@
 import gts from 'gts';
 
 export default [
-  {ignores: ['build/', 'eslint.config.js']},
+  {ignores: ['build/', 'target/', 'eslint.config.js']},
   ...gts,
   {
     files: ['test/**/*.ts', 'bench/**/*.ts', 'model/**/*.ts'],
--- a/model/check.ts
+++ b/model/check.ts
@@ -17,6 +17,8 @@
   SystemEvent,
 } from './failover_model.js';
 import {ratesModel, SAFE_RATE_RULES} from './rates_model.js';
+import {SAFE_TAKEOVER_RULES, takeoverModel} from './takeover_model.js';
+import {SAFE_TAKEOVER} from '../src/core/takeover.js';
 
 /** Result of all checks. */
 export interface CheckResult {
@@ -85,6 +87,11 @@
   changes: Partial<typeof SAFE_CONFIG_RULES> = {},
 ): Check => checkOf(configModel(name, {...SAFE_CONFIG_RULES, ...changes}));
 
+const takeover = (
+  name: string,
+  changes: Partial<typeof SAFE_TAKEOVER_RULES> = {},
+): Check => checkOf(takeoverModel(name, {...SAFE_TAKEOVER_RULES, ...changes}));
+
 /** The rules in force. */
 const models = (): Check[] => [
   failover('failover, write_ack replica'),
@@ -95,6 +102,7 @@
   }),
   rates('rate shares'),
   config('configuration'),
+  takeover('takeover on a platform'),
 ];
 
 const withoutSequence: ConfirmRule = (state, commit) => {
@@ -195,6 +203,21 @@
   }),
   config('any version is taken', {take: (_held, received) => received}),
   config('a swap that does not compare', {maySwap: () => true}),
+  takeover('one stopped log suffices', {
+    takeover: {...SAFE_TAKEOVER, logsNeeded: () => 1},
+  }),
+  takeover('the log least far is promoted', {
+    takeover: {
+      ...SAFE_TAKEOVER,
+      isBetter: (a, b) => comparePositions(a.position, b.position) < 0,
+    },
+  }),
+  takeover('replicas receive while an order is outstanding', {
+    resumesInDoubt: true,
+  }),
+  takeover('orders of earlier holders are not considered', {
+    doubtsEarlierHolders: false,
+  }),
 ];
 
 /** Checks every model and every mutant. */
--- a/src/core/takeover.ts
+++ b/src/core/takeover.ts
@@ -60,7 +60,9 @@
     log => !log.leaving && !rules.isBetter(furthest, log),
   );
   if (fit.length === 0) return {kind: 'catch_up'};
-  return {kind: 'promote', database: fit[0].database};
+  // The same choice at every front, so that a late order and a new one agree.
+  const names = fit.map(log => log.database).sort();
+  return {kind: 'promote', database: names[0]};
 }
 
 /** Votes on whether a primary answers; silent voters do not count. */
--- a/src/front/duty.ts
+++ b/src/front/duty.ts
@@ -32,6 +32,7 @@
   private leaseId = 0;
   private fence = 0;
   private renewedAtMs = -Infinity;
+  private takenAtMs = 0;
   private leaseMs = LEASE_MS;
   private acquiring = false;
   private retryTimer: NodeJS.Timeout | undefined;
@@ -54,6 +55,11 @@
     return this.fence > 0 && age < this.leaseMs * RELIED_PART;
   }
 
+  /** For how long the duty has been held without a break. */
+  get heldMs(): number {
+    return this.isHeld ? performance.now() - this.takenAtMs : 0;
+  }
+
   /** VM that holds the duty, as far as the store told. */
   get holder(): string | undefined {
     const {feed, key} = this.options;
@@ -132,6 +138,7 @@
         this.leaseMs = ttlMs;
         this.fence = answer.value;
         this.renewedAtMs = startedMs;
+        this.takenAtMs = startedMs;
         this.options.log('duty_taken', {fence: this.fence, ttlMs});
       } else {
         this.options.log('duty_missed', {text: answer.error.message});
--- a/src/front/takeover_runner.ts
+++ b/src/front/takeover_runner.ts
@@ -41,6 +41,10 @@
 const NEVER_LED_MS = 6_000;
 /** Time in which an ordered promotion must show in the directory. */
 const PROMOTION_MS = 4_000;
+/** Time for which an order without an answer may still be carried out. */
+const LATE_ORDER_MS = 15_000;
+/** Time from an order until the database leads. */
+const CARRY_OUT_MS = 1_300;
 const STEP_PAUSE_MS = 120;
 /** Time after which an attempt without enough logs asks anew. */
 const ATTEMPT_MS = 2_500;
@@ -164,22 +168,59 @@
     const untilMs = performance.now() + ATTEMPT_MS;
     const {duty} = this.options;
     for (;;) {
+      const late = performance.now() > untilMs;
       const choice = await this.chooseOnce(service, leader);
       if (!duty.isHeld) return false;
       if (choice.kind === 'promote') {
         const done = await this.order(service, choice.database);
         if (done) return this.settle(service, choice.database);
-      } else if (choice.kind === 'catch_up') {
-        await this.resumeAll(service, leader?.id);
+      } else if (choice.kind === 'catch_up' || late) {
+        await this.letReceive(service, leader);
+        if (late) return false;
+      }
+      const now = this.options.leader(service);
+      if (now && now.id !== leader?.id) {
+        await this.letReceive(service, now);
+        return true;
+      }
+      if (await this.isBack(service, leader, reason)) {
+        await this.letReceive(service, leader);
+        return false;
       }
-      const mayStop = !this.inDoubt.has(service);
-      if (mayStop && performance.now() > untilMs) break;
-      if (mayStop && (await this.isBack(service, leader, reason))) break;
       await pause(STEP_PAUSE_MS);
       if (!duty.isHeld) return false;
     }
+  }
+
+  /**
+   * Lets the replicas receive again. An order that may still be carried out, of
+   * this front or of an earlier holder, would undo what is acknowledged then:
+   * ordering the present primary with a higher fence makes it void first.
+   */
+  private async letReceive(
+    service: string,
+    leader: KnownDatabase | undefined,
+  ): Promise<void> {
+    const {duty, promote, self, log} = this.options;
+    const inDoubt = this.inDoubt.has(service) || duty.heldMs < LATE_ORDER_MS;
+    if (leader && inDoubt) {
+      const fence = await duty.raiseFence();
+      if (fence === undefined || !(await this.leads(leader))) return;
+      const database = leader.id;
+      const outcome = await promote({service, database, holder: self, fence});
+      log('primary_confirmed', {service, database, fence, outcome});
+      if (outcome !== 'done') return;
+      await pause(CARRY_OUT_MS);
+      if (!(await this.leads(leader))) return;
+      this.inDoubt.delete(service);
+    }
     await this.resumeAll(service, leader?.id);
-    return false;
+  }
+
+  private async leads(entry: KnownDatabase): Promise<boolean> {
+    const {codec} = this.options;
+    const report = await orderDatabase(entry, codec, {kind: 'status'});
+    return report?.isLeader === true;
   }
 
   /**
@@ -202,7 +243,6 @@
     leader: KnownDatabase | undefined,
     reason: Reason,
   ): Promise<boolean> {
-    if (reason === 'none') return this.options.leader(service) !== undefined;
     if (!leader || reason === 'leaving') return false;
     return !(await this.isLeaderLost(service, leader));
   }
@@ -227,6 +267,10 @@
       })),
     );
     const logs: StoppedLog[] = [];
+    if (reports.some(({report}) => report?.isLeader)) {
+      log('takeover_superseded', {service});
+      return {kind: 'need_logs', missing: replicas.length};
+    }
     for (const {entry, report} of reports) {
       if (!report) continue;
       const {position} = report;
