--- a/model/takeover_model.ts
+++ b/model/takeover_model.ts
@@ -124,7 +124,10 @@
     if (database === system.knownLeader) return;
     events.push({type: 'stop', database});
   });
-  if (system.orders.length < MAX_ORDERS && choice(system, rules) !== undefined) {
+  if (
+    system.orders.length < MAX_ORDERS &&
+    choice(system, rules) !== undefined
+  ) {
     events.push({type: 'order'});
   }
   system.orders.forEach((_, order) => events.push({type: 'carryOut', order}));
--- /dev/null
+++ b/test/front/decisions.test.ts
@@ -0,0 +1,355 @@
+/** The fronts' pure decisions; each load test names the pattern it answers. */
+import test from 'ava';
+import fc from 'fast-check';
+import {chooseConnection, Held} from '../../src/core/connection_choice.js';
+import {
+  DatabaseEntry,
+  databasesOf,
+  Directory,
+  dropMissing,
+  leaderOf,
+  putEntry,
+  removeEntry,
+} from '../../src/core/directory.js';
+import {ageMs, isFresh, proofLimitMs} from '../../src/core/freshness.js';
+import {admit, ANONYMOUS, FrontConfig} from '../../src/core/front_config.js';
+import {FrontMember, holdersOf} from '../../src/core/fronts.js';
+import {
+  addMark,
+  floorSince,
+  Marks,
+  marksByAge,
+  marksFromAge,
+} from '../../src/core/marks.js';
+import {comparePositions} from '../../src/core/position.js';
+import {NO_LOAD, rankForRead} from '../../src/core/read_choice.js';
+import {
+  EMPTY_SESSION,
+  prepare,
+  preparationFor,
+  setValue,
+  sliceFor,
+  valuesKeyOf,
+} from '../../src/core/session_state.js';
+import {chooseTakeover, isLost} from '../../src/core/takeover.js';
+import {WorkQueue} from '../../src/core/work_queue.js';
+
+const entry = (id: string, changes: Partial<DatabaseEntry> = {}) => ({
+  id,
+  service: 's',
+  host: 'h',
+  port: 1,
+  zone: 'z1',
+  slots: 2,
+  leaving: false,
+  coldLeftMs: 0,
+  isLeader: false,
+  bornMs: 1,
+  ...changes,
+});
+const PLACE = {zone: 'z1', region: 'r1'};
+
+test('the database that began to lead last is the leader', t => {
+  let directory: Directory = new Map();
+  directory = putEntry(directory, entry('a', {isLeader: true}), PLACE, 5);
+  directory = putEntry(directory, entry('b', {isLeader: true}), PLACE, 9);
+  t.is(leaderOf(directory, 's')?.id, 'b');
+  // Another change of the old leader's entry does not make it newer.
+  const slower = entry('a', {isLeader: true, coldLeftMs: 7});
+  directory = putEntry(directory, slower, PLACE, 12);
+  t.is(leaderOf(directory, 's')?.id, 'b');
+  t.is(leaderOf(directory, 's', e => e.id === 'b')?.id, 'a');
+  // Another life under the same id begins anew.
+  const reborn = entry('a', {isLeader: true, bornMs: 2});
+  directory = putEntry(directory, reborn, PLACE, 15);
+  t.is(leaderOf(directory, 's')?.id, 'a');
+});
+
+test('an entry that vanishes around an outage of the store stays in use', t => {
+  const start = putEntry(new Map(), entry('a'), PLACE, 1);
+  t.is(databasesOf(removeEntry(start, 'a', 10), 's').length, 0);
+  const doubtful = removeEntry(start, 'a', 10, true);
+  t.is(databasesOf(doubtful, 's').length, 1);
+  t.is(dropMissing(doubtful, 100, 90).size, 0);
+});
+
+test('a proof ages by whichever clock has moved further', t => {
+  const from = {steadyMs: 100, wallMs: 1_000};
+  // Suspended: the steady clock stands still.
+  t.is(ageMs(from, {steadyMs: 150, wallMs: 6_000}), 5_000);
+  // The time of day jumps back.
+  t.is(ageMs(from, {steadyMs: 4_100, wallMs: 500}), 4_000);
+  const proof = {version: 1, asOf: from};
+  const limit = proofLimitMs(5_000);
+  t.true(isFresh(proof, {steadyMs: 200, wallMs: 1_100}, limit));
+  t.false(isFresh(proof, {steadyMs: 5_000, wallMs: 1_100}, limit));
+  t.false(isFresh(undefined, from, limit));
+});
+
+test('callers are admitted by database name and key, or by an open route', t => {
+  const route = (database: string, open: boolean) => ({
+    name: database,
+    database,
+    service: 's',
+    freshness: 'primary' as const,
+    maxStalenessMs: 0,
+    timeoutMs: 1,
+    objectiveMs: 1,
+    priority: 0,
+    open,
+  });
+  const config: FrontConfig = {
+    version: 1,
+    routes: new Map([
+      ['closed', route('closed', false)],
+      ['open', route('open', true)],
+    ]),
+    services: new Map(),
+    customers: new Map(),
+    customerOfKey: new Map([['k', 'ana']]),
+    idleTransactionMs: 1,
+  };
+  t.deepEqual(admit(config, 'closed', 'k'), {
+    kind: 'admitted',
+    customer: 'ana',
+  });
+  t.is(admit(config, 'closed', 'x').kind, 'key_rejected');
+  t.is(admit(config, 'nowhere', 'k').kind, 'service_unknown');
+  t.deepEqual(admit(config, 'open', 'x'), {
+    kind: 'admitted',
+    customer: ANONYMOUS,
+  });
+});
+
+test('marks from another VM are never dated later than they were taken', t => {
+  const clocks = fc.record({
+    offsetMs: fc.integer({min: -5_000, max: 5_000}),
+    takenMs: fc.integer({min: 0, max: 700}),
+    askMs: fc.integer({min: 0, max: 1_000}),
+    transitMs: fc.integer({min: 0, max: 300}),
+  });
+  fc.assert(
+    fc.property(clocks, ({offsetMs, takenMs, askMs, transitMs}) => {
+      const answeredMs = askMs + transitMs;
+      const marks = [{atMs: takenMs, position: {term: 1, offset: 1}}];
+      const byAge = marksByAge(marks, Infinity, answeredMs);
+      const [mark] = marksFromAge(byAge, askMs + offsetMs);
+      t.true(mark.atMs - offsetMs <= takenMs);
+    }),
+    {seed: 7, numRuns: 300},
+  );
+});
+
+test('the floor of an allowed age covers every mark before it', t => {
+  const places = fc.array(fc.integer({min: 0, max: 3_000}), {
+    minLength: 1,
+    maxLength: 60,
+  });
+  fc.assert(
+    fc.property(places, fc.integer({min: 0, max: 3_000}), (times, sinceMs) => {
+      // A leader's log grows with time: the offset is the time.
+      let marks: Marks = [];
+      for (const atMs of times) {
+        marks = addMark(marks, {atMs, position: {term: 1, offset: atMs}});
+      }
+      const floor = floorSince(marks, sinceMs);
+      if (!floor) return void t.pass();
+      t.true(comparePositions(floor, {term: 1, offset: sinceMs}) >= 0);
+    }),
+    {seed: 7, numRuns: 300},
+  );
+});
+
+test('a connection is reset only when it holds what the session does not', t => {
+  const session = prepare(setValue(EMPTY_SESSION, 'a', '1'), {
+    name: 's1',
+    access: 'read',
+    shape: 'q',
+  });
+  const slice = sliceFor(session, session.prepared.get('s1'));
+  const fresh = preparationFor({valuesKey: '', prepared: new Map()}, slice);
+  t.false(fresh.reset);
+  t.deepEqual(fresh.values, [['a', '1']]);
+  t.is(fresh.prepare?.name, 's1');
+  const same = preparationFor(
+    {valuesKey: valuesKeyOf(slice), prepared: new Map([['s1', 'read q']])},
+    slice,
+  );
+  t.deepEqual(same, {reset: false, values: [], prepare: undefined});
+  const clash = preparationFor(
+    {valuesKey: valuesKeyOf(slice), prepared: new Map([['s1', 'write q']])},
+    slice,
+  );
+  t.true(clash.reset);
+  t.deepEqual(clash.values, [['a', '1']]);
+  const other = preparationFor(
+    {valuesKey: valuesKeyOf(slice), prepared: new Map()},
+    sliceFor(EMPTY_SESSION, undefined),
+  );
+  t.true(other.reset);
+});
+
+const LOG = (database: string, offset: number, leaving = false) => ({
+  database,
+  position: {term: 1, offset},
+  leaving,
+});
+
+test('a takeover needs enough stopped logs and takes the furthest', t => {
+  const group = {size: 3, syncReplicas: 1};
+  t.is(chooseTakeover(group, [LOG('a', 9)]).kind, 'need_logs');
+  t.deepEqual(chooseTakeover(group, [LOG('a', 9), LOG('b', 12)]), {
+    kind: 'promote',
+    database: 'b',
+  });
+  // A group of which little is listed is taken to be of three.
+  t.is(
+    chooseTakeover({size: 2, syncReplicas: 1}, [LOG('a', 9)]).kind,
+    'need_logs',
+  );
+  // One that leaves must not lead, nor one that lacks commits.
+  t.is(
+    chooseTakeover(group, [LOG('a', 9), LOG('b', 12, true)]).kind,
+    'catch_up',
+  );
+  t.deepEqual(chooseTakeover(group, [LOG('b', 12), LOG('a', 12)]), {
+    kind: 'promote',
+    database: 'a',
+  });
+});
+
+test('a primary is lost when most of those that answer cannot reach it', t => {
+  t.true(isLost([false, false, true]));
+  t.false(isLost([false, true]));
+  t.false(isLost([]));
+});
+
+const held = (customer: string, use: Held['use'], lastUsedMs = 0): Held => ({
+  customer,
+  use,
+  lastUsedMs,
+});
+
+test('many customers on few connections: a spare one is replaced, not the only one', t => {
+  const full = [
+    held('a', 'idle', 1),
+    held('b', 'idle', 2),
+    held('b', 'idle', 3),
+  ];
+  const choice = chooseConnection(full, 'c', 3);
+  t.deepEqual(choice, {kind: 'open', evict: full[1]});
+  t.is(chooseConnection(full, 'a', 3).kind, 'use');
+});
+
+test('a customer that rests in transactions leaves the last connections to others', t => {
+  const resting = Array.from({length: 8}, () => held('hot', 'pinned'));
+  const busy = [
+    ...resting,
+    ...Array.from({length: 5}, () => held('x', 'busy')),
+  ];
+  t.is(chooseConnection(busy, 'hot', 16).kind, 'wait');
+  t.is(chooseConnection(busy, 'calm', 16).kind, 'open');
+});
+
+const PACE = {concurrency: 2, serviceTimeMs: 10};
+const waiting = (customer: string, priority: number, item: string) => ({
+  customer,
+  weight: 1,
+  priority,
+  deadlineAtMs: Infinity,
+  item,
+});
+
+test('one customer floods a database: the others are served in turn', t => {
+  const queue = WorkQueue.create<string>();
+  for (let n = 0; n < 50; n++) queue.add(waiting('hot', 2, `hot${n}`), PACE);
+  queue.add(waiting('calm', 2, 'calm'), PACE);
+  const served = [queue.take(() => false), queue.take(() => false)];
+  t.true(served.includes('calm'));
+});
+
+test('a burst beyond the slots: urgent work goes first and waits least', t => {
+  const queue = WorkQueue.create<string>();
+  for (let n = 0; n < 20; n++) queue.add(waiting(`c${n}`, 2, `l${n}`), PACE);
+  const urgent = {customer: 'u', weight: 1, priority: 1};
+  t.true(
+    queue.waitMs(urgent, PACE, 2) <
+      queue.waitMs({...urgent, priority: 2}, PACE, 2),
+  );
+  queue.add(waiting('u', 1, 'urgent'), PACE);
+  t.is(
+    queue.take(() => false),
+    'urgent',
+  );
+});
+
+test('twice the load of a database: the expected wait grows with the queue', t => {
+  const queue = WorkQueue.create<string>();
+  const one = {customer: 'new', weight: 1, priority: 2};
+  let last = queue.waitMs(one, PACE, 2);
+  for (let n = 0; n < 30; n++) {
+    queue.add(waiting(`c${n}`, 2, `w${n}`), PACE);
+    const next = queue.waitMs(one, PACE, 2);
+    t.true(next >= last);
+    last = next;
+  }
+  t.true(last >= 100);
+});
+
+const database = (id: string, zone: string, region: string) => {
+  const place = {zone, region};
+  return [...putEntry(new Map(), entry(id, {zone}), place, 1).values()][0];
+};
+
+test('a busy replica near by: reads go further once the wait outweighs the way', t => {
+  const near = database('near', 'z1', 'r1');
+  const far = database('far', 'z2', 'r2');
+  const rank = (waitMs: number) =>
+    rankForRead(
+      [near, far],
+      undefined,
+      PLACE,
+      id => ({...NO_LOAD, waitMs: id === 'near' ? waitMs : 0}),
+      0,
+    ).map(e => e.id);
+  t.deepEqual(rank(5), ['near', 'far']);
+  t.deepEqual(rank(200), ['far', 'near']);
+});
+
+test('replicas that lag, fail or leave are not asked, the primary is last', t => {
+  const near = database('near', 'z1', 'r1');
+  const lead = database('lead', 'z1', 'r1');
+  const ranked = (load: object) =>
+    rankForRead(
+      [near, lead],
+      'lead',
+      PLACE,
+      id => (id === 'near' ? {...NO_LOAD, ...load} : NO_LOAD),
+      0,
+    ).map(e => e.id);
+  t.deepEqual(ranked({}), ['near', 'lead']);
+  t.deepEqual(ranked({laggingUntilMs: 5}), ['lead']);
+  t.deepEqual(ranked({avoidUntilMs: 5}), ['lead']);
+});
+
+test('each database has one first holder, near it, and leaving fronts are last', t => {
+  const member = (vm: string, zone: string, leaving = false): FrontMember => ({
+    vm,
+    host: 'h',
+    port: 1,
+    place: {zone, region: zone},
+    leaving,
+  });
+  const fronts = new Map(
+    [member('a', 'z1'), member('b', 'z1'), member('c', 'z2')].map(m => [
+      m.vm,
+      m,
+    ]),
+  );
+  const place = {zone: 'z1', region: 'z1'};
+  const [first, second, third] = holdersOf(fronts, 'db', place);
+  t.deepEqual([first.vm, second.vm].sort(), ['a', 'b']);
+  t.is(third.vm, 'c');
+  const stopping = new Map(fronts).set(first.vm, {...first, leaving: true});
+  t.is(holdersOf(stopping, 'db', place)[0].vm, second.vm);
+});
