--- a/src/cli/main.ts
+++ b/src/cli/main.ts
@@ -15,6 +15,7 @@
   variableOf,
 } from '../proxy/settings.js';
 import {callOperator, OperatorOptions} from './operator_client.js';
+import {describeLine, explainRequest} from './explain.js';
 import {runStandin} from './standin_command.js';
 
 /** Exit codes of the command line. */
@@ -236,6 +237,13 @@
 }
 
 function addLocalCommands(cli: CAC, run: Run): void {
+  cli
+    .command('explain <request> <...files>', "tell a request's story from logs")
+    .option('--json', 'print the lines as JSON')
+    .example('mustardpass explain 8d2c3068f59c5dac front-*.log')
+    .action((request: string, files: string[], options: Options) =>
+      run(() => explain(String(request), files, options)),
+    );
   cli
     .command('keys <customer> <id>', 'make a key; its secret is shown once')
     .example('mustardpass keys supermaxi k-2026-12 > add-key.json')
@@ -260,6 +268,22 @@
     .action((options: Options) => run(() => runStandin(options, complain)));
 }
 
+/** Prints what the logs of several processes say of one request. */
+async function explain(
+  request: string,
+  files: readonly string[],
+  options: Options,
+): Promise<ExitCode> {
+  const found = explainRequest(request, files);
+  if (found.isErr()) {
+    complain(found.error);
+    return ExitCode.failed;
+  }
+  if (options.json) printJson(found.value);
+  else for (const line of found.value) print(describeLine(line));
+  return ExitCode.ok;
+}
+
 /** Prints the intent that adds a new key; the secret goes to standard error. */
 async function makeKey(customer: string, id: string): Promise<ExitCode> {
   const secret = randomBytes(24).toString('base64url');
--- a/src/front/caller_session.ts
+++ b/src/front/caller_session.ts
@@ -305,6 +305,13 @@
     const route = this.transaction?.route ?? config?.routes.get(this.database);
     const refusal = this.refusal(config, route);
     if (refusal || !route || !config) {
+      this.host.log('request_refused', {
+        request: query.id,
+        database: this.database,
+        error: refusal,
+        version: config?.version,
+        fresh: this.host.isFresh(),
+      });
       return this.fail(refusal ?? 'not_ready', this.retryText(RETRY_AFTER_MS));
     }
     const customer = this.customerOf(config);
--- a/src/front/router.ts
+++ b/src/front/router.ts
@@ -127,6 +127,17 @@
       mode: WorkMode.lane,
     });
     if (provesLeader && reply.ok) this.mark(work.service, sentMs, reply);
+    this.options.log('statement', {
+      request: work.requestId,
+      customer: work.customer,
+      access: work.access,
+      mode: WorkMode.lane,
+      database: work.database,
+      lane: work.lane,
+      outcome: reply.ok ? 'ok' : reply.fault,
+      text: reply.ok ? undefined : reply.text,
+      tookMs: Math.round(performance.now() - sentMs),
+    });
     return reply;
   }
 
