--- a/src/core/fronts.ts
+++ b/src/core/fronts.ts
@@ -1,5 +1,5 @@
 /** The fronts that are registered, and which of them holds a database. */
-import {Candidate, Place, rankOwners} from './placement.js';
+import {Candidate, Place, rankOwners, score} from './placement.js';
 
 /** One registered front. */
 export interface FrontMember {
@@ -35,3 +35,31 @@
     ...ranked.filter(front => front.leaving),
   ];
 }
+
+/** Fronts that accrue one customer's rate. */
+export const COMMITTEE_SIZE = 3;
+
+/**
+ * The fronts that accrue a customer's rate, in equal shares: the best by hash in
+ * each region, then the best of the rest. Few hold shares, so that shares stay
+ * larger than one token however many fronts there are.
+ */
+export function committeeOf(
+  fronts: Fronts,
+  customer: string,
+  size = COMMITTEE_SIZE,
+): FrontMember[] {
+  const ranked = [...fronts.values()]
+    .filter(front => !front.leaving)
+    .map(front => ({front, points: score(customer, front.vm)}))
+    .sort((a, b) => b.points - a.points)
+    .map(entry => entry.front);
+  const regions = new Set<string>();
+  const spread = ranked.filter(({place}) => {
+    const isFirst = !regions.has(place.region);
+    regions.add(place.region);
+    return isFirst;
+  });
+  const rest = ranked.filter(front => !spread.includes(front));
+  return [...spread, ...rest].slice(0, size);
+}
--- a/src/front/front.ts
+++ b/src/front/front.ts
@@ -5,7 +5,7 @@
 } from 'node:http';
 import {createServer, Server, Socket} from 'node:net';
 import {map, merge, Subscription} from 'rxjs';
-import {Fronts, holdersOf} from '../core/fronts.js';
+import {committeeOf, FrontMember, Fronts} from '../core/fronts.js';
 import {proofLimitMs} from '../core/freshness.js';
 import {LentStretch} from '../core/rates.js';
 import {Reply, Work} from '../core/work.js';
@@ -51,6 +51,10 @@
 /** Lenders asked in one round: each call crosses the fleet. */
 const LENDERS_A_ROUND = 2;
 const LEND_TIMEOUT_MS = 150;
+/** Longest wait for a token: what is over its rate is told soon. */
+const RATE_WAIT_MS = 120;
+/** Longer than a proof: others have learned of a new front, or serve no more. */
+const NEWCOMER_WAIT_MS = 5_500;
 /** Interval at which positions of leaders are learned for replica reads. */
 const MARKS_INTERVAL_MS = 600;
 const STOP_POLL_MS = 25;
@@ -73,6 +77,9 @@
   private stopping = false;
   private frontItems: unknown;
   private knownFronts: Fronts = new Map();
+  private committeeFronts: Fronts | undefined;
+  private readonly committees = new Map<string, readonly FrontMember[]>();
+  private readonly startedAtMs = performance.now();
 
   private constructor(
     private readonly settings: FrontSettings,
@@ -199,7 +206,6 @@
   }
 
   private createRates(): RateKeeper {
-    const {vm, place} = this.settings;
     return RateKeeper.create({
       rates: () => {
         const config = this.feed.config;
@@ -207,26 +213,64 @@
         return new Map([...config.customers].map(([n, c]) => [n, c.rate]));
       },
       changed$: this.feed.config$,
-      lenders: () =>
-        holdersOf(this.fronts(), vm, place)
-          .map(front => front.vm)
-          .filter(name => name !== vm),
+      lenders: customer => this.lenders(customer),
       maxLenders: LENDERS_A_ROUND,
+      maxWaitMs: RATE_WAIT_MS,
       askLender: async (peer, request) => {
         const link = this.dispatcher.link(peer);
         if (!link) return [];
         const call = link.call<LentStretch[]>(PeerMethodName.lend, request);
         return withTimeout(call, LEND_TIMEOUT_MS);
       },
-      share: () => this.share(),
+      share: customer => this.share(customer),
     });
   }
 
-  /** Equal shares among the registered fronts; none while out of touch. */
-  private share(): number {
+  /** Joined a fleet that was running, too lately for all to know. */
+  private get isNewcomer(): boolean {
+    const {ownAtStart} = this.feed;
+    const others = frontsIn(ownAtStart, this.ports.layout.ownPrefix).size;
+    const joined = others > 0 && !ownAtStart.has(this.registration.key);
+    const ageMs = performance.now() - this.startedAtMs;
+    return joined && ageMs < NEWCOMER_WAIT_MS;
+  }
+
+  private committee(customer: string): readonly FrontMember[] {
     const fronts = this.fronts();
-    if (!this.feed.isFresh || !fronts.has(this.settings.vm)) return 0;
-    return 1 / fronts.size;
+    if (fronts !== this.committeeFronts) {
+      this.committeeFronts = fronts;
+      this.committees.clear();
+    }
+    let members = this.committees.get(customer);
+    if (!members) {
+      members = committeeOf(fronts, customer);
+      this.committees.set(customer, members);
+    }
+    return members;
+  }
+
+  /** Fronts that accrue a customer's rate, those of the own region first. */
+  private lenders(customer: string): string[] {
+    const {vm, place} = this.settings;
+    const others = this.committee(customer).filter(front => front.vm !== vm);
+    const isNear = (front: FrontMember): boolean =>
+      front.place.region === place.region;
+    return [
+      ...others.filter(isNear),
+      ...others.filter(front => !isNear(front)),
+    ].map(front => front.vm);
+  }
+
+  /**
+   * An equal share among a customer's committee; none while out of touch, nor
+   * for a front that was not registered until those whose place it takes must
+   * have learned of it.
+   */
+  private share(customer: string): number {
+    if (!this.feed.isFresh || this.isNewcomer) return 0;
+    const members = this.committee(customer);
+    const isMember = members.some(front => front.vm === this.settings.vm);
+    return isMember ? 1 / members.length : 0;
   }
 
   private createDuty(): Duty {
--- a/src/front/registration.ts
+++ b/src/front/registration.ts
@@ -64,6 +64,12 @@
     return new Registration(options);
   }
 
+  /** Key of this front's entry. */
+  get key(): string {
+    const {prefix, member} = this.options;
+    return memberKey(prefix, member.vm);
+  }
+
   /** Secret that the fronts share; empty until known. */
   get secret(): string {
     const {feed, prefix} = this.options;
@@ -89,8 +95,8 @@
   }
 
   private get isListed(): boolean {
-    const {feed, prefix, member} = this.options;
-    const item = feed.own$.value.get(memberKey(prefix, member.vm));
+    const {feed} = this.options;
+    const item = feed.own$.value.get(this.key);
     return item !== undefined && item.revision >= this.writtenRevision;
   }
 
@@ -114,7 +120,7 @@
     }
     const value = JSON.stringify({...member, leaving: this.leaving});
     const entry = {
-      key: memberKey(prefix, member.vm),
+      key: this.key,
       value,
       leaseId: this.leaseId,
     };
--- a/src/front/store_feed.ts
+++ b/src/front/store_feed.ts
@@ -51,6 +51,8 @@
 const WATCH_WAIT_MS = 1_600;
 /** Least time between two watches, so that bursts of changes are taken together. */
 const WATCH_SPACING_MS = 100;
+/** Further pause after changes among the fronts. */
+const OWN_SPACING_MS = 250;
 const RETRY_PAUSE_MS = 150;
 const MAX_RETRY_PAUSE_MS = 600;
 
@@ -76,6 +78,8 @@
   );
   /** Emits when the store answers again after a failure. */
   readonly regained$ = new Subject<void>();
+  /** Items under the own prefix when the store was first listed. */
+  ownAtStart: ReadonlyMap<string, StoredItem> = new Map();
   private proof: Proof | undefined;
   private revision = 0;
   private failures = 0;
@@ -144,10 +148,12 @@
     if (listed.isErr()) return this.failedCall('list', listed.error.message);
     const {items, revision} = listed.value;
     const keys = new Set(items.map(item => item.key));
+    const isFirst = this.revision === 0;
     this.takeEvents(
       items.map(item => ({kind: 'put', ...item})),
       revision,
     );
+    if (isFirst) this.ownAtStart = this.own$.value;
     this.removeOthers(keys);
     this.succeed(revision, asOf);
     return 'ok';
@@ -167,6 +173,10 @@
     const {events, revision} = answer.value;
     this.takeEvents(events, revision);
     this.succeed(revision, asOf);
+    const {ownPrefix} = this.options.layout;
+    const isOwn = events.some(event => event.key.startsWith(ownPrefix));
+    // Many fronts start at once: their entries are taken together.
+    if (isOwn) await pause(OWN_SPACING_MS);
     return 'ok';
   }
 
--- a/src/proxy/rate_keeper.ts
+++ b/src/proxy/rate_keeper.ts
@@ -32,7 +32,7 @@
   /** Emits when the rates may have changed. */
   readonly changed$: Observable<unknown>;
   /** VMs that may lend, best first. */
-  readonly lenders: () => readonly string[];
+  readonly lenders: (customer: string) => readonly string[];
   /** Asks another VM; fails when it does not answer. */
   readonly askLender: (
     vm: string,
@@ -40,8 +40,10 @@
   ) => Promise<readonly LentStretch[]>;
   /** VMs asked in one round. */
   readonly maxLenders?: number;
-  /** This VM's present share of every rate, 0 to 1. */
-  readonly share: () => number;
+  /** Longest wait for a token before a request is refused. */
+  readonly maxWaitMs?: number;
+  /** This VM's present share of a customer's rate, 0 to 1. */
+  readonly share: (customer: string) => number;
 }
 
 interface Waiter {
@@ -55,6 +57,8 @@
   waiting: Waiter[];
   borrowing: boolean;
   nextBorrowAtMs: number;
+  /** Pause between rounds of borrowing. */
+  spacingMs: number;
   /** Rounds of borrowing so far. */
   rounds: number;
 }
@@ -62,6 +66,8 @@
 /** Rate of callers on open services that are no configured customer. */
 const DEFAULT_RATE: Rate = {ratePerS: 100, burst: 100};
 const BORROW_SPACING_MS = 20;
+/** Spacing after rounds in which nobody had tokens to lend. */
+const MAX_BORROW_SPACING_MS = 80;
 const MAX_LENDERS = 8;
 const MAX_WAITING = 1_000;
 const REFRESH_MS = 100;
@@ -103,7 +109,8 @@
     }
     if (account.waiting.length >= MAX_WAITING) return false;
     return new Promise(answer => {
-      account.waiting.push({untilMs: nowMs + MAX_WAIT_MS, answer});
+      const waitMs = this.options.maxWaitMs ?? MAX_WAIT_MS;
+      account.waiting.push({untilMs: nowMs + waitMs, answer});
       this.refill(customer, account);
     });
   }
@@ -111,7 +118,7 @@
   dump(): object {
     const nowMs = monotonicMs();
     return {
-      share: this.options.share(),
+      share: this.options.share(''),
       balances: Object.fromEntries(
         [...this.accounts].map(([name, account]) => [
           name,
@@ -133,12 +140,13 @@
     if (known) return known;
     const rate = this.options.rates()?.get(customer) ?? DEFAULT_RATE;
     const account: Account = {
-      bucket: emptyBucket(rate, this.options.share(), monotonicMs()),
+      bucket: emptyBucket(rate, this.options.share(customer), monotonicMs()),
       demand: NO_DEMAND,
       waiting: [],
       borrowing: false,
       nextBorrowAtMs: 0,
       rounds: 0,
+      spacingMs: BORROW_SPACING_MS,
     };
     this.accounts.set(customer, account);
     return account;
@@ -147,9 +155,9 @@
   private reshapeAll(): void {
     const rates = this.options.rates();
     if (!rates) return;
-    const share = this.options.share();
     const nowMs = monotonicMs();
     for (const [customer, rate] of rates) {
+      const share = this.options.share(customer);
       this.reshapeOne(customer, rate, share, nowMs);
     }
     this.known ??= new Set(rates.keys());
@@ -199,14 +207,19 @@
   private async round(customer: string, account: Account): Promise<void> {
     const wanted = this.wanted(account, monotonicMs());
     const lenders = this.lenders(customer, account);
+    let got = false;
     if (wanted > 0 && lenders.length > 0) {
       const each = (wanted / lenders.length) * 1.5;
-      await Promise.all(
+      const answers = await Promise.all(
         lenders.map(vm => this.borrowFrom(vm, customer, account, each)),
       );
+      got = answers.includes(true);
     }
     account.borrowing = false;
-    account.nextBorrowAtMs = monotonicMs() + BORROW_SPACING_MS;
+    account.spacingMs = got
+      ? BORROW_SPACING_MS
+      : Math.min(MAX_BORROW_SPACING_MS, account.spacingMs * 2);
+    account.nextBorrowAtMs = monotonicMs() + account.spacingMs;
     this.settle(account);
     if (account.waiting.length > 0) this.refill(customer, account);
   }
@@ -216,7 +229,7 @@
     customer: string,
     account: Account,
     wanted: number,
-  ): Promise<void> {
+  ): Promise<boolean> {
     const requestedAtMs = monotonicMs();
     try {
       const request = {customer, wanted};
@@ -228,8 +241,10 @@
         monotonicMs(),
       );
       this.settle(account);
+      return lent.length > 0;
     } catch {
       // A lost answer loses the tokens; the next round asks again.
+      return false;
     }
   }
 
@@ -249,7 +264,7 @@
 
   /** The next lenders in turn, so that all are asked before one again. */
   private lenders(customer: string, account: Account): string[] {
-    const peers = this.options.lenders();
+    const peers = this.options.lenders(customer);
     const most = this.options.maxLenders ?? MAX_LENDERS;
     if (peers.length <= most) return [...peers];
     const ordered = peers
