--- a/src/front/database_worker.ts
+++ b/src/front/database_worker.ts
@@ -38,7 +38,7 @@
 }
 
 /** Wait before a new connection after one was refused or failed. */
-const REOPEN_PAUSE_MS = 250;
+const REOPEN_PAUSE_MS = 120;
 /** Silence of the database after which a new connection checks it. */
 const SILENCE_MS = 400;
 const PROBE_TIMEOUT_MS = 600;
@@ -53,6 +53,7 @@
 interface Connection {
   readonly customer: string;
   use: 'idle' | 'busy' | 'pinned';
+  isOpening: boolean;
   lastUsedMs: number;
   link: DatabaseLink;
   lane?: Lane;
@@ -294,11 +295,7 @@
     if (waitMs + this.serviceMs > work.budgetMs) {
       return this.refuse(job, 'queue is too long', waitMs);
     }
-    const {customer, priority} = work;
-    this.queue.add(
-      {customer, weight: 1, priority, deadlineAtMs: Infinity, item: job},
-      this.pace(),
-    );
+    this.wait(job);
     this.pump();
   }
 
@@ -320,8 +317,7 @@
 
   private canServe(customer: string): boolean {
     const choice = this.choose(customer);
-    if (choice.kind === 'open') return performance.now() >= this.reopenAtMs;
-    return choice.kind === 'use';
+    return choice.kind !== 'wait';
   }
 
   private start(job: Job): void {
@@ -343,6 +339,7 @@
     const connection: Connection = {
       customer: job.work.customer,
       use: 'busy',
+      isOpening: true,
       lastUsedMs: performance.now(),
       link: DatabaseLink.open(
         this.target(job.work.customer),
@@ -361,6 +358,7 @@
     fault: Fault | undefined,
     text: string,
   ): void {
+    connection.isOpening = false;
     if (fault === undefined) {
       this.heard();
       return this.begin(job, connection);
@@ -374,14 +372,30 @@
     });
     if (fault === Fault.tooMany) {
       this.heard();
-      const held = this.connections.length - 1;
-      this.shrunkTo = Math.max(1, held);
-      this.reopenAtMs = performance.now() + REOPEN_PAUSE_MS;
-    } else if (fault === Fault.unreachable) this.suspect(text);
-    this.finish(job, faultReply(fault, text));
+      this.shrink();
+      if (!job.over) this.wait(job);
+    } else {
+      if (fault === Fault.unreachable) this.suspect(text);
+      this.finish(job, faultReply(fault, text));
+    }
     setImmediate(() => this.pump());
   }
 
+  /** Others hold the rest, as a VM that lost power does for a while. */
+  private shrink(): void {
+    const usable = this.connections.filter(c => !c.isOpening).length;
+    this.shrunkTo = Math.max(1, usable);
+    this.reopenAtMs = performance.now() + REOPEN_PAUSE_MS;
+  }
+
+  private wait(job: Job): void {
+    const {customer, priority} = job.work;
+    this.queue.add(
+      {customer, weight: 1, priority, deadlineAtMs: Infinity, item: job},
+      this.pace(),
+    );
+  }
+
   /** Brings the connection to the session's state, then runs the statement. */
   private begin(job: Job, connection: Connection): void {
     if (job.over) {
@@ -787,12 +801,19 @@
     }
   }
 
+  /** One connection more at a time, until the usual limit is reached. */
+  private grow(): void {
+    this.shrunkTo++;
+    this.reopenAtMs = performance.now() + REOPEN_PAUSE_MS;
+    if (this.shrunkTo >= this.options.connectionLimit()) {
+      this.shrunkTo = Infinity;
+    }
+  }
+
   private check(): void {
     const nowMs = performance.now();
     if (this.failingSinceMs !== undefined) return this.suspect('still silent');
-    if (this.shrunkTo !== Infinity && nowMs > this.reopenAtMs + 2_000) {
-      this.shrunkTo = Infinity;
-    }
+    if (this.shrunkTo !== Infinity && nowMs > this.reopenAtMs) this.grow();
     const oldest = this.connections.find(
       c =>
         c.job &&
--- a/src/front/dispatcher.ts
+++ b/src/front/dispatcher.ts
@@ -45,8 +45,11 @@
   ping: 'ping',
 } as const;
 
-/** Connections left for fronts that are not the first in rank. */
-const RESERVED_CONNECTIONS = 3;
+/**
+ * Part of a database's connections left for fronts that are not the first in
+ * rank: those of a VM that lost power stay open for seconds.
+ */
+const RESERVED_PART = 0.4;
 /** Fronts tried for one piece of work. */
 const MAX_HOLDERS = 2;
 /** Time that an answer may take on its way beyond the work's own limit. */
@@ -259,10 +262,7 @@
     const entry = this.options.directory().get(database);
     const service = entry && this.options.serviceOf(entry.service);
     if (!entry || !service) return 1;
-    const reserve = Math.min(
-      RESERVED_CONNECTIONS,
-      Math.floor(service.maxConnections / 4),
-    );
+    const reserve = Math.floor(service.maxConnections * RESERVED_PART);
     const [first] = this.holders(entry);
     return first?.vm === this.options.self
       ? service.maxConnections - reserve
--- a/src/front/front.ts
+++ b/src/front/front.ts
@@ -52,7 +52,9 @@
 const LENDERS_A_ROUND = 2;
 const LEND_TIMEOUT_MS = 150;
 /** Longest wait for a token: what is over its rate is told soon. */
-const RATE_WAIT_MS = 120;
+const RATE_WAIT_MS = 250;
+/** The steady clock counts from the start of the process. */
+const PROCESS_START_MS = 0;
 /** Longer than a proof: others have learned of a new front, or serve no more. */
 const NEWCOMER_WAIT_MS = 5_500;
 /** Interval at which positions of leaders are learned for replica reads. */
@@ -216,6 +218,7 @@
       lenders: customer => this.lenders(customer),
       maxLenders: LENDERS_A_ROUND,
       maxWaitMs: RATE_WAIT_MS,
+      accruesFromMs: () => this.heldSharesFromMs(),
       askLender: async (peer, request) => {
         const link = this.dispatcher.link(peer);
         if (!link) return [];
@@ -226,6 +229,13 @@
     });
   }
 
+  /** A front that starts again under its name held its shares meanwhile. */
+  private heldSharesFromMs(): number {
+    const nowMs = performance.now();
+    const isRestart = this.feed.ownAtStart.has(this.registration.key);
+    return isRestart && nowMs < NEWCOMER_WAIT_MS ? PROCESS_START_MS : nowMs;
+  }
+
   /** Joined a fleet that was running, too lately for all to know. */
   private get isNewcomer(): boolean {
     const {ownAtStart} = this.feed;
--- a/src/proxy/rate_keeper.ts
+++ b/src/proxy/rate_keeper.ts
@@ -42,6 +42,11 @@
   readonly maxLenders?: number;
   /** Longest wait for a token before a request is refused. */
   readonly maxWaitMs?: number;
+  /**
+   * Steady time since which this VM has held its shares without using them;
+   * by default since an account is first used.
+   */
+  readonly accruesFromMs?: () => number;
   /** This VM's present share of a customer's rate, 0 to 1. */
   readonly share: (customer: string) => number;
 }
@@ -56,6 +61,8 @@
   demand: Demand;
   waiting: Waiter[];
   borrowing: boolean;
+  /** Whether this VM has held a share since the account was made. */
+  hasAccrued: boolean;
   nextBorrowAtMs: number;
   /** Pause between rounds of borrowing. */
   spacingMs: number;
@@ -144,6 +151,7 @@
       demand: NO_DEMAND,
       waiting: [],
       borrowing: false,
+      hasAccrued: false,
       nextBorrowAtMs: 0,
       rounds: 0,
       spacingMs: BORROW_SPACING_MS,
@@ -177,9 +185,16 @@
     if (isNew) {
       // Nobody can have spent a token of a customer that has just appeared.
       account.bucket = fullBucket(rate, share, nowMs);
+      account.hasAccrued = true;
       return;
     }
     const {bucket} = account;
+    if (!account.hasAccrued && share > 0) {
+      account.hasAccrued = true;
+      const fromMs = this.options.accruesFromMs?.() ?? nowMs;
+      account.bucket = emptyBucket(rate, share, fromMs);
+      return;
+    }
     const same =
       bucket.share === share &&
       bucket.rate.ratePerS === rate.ratePerS &&
--- a/test/front/decisions.test.ts
+++ b/test/front/decisions.test.ts
@@ -13,7 +13,7 @@
 } from '../../src/core/directory.js';
 import {ageMs, isFresh, proofLimitMs} from '../../src/core/freshness.js';
 import {admit, ANONYMOUS, FrontConfig} from '../../src/core/front_config.js';
-import {FrontMember, holdersOf} from '../../src/core/fronts.js';
+import {committeeOf, FrontMember, holdersOf} from '../../src/core/fronts.js';
 import {
   addMark,
   floorSince,
@@ -353,3 +353,27 @@
   const stopping = new Map(fronts).set(first.vm, {...first, leaving: true});
   t.is(holdersOf(stopping, 'db', place)[0].vm, second.vm);
 });
+
+test('few fronts accrue a customer rate, one in each region, whatever their number', t => {
+  const fronts = new Map(
+    Array.from({length: 62}, (_, n): [string, FrontMember] => {
+      const region = `r${n % 3}`;
+      const place = {zone: `${region}-${n % 6}`, region};
+      return [
+        `vm${n}`,
+        {vm: `vm${n}`, host: 'h', port: 1, place, leaving: false},
+      ];
+    }),
+  );
+  const committee = committeeOf(fronts, 'ana');
+  t.is(committee.length, 3);
+  t.is(new Set(committee.map(front => front.place.region)).size, 3);
+  // Losing one that is no member changes nothing.
+  const other = [...fronts.keys()].find(
+    vm => !committee.some(front => front.vm === vm),
+  );
+  const fewer = new Map(fronts);
+  fewer.delete(other ?? '');
+  t.deepEqual(committeeOf(fewer, 'ana'), committee);
+  t.is(committeeOf(new Map([...fronts].slice(0, 2)), 'ana').length, 2);
+});
--- a/test/platform/front.test.ts
+++ b/test/platform/front.test.ts
@@ -1,4 +1,5 @@
 /** The whole path over stand-ins of the platform: two fronts, three databases. */
+import {connect, Socket} from 'node:net';
 import test from 'ava';
 import {
   openSession,
@@ -8,6 +9,12 @@
   WireClient,
 } from './fleet_fixture.js';
 
+/** A connection that takes one of a database's places and does nothing. */
+const connectIdle = (port: number): Promise<Socket> =>
+  new Promise(resolve => {
+    const socket = connect({host: '127.0.0.1', port}, () => resolve(socket));
+  });
+
 test('serves reads and writes through both fronts for the right customer', async t => {
   const fleet = await startFleet();
   t.teardown(() => fleet.stop());
@@ -215,3 +222,25 @@
   const runs = fleet.group.databases.flatMap(database => database.runs);
   t.false(runs.some(run => run.requestId === 'crossing'));
 });
+
+test('a VM lost power and its connections linger: the next holder works with few', async t => {
+  const fleet = await startFleet();
+  t.teardown(() => fleet.stop());
+  const {group} = fleet;
+  const lingering = 14;
+  const held = await Promise.all(
+    group.databases.flatMap(database =>
+      Array.from({length: lingering}, () => connectIdle(database.port)),
+    ),
+  );
+  const sessions = await Promise.all(
+    ['ana-key', 'bea-key', 'ana-key', 'bea-key'].map(key =>
+      openSession(fleet.fronts[0], 'primary', key),
+    ),
+  );
+  const answers = await Promise.all(
+    sessions.flatMap(session => [session.query('WRITE k v')]),
+  );
+  t.true(answers.every(answer => answer.done !== undefined));
+  held.forEach(socket => socket.destroy());
+});
