--- a/src/core/fronts.ts
+++ b/src/core/fronts.ts
@@ -1,5 +1,6 @@
 /** The fronts that are registered, and which of them holds a database. */
 import {Candidate, Place, rankOwners, score} from './placement.js';
+import {Rate} from './rates.js';
 
 /** One registered front. */
 export interface FrontMember {
@@ -36,18 +37,29 @@
   ];
 }
 
-/** Fronts that accrue one customer's rate. */
-export const COMMITTEE_SIZE = 3;
+/** Tokens that a share should hold when it is full. */
+const TOKENS_A_SHARE = 2;
+const MIN_COMMITTEE = 2;
+const MAX_COMMITTEE = 16;
+
+/**
+ * How many fronts accrue a rate: many, so that few are missed, but not so many
+ * that a share never holds a whole token.
+ */
+export const committeeSize = ({burst}: Rate): number =>
+  Math.min(
+    MAX_COMMITTEE,
+    Math.max(MIN_COMMITTEE, Math.floor(burst / TOKENS_A_SHARE)),
+  );
 
 /**
  * The fronts that accrue a customer's rate, in equal shares: the best by hash in
- * each region, then the best of the rest. Few hold shares, so that shares stay
- * larger than one token however many fronts there are.
+ * each region, then the best of the rest.
  */
 export function committeeOf(
   fronts: Fronts,
   customer: string,
-  size = COMMITTEE_SIZE,
+  size: number,
 ): FrontMember[] {
   const ranked = [...fronts.values()]
     .filter(front => !front.leaving)
--- a/src/front/front.ts
+++ b/src/front/front.ts
@@ -5,7 +5,13 @@
 } from 'node:http';
 import {createServer, Server, Socket} from 'node:net';
 import {map, merge, Subscription} from 'rxjs';
-import {committeeOf, FrontMember, Fronts} from '../core/fronts.js';
+import {FrontConfig} from '../core/front_config.js';
+import {
+  committeeOf,
+  committeeSize,
+  FrontMember,
+  Fronts,
+} from '../core/fronts.js';
 import {proofLimitMs} from '../core/freshness.js';
 import {LentStretch} from '../core/rates.js';
 import {Reply, Work} from '../core/work.js';
@@ -79,7 +85,8 @@
   private stopping = false;
   private frontItems: unknown;
   private knownFronts: Fronts = new Map();
-  private committeeFronts: Fronts | undefined;
+  /** What the known committees were chosen from. */
+  private committeesFor: {fronts?: Fronts; config?: FrontConfig} = {};
   private readonly committees = new Map<string, readonly FrontMember[]>();
   private readonly startedAtMs = performance.now();
 
@@ -247,13 +254,19 @@
 
   private committee(customer: string): readonly FrontMember[] {
     const fronts = this.fronts();
-    if (fronts !== this.committeeFronts) {
-      this.committeeFronts = fronts;
+    const {config} = this.feed;
+    const isKnown =
+      fronts === this.committeesFor.fronts &&
+      config === this.committeesFor.config;
+    if (!isKnown) {
+      this.committeesFor = {fronts, config};
       this.committees.clear();
     }
     let members = this.committees.get(customer);
     if (!members) {
-      members = committeeOf(fronts, customer);
+      const rate = config?.customers.get(customer)?.rate;
+      const size = rate ? committeeSize(rate) : 0;
+      members = committeeOf(fronts, customer, size);
       this.committees.set(customer, members);
     }
     return members;
--- a/src/front/registration.ts
+++ b/src/front/registration.ts
@@ -19,8 +19,8 @@
 }
 
 /** Longer than any proof: a front that stopped renewing serves no more. */
-const LEASE_MS = 8_000;
-const RENEW_INTERVAL_MS = 2_500;
+const LEASE_MS = 6_000;
+const RENEW_INTERVAL_MS = 1_000;
 const RETRY_MS = 500;
 const SECRET_BYTES = 24;
 
--- a/src/proxy/fleet_rates.ts
+++ b/src/proxy/fleet_rates.ts
@@ -3,6 +3,7 @@
 import {map} from 'rxjs';
 import {z} from 'zod';
 import {Config} from '../core/config.js';
+import {score} from '../core/placement.js';
 import {Rate} from '../core/rates.js';
 import {ConfigFeed} from './config_feed.js';
 import {Fleet} from './fleet.js';
@@ -30,6 +31,8 @@
 );
 
 const LEND_TIMEOUT_MS = 150;
+/** Time after which lenders are asked in another order. */
+const TURN_MS = 1_000;
 
 /** Creates the keeper and serves lending to peers. */
 export function createFleetRates(options: FleetRatesOptions): RateKeeper {
@@ -37,7 +40,7 @@
   const keeper = RateKeeper.create({
     rates: () => ratesOf(feed.config),
     changed$: feed.config$.pipe(map(config => config.version)),
-    lenders: () => fleet.peers,
+    lenders: customer => inOrder(fleet.peers, customer),
     askLender: async (vm, request) =>
       stretchSchema.parse(
         await fleet
@@ -50,6 +53,15 @@
   return keeper;
 }
 
+/** Peers in an order that differs by customer and in time, to spread lending. */
+function inOrder(peers: readonly string[], customer: string): string[] {
+  const turn = String(Math.floor(performance.now() / TURN_MS));
+  return peers
+    .map(vm => ({vm, order: score(`${customer}/${turn}`, vm)}))
+    .sort((a, b) => a.order - b.order)
+    .map(entry => entry.vm);
+}
+
 function ratesOf(config: Config): ReadonlyMap<string, Rate> | undefined {
   if (config.version === 0) return undefined;
   return new Map(
--- a/src/proxy/rate_keeper.ts
+++ b/src/proxy/rate_keeper.ts
@@ -17,7 +17,6 @@
   take,
   wantedTokens,
 } from '../core/rates.js';
-import {score} from '../core/placement.js';
 
 /** A request for tokens of one customer. */
 export interface LendRequest {
@@ -66,8 +65,8 @@
   nextBorrowAtMs: number;
   /** Pause between rounds of borrowing. */
   spacingMs: number;
-  /** Rounds of borrowing so far. */
-  rounds: number;
+  /** Rounds of borrowing without a token since the last one with some. */
+  emptyRounds: number;
 }
 
 /** Rate of callers on open services that are no configured customer. */
@@ -153,7 +152,7 @@
       borrowing: false,
       hasAccrued: false,
       nextBorrowAtMs: 0,
-      rounds: 0,
+      emptyRounds: 0,
       spacingMs: BORROW_SPACING_MS,
     };
     this.accounts.set(customer, account);
@@ -231,6 +230,7 @@
       got = answers.includes(true);
     }
     account.borrowing = false;
+    account.emptyRounds = got ? 0 : account.emptyRounds + 1;
     account.spacingMs = got
       ? BORROW_SPACING_MS
       : Math.min(MAX_BORROW_SPACING_MS, account.spacingMs * 2);
@@ -277,17 +277,13 @@
     }
   }
 
-  /** The next lenders in turn, so that all are asked before one again. */
+  /** The best lenders, or the next ones while these had nothing. */
   private lenders(customer: string, account: Account): string[] {
     const peers = this.options.lenders(customer);
     const most = this.options.maxLenders ?? MAX_LENDERS;
     if (peers.length <= most) return [...peers];
-    const ordered = peers
-      .map(vm => ({vm, order: score(customer, vm)}))
-      .sort((a, b) => a.order - b.order)
-      .map(entry => entry.vm);
-    const start = (account.rounds++ * most) % ordered.length;
-    return [...ordered.slice(start), ...ordered.slice(0, start)].slice(0, most);
+    const start = (account.emptyRounds * most) % peers.length;
+    return [...peers.slice(start), ...peers.slice(0, start)].slice(0, most);
   }
 
   /** Lends tokens to another VM. */
--- a/test/front/decisions.test.ts
+++ b/test/front/decisions.test.ts
@@ -13,7 +13,12 @@
 } from '../../src/core/directory.js';
 import {ageMs, isFresh, proofLimitMs} from '../../src/core/freshness.js';
 import {admit, ANONYMOUS, FrontConfig} from '../../src/core/front_config.js';
-import {committeeOf, FrontMember, holdersOf} from '../../src/core/fronts.js';
+import {
+  committeeOf,
+  committeeSize,
+  FrontMember,
+  holdersOf,
+} from '../../src/core/fronts.js';
 import {
   addMark,
   floorSince,
@@ -365,7 +370,7 @@
       ];
     }),
   );
-  const committee = committeeOf(fronts, 'ana');
+  const committee = committeeOf(fronts, 'ana', 3);
   t.is(committee.length, 3);
   t.is(new Set(committee.map(front => front.place.region)).size, 3);
   // Losing one that is no member changes nothing.
@@ -374,6 +379,15 @@
   );
   const fewer = new Map(fronts);
   fewer.delete(other ?? '');
-  t.deepEqual(committeeOf(fewer, 'ana'), committee);
-  t.is(committeeOf(new Map([...fronts].slice(0, 2)), 'ana').length, 2);
+  t.deepEqual(committeeOf(fewer, 'ana', 3), committee);
+  t.is(committeeOf(new Map([...fronts].slice(0, 2)), 'ana', 3).length, 2);
+});
+
+test('a share holds whole tokens, for small rates as for large ones', t => {
+  for (const burst of [4, 10, 97, 500]) {
+    const size = committeeSize({ratePerS: burst, burst});
+    t.true(burst / size >= 2);
+  }
+  t.is(committeeSize({ratePerS: 1, burst: 1}), 2);
+  t.is(committeeSize({ratePerS: 500, burst: 500}), 16);
 });
