--- a/src/front/database_worker.ts
+++ b/src/front/database_worker.ts
@@ -32,6 +32,8 @@
   readonly log: JsonLog;
   /** Connections that this VM may hold at the database. */
   readonly connectionLimit: () => number;
+  /** Whether this VM should hold the database's connections. */
+  readonly isHolder: () => boolean;
   /** Round trip to the database, for how much may be on its way. */
   readonly isNear: boolean;
   readonly laneIdleMs: () => number;
@@ -45,6 +47,8 @@
 const CHECK_INTERVAL_MS = 100;
 /** Age from which the newest mark is renewed on request. */
 const MARK_AGE_MS = 200;
+/** Time after which a stand-in closes a connection that it does not use. */
+const UNUSED_MS = 1_500;
 const SMOOTHING = 0.1;
 const INITIAL_SERVICE_MS = 15;
 /** Name under which a front checks a database. */
@@ -100,8 +104,10 @@
   private serviceMs = INITIAL_SERVICE_MS;
   private heardAtMs = 0;
   private reopenAtMs = 0;
+  private growAtMs = 0;
   private shrunkTo = Infinity;
   private probing = false;
+  private proving: Promise<void> | undefined;
   private closed = false;
   private laneCount = 0;
   /** Runs while there is something to check. */
@@ -198,9 +204,34 @@
     if (newest && nowMs - newest.atMs < MARK_AGE_MS) return this.proven;
     const idle = this.connections.find(c => c.use === 'idle');
     if (idle) await this.proveLead(idle);
+    else await this.proveLeadAnew();
     return this.proven;
   }
 
+  /** The same on a connection of its own, when all others are in use. */
+  private proveLeadAnew(): Promise<void> {
+    const {codec} = this.options;
+    this.proving ??= new Promise<void>(resolve => {
+      const link = DatabaseLink.open(
+        this.target(PROBE_CUSTOMER),
+        codec,
+        fault => {
+          if (fault !== undefined) return resolve();
+          const sentMs = performance.now();
+          const begin = codec.own({kind: 'begin', readOnly: false});
+          link.run([begin], (_, answer) => {
+            this.heardUnlessLost(answer);
+            this.prove(sentMs, answer);
+            resolve();
+            link.close('done');
+          });
+        },
+        () => resolve(),
+      );
+    }).finally(() => (this.proving = undefined));
+    return this.proving;
+  }
+
   /** Opens and ends an empty transaction, which only a leader allows. */
   private proveLead(connection: Connection): Promise<void> {
     const {codec} = this.options;
@@ -317,7 +348,11 @@
 
   private canServe(customer: string): boolean {
     const choice = this.choose(customer);
-    return choice.kind !== 'wait';
+    if (choice.kind !== 'open') return choice.kind === 'use';
+    const isShrunk = this.shrunkTo !== Infinity;
+    // One at a time: several would take each other's last place.
+    if (isShrunk && this.connections.some(c => c.isOpening)) return false;
+    return performance.now() >= this.reopenAtMs;
   }
 
   private start(job: Job): void {
@@ -386,6 +421,7 @@
     const usable = this.connections.filter(c => !c.isOpening).length;
     this.shrunkTo = Math.max(1, usable);
     this.reopenAtMs = performance.now() + REOPEN_PAUSE_MS;
+    this.growAtMs = this.reopenAtMs;
   }
 
   private wait(job: Job): void {
@@ -658,7 +694,7 @@
       connection.lastUsedMs = performance.now();
       if (this.connections.length > this.connectionLimit()) {
         connection.link.close('above the limit');
-      }
+      } else if (!this.options.isHolder()) this.closeWhenUnused(connection);
       return;
     }
     connection.use = 'busy';
@@ -673,6 +709,15 @@
     });
   }
 
+  /** A VM that only stood in for the holder keeps nothing. */
+  private closeWhenUnused(connection: Connection): void {
+    setTimeout(() => {
+      const unusedMs = performance.now() - connection.lastUsedMs;
+      const isUnused = connection.use === 'idle' && unusedMs >= UNUSED_MS;
+      if (isUnused && !this.options.isHolder()) connection.link.close('unused');
+    }, UNUSED_MS);
+  }
+
   private onClosed(connection: Connection): void {
     this.connections = this.connections.filter(c => c !== connection);
     if (connection.lane) this.unpin(connection.lane);
@@ -804,7 +849,7 @@
   /** One connection more at a time, until the usual limit is reached. */
   private grow(): void {
     this.shrunkTo++;
-    this.reopenAtMs = performance.now() + REOPEN_PAUSE_MS;
+    this.growAtMs = performance.now() + REOPEN_PAUSE_MS;
     if (this.shrunkTo >= this.options.connectionLimit()) {
       this.shrunkTo = Infinity;
     }
@@ -813,7 +858,7 @@
   private check(): void {
     const nowMs = performance.now();
     if (this.failingSinceMs !== undefined) return this.suspect('still silent');
-    if (this.shrunkTo !== Infinity && nowMs > this.reopenAtMs) this.grow();
+    if (this.shrunkTo !== Infinity && nowMs > this.growAtMs) this.grow();
     const oldest = this.connections.find(
       c =>
         c.job &&
--- a/src/front/dispatcher.ts
+++ b/src/front/dispatcher.ts
@@ -46,10 +46,12 @@
 } as const;
 
 /**
- * Part of a database's connections left for fronts that are not the first in
- * rank: those of a VM that lost power stay open for seconds.
+ * Parts of a database's connections for the first front in rank and for each
+ * other one. The rest stays free: those of a VM that lost power linger, and its
+ * successor needs some at once.
  */
-const RESERVED_PART = 0.4;
+const HOLDER_PART = 0.6;
+const OTHER_PART = 0.15;
 /** Fronts tried for one piece of work. */
 const MAX_HOLDERS = 2;
 /** Time that an answer may take on its way beyond the work's own limit. */
@@ -153,6 +155,7 @@
       log,
       isNear: entry.zone === zone,
       connectionLimit: () => this.connectionLimit(database),
+      isHolder: () => this.isHolder(entry),
       laneIdleMs: () => this.options.idleTransactionMs() + LANE_EXTRA_MS,
     });
     this.workers.set(database, worker);
@@ -262,11 +265,13 @@
     const entry = this.options.directory().get(database);
     const service = entry && this.options.serviceOf(entry.service);
     if (!entry || !service) return 1;
-    const reserve = Math.floor(service.maxConnections * RESERVED_PART);
+    const part = this.isHolder(entry) ? HOLDER_PART : OTHER_PART;
+    return Math.max(1, Math.floor(service.maxConnections * part));
+  }
+
+  private isHolder(entry: KnownDatabase): boolean {
     const [first] = this.holders(entry);
-    return first?.vm === this.options.self
-      ? service.maxConnections - reserve
-      : Math.max(1, reserve);
+    return first?.vm === this.options.self;
   }
 
   private unreachable(text: string): Dispatched {
--- a/src/front/router.ts
+++ b/src/front/router.ts
@@ -64,6 +64,8 @@
 const MAX_LAGGING_MS = 640;
 /** Time after a service's last read for which its marks are renewed. */
 const MARKS_WANTED_MS = 3_000;
+/** Wait of a read for the first marks, before it goes to the leader. */
+const MARKS_WAIT_MS = 150;
 const MAX_TRIES = 5;
 /** Part of the objective for which a statement waits for a leader. */
 const LEADER_WAIT_PART = 0.2;
@@ -87,7 +89,7 @@
   private readonly deposed = new Map<string, number>();
   /** When each service was last read from a replica's point of view. */
   private readonly readAtMs = new Map<string, number>();
-  private readonly renewing = new Set<string>();
+  private readonly renewals = new Map<string, Promise<void>>();
   private workCount = 0;
 
   private constructor(private readonly options: RouterOptions) {}
@@ -157,13 +159,12 @@
     const wanted = [...this.readAtMs]
       .filter(([, atMs]) => nowMs - atMs < MARKS_WANTED_MS)
       .map(([service]) => service);
-    await Promise.all(wanted.map(service => this.renewMarksOf(service)));
+    await Promise.all(wanted.map(service => this.awaitMarks(service)));
   }
 
   private async renewMarksOf(service: string): Promise<void> {
     const leader = this.leader(service);
-    if (!leader || this.renewing.has(service)) return;
-    this.renewing.add(service);
+    if (!leader) return;
     try {
       for (const mark of await this.options.dispatcher.marksOf(leader.id)) {
         this.marks.set(service, addMark(this.marks.get(service) ?? [], mark));
@@ -171,8 +172,6 @@
     } catch (error) {
       const text = (error as Error).message;
       this.options.log('marks_missed', {service, database: leader.id, text});
-    } finally {
-      this.renewing.delete(service);
     }
   }
 
@@ -193,6 +192,7 @@
       ask.opens === 'plain' ||
       freshness === Freshness.primary;
     if (!atLeader) {
+      if (!this.hasMark(ask)) await this.awaitMarks(ask.route.service);
       const target = this.replicaTarget(ask, tried);
       if (target) return target;
     }
@@ -206,6 +206,28 @@
     return {entry, mode, after: undefined};
   }
 
+  private hasMark({route, sinceMs}: Ask): boolean {
+    const marks = this.marks.get(route.service) ?? [];
+    return floorSince(marks, sinceMs - route.maxStalenessMs) !== undefined;
+  }
+
+  /** One question for all that wait, so that they need not all ask the leader. */
+  private async awaitMarks(service: string): Promise<void> {
+    let timer: NodeJS.Timeout | undefined;
+    const late = new Promise<void>(resolve => {
+      timer = setTimeout(resolve, MARKS_WAIT_MS);
+    });
+    let renewal = this.renewals.get(service);
+    if (!renewal) {
+      renewal = this.renewMarksOf(service).finally(() =>
+        this.renewals.delete(service),
+      );
+      this.renewals.set(service, renewal);
+    }
+    await Promise.race([renewal, late]);
+    clearTimeout(timer);
+  }
+
   private replicaTarget(
     ask: Ask,
     tried: ReadonlySet<string>,
--- a/src/proxy/rate_keeper.ts
+++ b/src/proxy/rate_keeper.ts
@@ -65,8 +65,8 @@
   nextBorrowAtMs: number;
   /** Pause between rounds of borrowing. */
   spacingMs: number;
-  /** Rounds of borrowing without a token since the last one with some. */
-  emptyRounds: number;
+  /** Rounds of borrowing after which someone still waited. */
+  unmetRounds: number;
 }
 
 /** Rate of callers on open services that are no configured customer. */
@@ -152,7 +152,7 @@
       borrowing: false,
       hasAccrued: false,
       nextBorrowAtMs: 0,
-      emptyRounds: 0,
+      unmetRounds: 0,
       spacingMs: BORROW_SPACING_MS,
     };
     this.accounts.set(customer, account);
@@ -230,13 +230,14 @@
       got = answers.includes(true);
     }
     account.borrowing = false;
-    account.emptyRounds = got ? 0 : account.emptyRounds + 1;
     account.spacingMs = got
       ? BORROW_SPACING_MS
       : Math.min(MAX_BORROW_SPACING_MS, account.spacingMs * 2);
     account.nextBorrowAtMs = monotonicMs() + account.spacingMs;
     this.settle(account);
-    if (account.waiting.length > 0) this.refill(customer, account);
+    const isMet = account.waiting.length === 0;
+    account.unmetRounds = isMet ? 0 : account.unmetRounds + 1;
+    if (!isMet) this.refill(customer, account);
   }
 
   private async borrowFrom(
@@ -277,12 +278,12 @@
     }
   }
 
-  /** The best lenders, or the next ones while these had nothing. */
+  /** The best lenders, or the next ones while these do not suffice. */
   private lenders(customer: string, account: Account): string[] {
     const peers = this.options.lenders(customer);
     const most = this.options.maxLenders ?? MAX_LENDERS;
     if (peers.length <= most) return [...peers];
-    const start = (account.emptyRounds * most) % peers.length;
+    const start = (account.unmetRounds * most) % peers.length;
     return [...peers.slice(start), ...peers.slice(0, start)].slice(0, most);
   }
 
--- a/test/platform/front.test.ts
+++ b/test/platform/front.test.ts
@@ -241,6 +241,9 @@
   const answers = await Promise.all(
     sessions.flatMap(session => [session.query('WRITE k v')]),
   );
-  t.true(answers.every(answer => answer.done !== undefined));
+  t.deepEqual(
+    answers.map(answer => answer.error),
+    answers.map(() => undefined),
+  );
   held.forEach(socket => socket.destroy());
 });
