--- a/src/front/control_link.ts
+++ b/src/front/control_link.ts
@@ -1,10 +1,9 @@
 /** Orders to one database: its report, and whether it receives. */
 import {KnownDatabase} from '../core/directory.js';
 import {DatabaseLink} from './database_link.js';
+import {OWN_CUSTOMER} from './database_probe.js';
 import {DatabaseCodec, DatabaseReport, OwnStatement} from './wire_types.js';
 
-/** Name under which a front gives orders. */
-const CONTROL_CUSTOMER = 'mustardpass';
 const ORDER_TIMEOUT_MS = 700;
 
 /** Opens a connection, gives one order, and closes; undefined when it fails. */
@@ -23,7 +22,7 @@
     const timer = setTimeout(() => finish(undefined), timeoutMs);
     const {host, port, service, id} = entry;
     const link = DatabaseLink.open(
-      {host, port, service, customer: CONTROL_CUSTOMER, instance: id},
+      {host, port, service, customer: OWN_CUSTOMER, instance: id},
       codec,
       fault => {
         if (fault !== undefined) return finish(undefined);
--- a/src/front/database_worker.ts
+++ b/src/front/database_worker.ts
@@ -5,11 +5,7 @@
 import {chooseConnection} from '../core/connection_choice.js';
 import {KnownDatabase} from '../core/directory.js';
 import {addMark, Marks} from '../core/marks.js';
-import {
-  preparationFor,
-  shapeKeyOf,
-  valuesKeyOf,
-} from '../core/session_state.js';
+import {PrimaryMark} from '../core/routing.js';
 import {
   Access,
   Fault,
@@ -21,8 +17,10 @@
   WorkMode,
 } from '../core/work.js';
 import {WorkQueue} from '../core/work_queue.js';
-import {DatabaseLink, StepAnswer} from './database_link.js';
+import {DatabaseLink, LinkTarget, StepAnswer} from './database_link.js';
+import {askMark, OWN_CUSTOMER, probeDatabase} from './database_probe.js';
 import {JsonLog} from './json_log.js';
+import {setupTexts} from './session_setup.js';
 import {DatabaseCodec} from './wire_types.js';
 
 /** What a worker needs. */
@@ -43,7 +41,6 @@
 const REOPEN_PAUSE_MS = 120;
 /** Silence of the database after which a new connection checks it. */
 const SILENCE_MS = 400;
-const PROBE_TIMEOUT_MS = 600;
 const CHECK_INTERVAL_MS = 100;
 /** Age from which the newest mark is renewed on request. */
 const MARK_AGE_MS = 200;
@@ -51,8 +48,6 @@
 const UNUSED_MS = 1_500;
 const SMOOTHING = 0.1;
 const INITIAL_SERVICE_MS = 15;
-/** Name under which a front checks a database. */
-const PROBE_CUSTOMER = 'mustardpass';
 
 interface Connection {
   readonly customer: string;
@@ -107,7 +102,7 @@
   private growAtMs = 0;
   private shrunkTo = Infinity;
   private probing = false;
-  private proving: Promise<void> | undefined;
+  private asking: Promise<PrimaryMark | undefined> | undefined;
   private closed = false;
   private laneCount = 0;
   /** Runs while there is something to check. */
@@ -209,27 +204,15 @@
   }
 
   /** The same on a connection of its own, when all others are in use. */
-  private proveLeadAnew(): Promise<void> {
-    const {codec} = this.options;
-    this.proving ??= new Promise<void>(resolve => {
-      const link = DatabaseLink.open(
-        this.target(PROBE_CUSTOMER),
-        codec,
-        fault => {
-          if (fault !== undefined) return resolve();
-          const sentMs = performance.now();
-          const begin = codec.own({kind: 'begin', readOnly: false});
-          link.run([begin], (_, answer) => {
-            this.heardUnlessLost(answer);
-            this.prove(sentMs, answer);
-            resolve();
-            link.close('done');
-          });
-        },
-        () => resolve(),
-      );
-    }).finally(() => (this.proving = undefined));
-    return this.proving;
+  private async proveLeadAnew(): Promise<void> {
+    this.asking ??= askMark(
+      this.target(OWN_CUSTOMER),
+      this.options.codec,
+    ).finally(() => (this.asking = undefined));
+    const mark = await this.asking;
+    if (!mark) return;
+    this.heard();
+    this.proven = addMark(this.proven, mark);
   }
 
   /** Opens and ends an empty transaction, which only a leader allows. */
@@ -269,22 +252,11 @@
   }
 
   /** Opens a new connection to see whether the database answers. */
-  probe(): Promise<boolean> {
-    return new Promise(resolve => {
-      const {codec} = this.options;
-      const link = DatabaseLink.open(
-        this.target(PROBE_CUSTOMER),
-        codec,
-        fault => {
-          const alive = fault === undefined || fault === Fault.tooMany;
-          if (alive) this.heard();
-          resolve(alive);
-          link?.close();
-        },
-        () => undefined,
-        PROBE_TIMEOUT_MS,
-      );
-    });
+  async probe(): Promise<boolean> {
+    const {codec} = this.options;
+    const alive = await probeDatabase(this.target(OWN_CUSTOMER), codec);
+    if (alive) this.heard();
+    return alive;
   }
 
   dump(): object {
@@ -300,7 +272,7 @@
     };
   }
 
-  private target(customer: string) {
+  private target(customer: string): LinkTarget {
     const {host, port, service, id} = this.entry;
     return {host, port, service, customer, instance: id};
   }
@@ -442,8 +414,8 @@
     connection.use = 'busy';
     connection.job = job;
     const {work} = job;
-    const texts = this.prepareTexts(connection.link, work);
     const {codec} = this.options;
+    const texts = setupTexts(connection.link, work.session, codec, false);
     const statement = codec.statement(
       work.requestId,
       work.text,
@@ -473,25 +445,6 @@
     );
   }
 
-  private prepareTexts(link: DatabaseLink, work: Work): string[] {
-    const {codec} = this.options;
-    const needed = preparationFor(link, work.session);
-    const texts: string[] = [];
-    if (needed.reset) {
-      texts.push(codec.own({kind: 'reset'}));
-      link.prepared.clear();
-    }
-    for (const [name, value] of needed.values) {
-      texts.push(codec.own({kind: 'set', name, value}));
-    }
-    if (needed.prepare) {
-      texts.push(codec.own({kind: 'prepare', prepared: needed.prepare}));
-      link.prepared.set(needed.prepare.name, shapeKeyOf(needed.prepare));
-    }
-    link.valuesKey = valuesKeyOf(work.session);
-    return texts;
-  }
-
   /** Runs steps; a failed preparation is a connection not to be used. */
   private runSteps(
     job: Job,
@@ -598,8 +551,9 @@
       });
     }
     const {session, requestId, text} = job.work;
-    const texts = this.laneTexts(link, session);
-    texts.push(this.options.codec.statement(requestId, text));
+    const {codec} = this.options;
+    const texts = setupTexts(link, session, codec, true);
+    texts.push(codec.statement(requestId, text));
     this.inFlight++;
     job.sentMs = performance.now();
     lane.connection.job = job;
@@ -610,25 +564,6 @@
     });
   }
 
-  /** In a transaction only what is missing is added; nothing is reset. */
-  private laneTexts(link: DatabaseLink, session: Work['session']): string[] {
-    const {codec} = this.options;
-    const key = valuesKeyOf(session);
-    const texts: string[] = [];
-    if (key !== link.valuesKey) {
-      for (const [name, value] of session.values) {
-        texts.push(codec.own({kind: 'set', name, value}));
-      }
-      link.valuesKey = key;
-    }
-    const {prepared} = session;
-    if (prepared && link.prepared.get(prepared.name) !== shapeKeyOf(prepared)) {
-      texts.push(codec.own({kind: 'prepare', prepared}));
-      link.prepared.set(prepared.name, shapeKeyOf(prepared));
-    }
-    return texts;
-  }
-
   private afterLaneStep(
     job: Job,
     lane: Lane,
@@ -775,9 +710,10 @@
       return this.refuse(job, 'not in time', this.serviceMs);
     }
     const connection = this.connections.find(c => c.job === job);
-    const inLane = job.work.mode === WorkMode.lane;
+    const {mode, access} = job.work;
+    const inLane = mode !== WorkMode.single && mode !== WorkMode.fenced;
     const fault =
-      inLane && job.work.access !== Access.commit ? Fault.aborted : Fault.lost;
+      inLane && access !== Access.commit ? Fault.aborted : Fault.lost;
     this.finish(job, {
       ...faultReply(fault, 'no answer in time'),
       state: inLane ? LinkState.failed : LinkState.idle,
