--- a/src/front/database_link.ts
+++ b/src/front/database_link.ts
@@ -54,8 +54,6 @@
   valuesKey = '';
   /** Prepared names that the connection holds, with their shapes. */
   readonly prepared = new Map<string, string>();
-  lastUsedMs = 0;
-  heardAtMs = 0;
   closed = false;
   private readonly steps: Step[] = [];
   private readonly decoder;
@@ -127,7 +125,6 @@
   }
 
   private receive(chunk: Buffer): void {
-    this.heardAtMs = performance.now();
     for (const message of this.decoder.push(chunk)) {
       if (this.closed) return;
       this.take(message);
--- a/src/front/database_worker.ts
+++ b/src/front/database_worker.ts
@@ -69,7 +69,6 @@
 interface Job {
   readonly work: Work;
   readonly origin: string;
-  readonly arrivedMs: number;
   readonly done: (reply: Reply) => void;
   timer: NodeJS.Timeout;
   sentMs: number;
@@ -146,11 +145,9 @@
       return Promise.resolve(faultReply(Fault.unreachable, 'front is closing'));
     }
     return new Promise(done => {
-      const nowMs = performance.now();
       const job: Job = {
         work,
         origin,
-        arrivedMs: nowMs,
         done,
         sentMs: 0,
         over: false,
--- a/src/front/front_settings.ts
+++ b/src/front/front_settings.ts
@@ -21,7 +21,6 @@
   readonly minLeaseMs: number;
   /** Where promotions are ordered. */
   readonly dutyAddress: Address;
-  readonly memoryMb: number;
   /** Interval at which databases renew their entries. */
   readonly beatIntervalMs: number;
   /** Time within which a withdrawn key must have ended. */
--- a/src/front/store_feed.ts
+++ b/src/front/store_feed.ts
@@ -2,7 +2,7 @@
  * Follows the store: one watch over everything gives the configuration, the
  * databases, the other fronts, and the proof that all this is recent.
  */
-import {BehaviorSubject, Subject} from 'rxjs';
+import {BehaviorSubject} from 'rxjs';
 import {Result} from 'neverthrow';
 import {
   DatabaseEntry,
@@ -76,8 +76,6 @@
   readonly own$ = new BehaviorSubject<ReadonlyMap<string, StoredItem>>(
     new Map(),
   );
-  /** Emits when the store answers again after a failure. */
-  readonly regained$ = new Subject<void>();
   /** Items under the own prefix when the store was first listed. */
   ownAtStart: ReadonlyMap<string, StoredItem> = new Map();
   private proof: Proof | undefined;
@@ -193,7 +191,6 @@
     if (this.failures > 0) {
       this.options.log('store_regained', {failures: this.failures});
       this.failures = 0;
-      this.regained$.next();
     }
     const version = this.config?.version;
     if (version !== undefined) {
--- a/test/platform/fleet_fixture.ts
+++ b/test/platform/fleet_fixture.ts
@@ -1,11 +1,7 @@
 /** Fixtures: fronts over stand-ins of the platform, and a client of theirs. */
 import {connect, createServer, Socket} from 'node:net';
 import {PassThrough} from 'node:stream';
-import {decodeConfiguration} from '../../platform/configuration.js';
-import {decodeEntry} from '../../platform/directory.js';
-import {createPromoter} from '../../platform/promotion.js';
-import {createStore} from '../../platform/store.js';
-import {callerCodec, databaseCodec} from '../../platform/wire.js';
+import {createPorts} from '../../platform/ports.js';
 import {Front} from '../../src/front/front.js';
 import {FrontSettings} from '../../src/front/front_settings.js';
 import {createJsonLog, LogWriter} from '../../src/front/json_log.js';
@@ -102,7 +98,6 @@
     storeAddress: {host: HOST, port: store.port},
     minLeaseMs: 500,
     dutyAddress: {host: HOST, port: store.port},
-    memoryMb: 350,
     beatIntervalMs: 1_000,
     revokeMs: 5_000,
     graceMs: 3_000,
@@ -116,22 +111,8 @@
     }
   });
   const writer = createJsonLog(name, output);
-  const front = await Front.start(settings, {
-    store: createStore(() => settings.storeAddress),
-    layout: {
-      configKey: 'op/config',
-      databasePrefix: 'servers/',
-      ownPrefix: 'mustardpass/',
-      decodeConfig: decodeConfiguration,
-      decodeDatabase: decodeEntry,
-    },
-    callers: callerCodec,
-    databases: databaseCodec,
-    promote: createPromoter(() => settings.dutyAddress),
-    readyPath: '/-/readiness',
-    metrics: undefined,
-    log: writer.log,
-  });
+  const ports = createPorts(() => settings, undefined, writer.log);
+  const front = await Front.start(settings, ports);
   return {
     front,
     settings,
