Watch the store once a region, and refuse what no lender has tokens for

Changed: one front a region (by rendezvous) watches and passes changes on with their age, dated so that they are never taken for younger; without an answer the next in rank or the store is asked. Values above 8 KB are read from the store, as links are narrow. A share of a rate now also needs the own lease. A keeper asks lenders in widening rounds and refuses once none had enough. Lender errors of peers' methods are logged as JSON.

--- /dev/null
+++ b/src/core/relay.ts
@@ -0,0 +1,99 @@
+/**
+ * Passing the store's changes on between fronts: whom a front asks, what the
+ * asked one keeps, and how recent the answer is on the asker's clocks.
+ */
+import {StoreEvent} from '../store/key_values.js';
+import {ClockReading} from './freshness.js';
+import {Fronts} from './fronts.js';
+import {score} from './placement.js';
+
+/** A change as passed on; `changed`: too large to pass, ask the store. */
+export type RelayedEvent =
+  | StoreEvent
+  | {readonly kind: 'changed'; readonly key: string; readonly revision: number};
+
+/** Fronts of a region that may watch the store for the others. */
+const CANDIDATES = 2;
+const RANKED_FOR = 'changes';
+
+/**
+ * The front of the own region that is asked for changes; undefined when this
+ * front should ask the store itself. All fronts rank alike, so that one front a
+ * region watches while it is usable for the others.
+ */
+export function relayFor(
+  fronts: Fronts,
+  self: string,
+  region: string,
+  isUsable: (vm: string) => boolean,
+): string | undefined {
+  const ranked = [...fronts.values()]
+    .filter(front => !front.leaving && front.place.region === region)
+    .map(({vm}) => ({vm, points: score(RANKED_FOR, vm)}))
+    .sort((a, b) => b.points - a.points)
+    .slice(0, CANDIDATES);
+  const first = ranked.find(({vm}) => vm === self || isUsable(vm));
+  return first?.vm === self ? undefined : first?.vm;
+}
+
+/** Changes kept for those who ask, oldest first. Immutable. */
+export interface History {
+  /** Revision after which every change is kept. */
+  readonly since: number;
+  readonly events: readonly RelayedEvent[];
+}
+
+export const emptyHistory = (since: number): History => ({since, events: []});
+
+const MAX_EVENTS = 1_000;
+/** Longest value that is passed on: links between fronts may be narrow. */
+const MAX_PASSED_BYTES = 8_192;
+
+const toRelayed = (event: RelayedEvent): RelayedEvent =>
+  event.kind === 'put' && event.value.length > MAX_PASSED_BYTES
+    ? {kind: 'changed', key: event.key, revision: event.revision}
+    : event;
+
+/** Adds changes; the oldest are forgotten above a bound. */
+export function addEvents(
+  history: History,
+  events: readonly RelayedEvent[],
+): History {
+  if (events.length === 0) return history;
+  const all = [...history.events, ...events.map(toRelayed)];
+  const dropped = all.slice(0, Math.max(0, all.length - MAX_EVENTS));
+  const since = dropped[dropped.length - 1]?.revision ?? history.since;
+  return {since, events: all.slice(dropped.length)};
+}
+
+/** Changes after a revision; undefined when some are no longer kept. */
+export const eventsAfter = (
+  history: History,
+  after: number,
+): readonly RelayedEvent[] | undefined =>
+  after < history.since
+    ? undefined
+    : history.events.filter(event => event.revision > after);
+
+/**
+ * How much later than the arrival of a question something was known to hold;
+ * negative when before. The smaller of both clocks' differences: a suspension
+ * stops one, a step moves the other.
+ */
+export const offsetFrom = (askedAt: ClockReading, asOf: ClockReading): number =>
+  Math.min(asOf.steadyMs - askedAt.steadyMs, asOf.wallMs - askedAt.wallMs);
+
+/**
+ * The same on the asker's clocks. The question arrived after it was sent, so
+ * dating from `sentAt` makes the state older than it is, never younger.
+ */
+export function asOfOnOwnClock(
+  sentAt: ClockReading,
+  offsetMs: number,
+  now: ClockReading,
+): ClockReading {
+  return {
+    steadyMs: Math.min(now.steadyMs, sentAt.steadyMs + offsetMs),
+    wallMs: Math.min(now.wallMs, sentAt.wallMs + offsetMs),
+  };
+}
--- a/src/front/dispatcher.ts
+++ b/src/front/dispatcher.ts
@@ -42,6 +42,7 @@
   probe: 'database.probe',
   suspect: 'duty.suspect',
   marks: 'database.marks',
+  follow: 'store.follow',
   ping: 'ping',
 } as const;
 
--- a/src/front/front.ts
+++ b/src/front/front.ts
@@ -15,10 +15,12 @@
 import {proofLimitMs} from '../core/freshness.js';
 import {LentStretch} from '../core/rates.js';
 import {Reply, Work} from '../core/work.js';
+import {relayFor} from '../core/relay.js';
 import {Lifecycle} from '../proxy/lifecycle.js';
 import {LendRequest, RateKeeper} from '../proxy/rate_keeper.js';
 import {KeyValues} from '../store/key_values.js';
 import {CallerSession, SessionHost} from './caller_session.js';
+import {FollowRequest, RelayedChanges} from './change_relay.js';
 import {Dispatcher, PeerMethodName} from './dispatcher.js';
 import {Duty} from './duty.js';
 import {FrontMetrics} from './front_metrics.js';
@@ -28,8 +30,9 @@
 import {Promote} from './promoter.js';
 import {frontsIn, Registration} from './registration.js';
 import {Router} from './router.js';
-import {StoreFeed, StoreLayout} from './store_feed.js';
+import {Relay, StoreFeed, StoreLayout} from './store_feed.js';
 import {TakeoverRunner} from './takeover_runner.js';
+import {withTimeout} from './timeout.js';
 import {CallerCodec, DatabaseCodec} from './wire_types.js';
 
 /** What a platform supplies. */
@@ -96,6 +99,7 @@
   ) {
     const {log, store, layout} = ports;
     this.feed = StoreFeed.create({
+      relay: isAvoided => this.relay(isAvoided),
       store,
       layout,
       regionOfZone: settings.regionOfZone,
@@ -199,6 +203,19 @@
     return this.knownFronts;
   }
 
+  /** The front that is asked for the store's changes; undefined: the store is. */
+  private relay(isAvoided: (vm: string) => boolean): Relay | undefined {
+    const {vm: self, place} = this.settings;
+    const isUsable = (vm: string): boolean =>
+      !isAvoided(vm) && this.dispatcher.link(vm)?.isDown === false;
+    const vm = relayFor(this.fronts(), self, place.region, isUsable);
+    const link = vm === undefined ? undefined : this.dispatcher.link(vm);
+    if (vm === undefined || !link) return undefined;
+    const follow: Relay['follow'] = request =>
+      link.wait<RelayedChanges>(PeerMethodName.follow, request);
+    return {vm, follow};
+  }
+
   private createDispatcher(): Dispatcher {
     const {settings, ports} = this;
     return Dispatcher.create({
@@ -285,12 +302,13 @@
   }
 
   /**
-   * An equal share among a customer's committee; none while out of touch, nor
-   * for a front that was not registered until those whose place it takes must
+   * An equal share among a customer's committee; none while out of touch or when
+   * others may take this front for gone, nor for a front that was not registered until those whose place it takes must
    * have learned of it.
    */
   private share(customer: string): number {
     if (!this.feed.isFresh || this.isNewcomer) return 0;
+    if (!this.registration.isCovered) return 0;
     const members = this.committee(customer);
     const isMember = members.some(front => front.vm === this.settings.vm);
     return isMember ? 1 / members.length : 0;
@@ -397,6 +415,8 @@
         this.reaches(p.database),
       [PeerMethodName.marks]: (p: {database: string}) =>
         dispatcher.marksHere(p.database),
+      [PeerMethodName.follow]: (request: FollowRequest) =>
+        this.feed.follow(request),
       [PeerMethodName.suspect]: (p: {service: string; database: string}) =>
         this.takeover.suspect(p.service, p.database),
     };
@@ -511,14 +531,6 @@
   }
 }
 
-function withTimeout<T>(promise: Promise<T>, ms: number): Promise<T> {
-  let timer: NodeJS.Timeout | undefined;
-  const late = new Promise<never>((_, reject) => {
-    timer = setTimeout(() => reject(new Error('no answer in time')), ms);
-  });
-  return Promise.race([promise, late]).finally(() => clearTimeout(timer));
-}
-
 function listen<T extends Server>(server: T, address: Address): Promise<T> {
   return new Promise((resolve, reject) => {
     server.once('error', reject);
--- a/src/front/peer_link.ts
+++ b/src/front/peer_link.ts
@@ -92,6 +92,16 @@
     }
   }
 
+  /**
+   * Calls a method that answers when there is something to tell: silence is no
+   * sign of failure, so that the caller sets a time limit.
+   */
+  async wait<T>(method: string, params: unknown): Promise<T> {
+    await this.ready();
+    if (!this.client) throw new PeerLost('not connected', false);
+    return (await this.client.request(method, params)) as T;
+  }
+
   /** Tells the peer something, if it is connected. */
   notify(method: string, params: unknown): void {
     this.client?.notify(method, params);
--- a/src/front/peer_service.ts
+++ b/src/front/peer_service.ts
@@ -63,7 +63,7 @@
     }
     clearTimeout(limit);
     from = String(hello.from);
-    rpc = createRpc(methods, from);
+    rpc = createRpc(methods, from, log);
     channel.send({welcome: true});
   });
   channel.send({nonce});
@@ -72,8 +72,12 @@
 function createRpc(
   methods: PeerServiceOptions['methods'],
   from: string,
+  log: JsonLog,
 ): JSONRPCServer {
-  const rpc = new JSONRPCServer();
+  const rpc = new JSONRPCServer({
+    errorListener: (text, error) =>
+      log('peer_method_failed', {peer: from, text, error: String(error)}),
+  });
   for (const [name, method] of Object.entries(methods)) {
     rpc.addMethod(name, params => method(params as never, from));
   }
--- a/src/front/registration.ts
+++ b/src/front/registration.ts
@@ -4,9 +4,10 @@
  */
 import {randomBytes} from 'node:crypto';
 import {Subscription} from 'rxjs';
+import {ageMs, ClockReading} from '../core/freshness.js';
 import {FrontMember, Fronts} from '../core/fronts.js';
 import {KeyValues, StoredItem, StoreFaultKind} from '../store/key_values.js';
-import {StoreFeed} from './store_feed.js';
+import {readClocks, StoreFeed} from './store_feed.js';
 import {JsonLog} from './json_log.js';
 
 /** What a registration needs. */
@@ -20,7 +21,9 @@
 
 /** Longer than any proof: a front that stopped renewing serves no more. */
 const LEASE_MS = 6_000;
-const RENEW_INTERVAL_MS = 1_000;
+const RENEW_INTERVAL_MS = 1_500;
+/** Time before the end of the lease from which it is not relied on. */
+const LEASE_MARGIN_MS = 200;
 const RETRY_MS = 500;
 const SECRET_BYTES = 24;
 
@@ -49,6 +52,8 @@
   private stopped = false;
   private leaving = false;
   private writtenRevision = 0;
+  /** When the call was sent from which the lease runs at least. */
+  private coveredFrom: ClockReading | undefined;
   private readonly timers: NodeJS.Timeout[] = [];
   private readonly following: Subscription;
 
@@ -70,6 +75,12 @@
     return memberKey(prefix, member.vm);
   }
 
+  /** Whether the entry certainly still stands, whatever the feed shows. */
+  get isCovered(): boolean {
+    if (this.leaseId === 0 || !this.coveredFrom) return false;
+    return ageMs(this.coveredFrom, readClocks()) < LEASE_MS - LEASE_MARGIN_MS;
+  }
+
   /** Secret that the fronts share; empty until known. */
   get secret(): string {
     const {feed, prefix} = this.options;
@@ -114,8 +125,10 @@
   private async register(): Promise<void> {
     const {store, prefix, member, log, feed} = this.options;
     if (this.leaseId === 0) {
+      const sentAt = readClocks();
       const lease = await store.grant(LEASE_MS);
       if (lease.isErr()) return;
+      this.coveredFrom = sentAt;
       this.leaseId = lease.value.leaseId;
     }
     const value = JSON.stringify({...member, leaving: this.leaving});
@@ -158,8 +171,10 @@
 
   private async renew(): Promise<void> {
     if (this.leaseId === 0 || this.stopped) return;
+    const sentAt = readClocks();
     const answer = await this.options.store.renew(this.leaseId);
-    if (answer.isErr() && answer.error.kind === StoreFaultKind.leaseGone) {
+    if (answer.isOk()) this.coveredFrom = sentAt;
+    else if (answer.error.kind === StoreFaultKind.leaseGone) {
       this.options.log('registration_lapsed', {leaseId: this.leaseId});
       this.leaseId = 0;
       this.writtenRevision = 0;
--- a/src/front/store_feed.ts
+++ b/src/front/store_feed.ts
@@ -13,13 +13,16 @@
 } from '../core/directory.js';
 import {ClockReading, isFresh, Proof, renewProof} from '../core/freshness.js';
 import {FrontConfig} from '../core/front_config.js';
+import {asOfOnOwnClock, RelayedEvent} from '../core/relay.js';
 import {
   KeyValues,
   StoredItem,
   StoreEvent,
   StoreFaultKind,
 } from '../store/key_values.js';
+import {ChangeRelay, FollowRequest, RelayedChanges} from './change_relay.js';
 import {JsonLog} from './json_log.js';
+import {withTimeout} from './timeout.js';
 
 /** Where things lie in the store and how they read. */
 export interface StoreLayout {
@@ -36,8 +39,16 @@
   ) => DatabaseEntry | undefined;
 }
 
+/** Another front that watches the store and passes its changes on. */
+export interface Relay {
+  readonly vm: string;
+  readonly follow: (request: FollowRequest) => Promise<RelayedChanges>;
+}
+
 /** What a feed needs. */
 export interface StoreFeedOptions {
+  /** The front to ask in place of the store, if any but `avoided`. */
+  readonly relay: (isAvoided: (vm: string) => boolean) => Relay | undefined;
   readonly store: KeyValues;
   readonly layout: StoreLayout;
   readonly regionOfZone: ReadonlyMap<string, string>;
@@ -48,7 +59,11 @@
 }
 
 /** Wait of one watch: its answer renews the proof. */
-const WATCH_WAIT_MS = 1_600;
+const WATCH_WAIT_MS = 1_200;
+/** Longest wait for a relay's answer, which follows the store's to that front. */
+const FOLLOW_TIMEOUT_MS = WATCH_WAIT_MS + 500;
+/** Pause of asking a relay after it gave no answer. */
+const AVOID_RELAY_MS = 2_000;
 /** Least time between two watches, so that bursts of changes are taken together. */
 const WATCH_SPACING_MS = 100;
 /** Further pause after changes among the fronts. */
@@ -83,6 +98,13 @@
   private failures = 0;
   private failedAtMs = -Infinity;
   private stopped = false;
+  private readonly changes = ChangeRelay.create(readClocks);
+  /** Relays that are left alone, and until when. */
+  private readonly avoided = new Map<string, number>();
+  /** The front that changes come from; undefined: the store. */
+  private source: string | undefined;
+  /** The next watch only asks what has changed, as a relay gave no answer. */
+  private isOverdue = false;
 
   private constructor(private readonly options: StoreFeedOptions) {}
 
@@ -112,7 +134,7 @@
   async run(): Promise<void> {
     let listed = false;
     while (!this.stopped) {
-      const done = listed ? await this.watchOnce() : await this.listAll();
+      const done = listed ? await this.nextChanges() : await this.listAll();
       if (done === 'ok') {
         listed = true;
         await pause(WATCH_SPACING_MS);
@@ -128,6 +150,12 @@
 
   stop(): void {
     this.stopped = true;
+    this.changes.withhold();
+  }
+
+  /** Changes for another front, as soon as this one has heard of any. */
+  follow(request: FollowRequest): Promise<RelayedChanges> {
+    return this.changes.follow(request);
   }
 
   dump(): object {
@@ -136,10 +164,65 @@
       revision: this.revision,
       fresh: this.isFresh,
       failures: this.failures,
+      source: this.source ?? 'store',
       databases: [...this.directory.values()],
     };
   }
 
+  private nextChanges(): Promise<'ok' | 'failed' | 'list'> {
+    const nowMs = performance.now();
+    const relay = this.isOverdue
+      ? undefined
+      : this.options.relay(vm => (this.avoided.get(vm) ?? 0) > nowMs);
+    if (relay?.vm !== this.source) {
+      this.options.log('changes_from', {source: relay?.vm ?? 'store'});
+      this.source = relay?.vm;
+      if (relay) this.changes.withhold();
+    }
+    return relay ? this.followOnce(relay) : this.watchOnce();
+  }
+
+  /** Takes changes from another front; without an answer the store is asked. */
+  private async followOnce(relay: Relay): Promise<'ok' | 'failed' | 'list'> {
+    const sentAt = readClocks();
+    try {
+      const call = relay.follow({after: this.revision});
+      const changes = await withTimeout(call, FOLLOW_TIMEOUT_MS);
+      if (changes.kind === 'gone') return await this.listAll();
+      if (changes.kind === 'unheard')
+        throw new Error('it hears nothing itself');
+      const events = await this.complete(changes.events);
+      this.takeEvents(events, changes.revision);
+      const {offsetMs} = changes;
+      const asOf = asOfOnOwnClock(sentAt, offsetMs, readClocks());
+      this.succeed(changes.revision, asOf);
+    } catch (error) {
+      const text = (error as Error).message;
+      this.options.log('relay_unusable', {relay: relay.vm, text});
+      this.avoided.set(relay.vm, performance.now() + AVOID_RELAY_MS);
+      this.isOverdue = true;
+    }
+    return 'ok';
+  }
+
+  /** Reads values from the store that were too large to be passed on. */
+  private async complete(
+    events: readonly RelayedEvent[],
+  ): Promise<StoreEvent[]> {
+    const out: StoreEvent[] = [];
+    for (const event of events) {
+      if (event.kind !== 'changed') {
+        out.push(event);
+        continue;
+      }
+      const read = await this.options.store.list(event.key);
+      if (read.isErr()) throw new Error(read.error.message);
+      const item = read.value.items.find(({key}) => key === event.key);
+      if (item) out.push({kind: 'put', ...item});
+    }
+    return out;
+  }
+
   private async listAll(): Promise<'ok' | 'failed' | 'list'> {
     const asOf = readClocks();
     const listed = await this.options.store.list('');
@@ -153,6 +236,7 @@
     );
     if (isFirst) this.ownAtStart = this.own$.value;
     this.removeOthers(keys);
+    this.changes.restart(revision);
     this.succeed(revision, asOf);
     return 'ok';
   }
@@ -160,7 +244,9 @@
   private async watchOnce(): Promise<'ok' | 'failed' | 'list'> {
     const asOf = readClocks();
     const {store} = this.options;
-    const answer = await store.watch('', this.revision, WATCH_WAIT_MS);
+    const waitMs = this.isOverdue ? 0 : WATCH_WAIT_MS;
+    const answer = await store.watch('', this.revision, waitMs);
+    this.isOverdue = false;
     if (answer.isErr()) {
       if (answer.error.kind === StoreFaultKind.historyGone) {
         this.options.log('store_history_gone', {revision: this.revision});
@@ -171,6 +257,7 @@
     const {events, revision} = answer.value;
     this.takeEvents(events, revision);
     this.succeed(revision, asOf);
+    this.changes.publish(this.revision, asOf);
     const {ownPrefix} = this.options.layout;
     const isOwn = events.some(event => event.key.startsWith(ownPrefix));
     // Many fronts start at once: their entries are taken together.
@@ -180,6 +267,7 @@
 
   private failedCall(call: string, text: string): 'failed' {
     this.failures++;
+    this.changes.withhold();
     this.failedAtMs = performance.now();
     if (this.failures === 1) this.options.log('store_lost', {call, text});
     this.expireMissing();
@@ -213,6 +301,7 @@
         own = takeOwn(own, event);
       }
     }
+    this.changes.record(events);
     this.revision = Math.max(this.revision, revision);
     if (directory !== this.directory) this.directory$.next(directory);
     if (own !== this.own$.value) this.own$.next(own);
--- a/src/proxy/rate_keeper.ts
+++ b/src/proxy/rate_keeper.ts
@@ -15,6 +15,7 @@
   reserveOf,
   reshape,
   take,
+  tokensLent,
   wantedTokens,
 } from '../core/rates.js';
 
@@ -46,11 +47,14 @@
    * by default since an account is first used.
    */
   readonly accruesFromMs?: () => number;
+  /** The steady clock, in milliseconds. */
+  readonly nowMs?: () => number;
   /** This VM's present share of a customer's rate, 0 to 1. */
   readonly share: (customer: string) => number;
 }
 
 interface Waiter {
+  readonly sinceMs: number;
   readonly untilMs: number;
   readonly answer: (granted: boolean) => void;
 }
@@ -65,8 +69,14 @@
   nextBorrowAtMs: number;
   /** Pause between rounds of borrowing. */
   spacingMs: number;
-  /** Rounds of borrowing after which someone still waited. */
-  unmetRounds: number;
+  /** Lenders asked in turn, all of which had less than was asked. */
+  drained: number;
+  /** Place of the next lender to ask; 0: the best. */
+  firstLender: number;
+  /** No lender had enough when last asked: waiting is of little use. */
+  isDry: boolean;
+  /** A token was granted before: the fleet has begun to accrue. */
+  hasGranted: boolean;
 }
 
 /** Rate of callers on open services that are no configured customer. */
@@ -75,7 +85,10 @@
 /** Spacing after rounds in which nobody had tokens to lend. */
 const MAX_BORROW_SPACING_MS = 80;
 const MAX_LENDERS = 8;
+/** Part of what was asked from which a lender counts as having had enough. */
+const FULL_PART = 0.99;
 const MAX_WAITING = 1_000;
+const MS_PER_S = 1_000;
 const REFRESH_MS = 100;
 /** Longest wait for a token before a request is refused. */
 const MAX_WAIT_MS = 250;
@@ -90,7 +103,10 @@
   /** Customers that the first configuration seen here already held. */
   private known: ReadonlySet<string> | undefined;
 
+  private readonly nowMs: () => number;
+
   private constructor(private readonly options: RateKeeperOptions) {
+    this.nowMs = options.nowMs ?? monotonicMs;
     this.subscriptions.add(options.changed$.subscribe(() => this.reshapeAll()));
     this.subscriptions.add(
       interval(REFRESH_MS).subscribe(() => this.reshapeAll()),
@@ -104,25 +120,39 @@
   /** Takes one token: at once, after borrowing, or not at all. */
   admit(customer: string): boolean | Promise<boolean> {
     const account = this.accountOf(customer);
-    const nowMs = monotonicMs();
+    const nowMs = this.nowMs();
     account.demand = addDemand(account.demand, 1, nowMs);
     const next =
       account.waiting.length === 0 ? take(account.bucket, 1, nowMs) : undefined;
     if (next) {
       account.bucket = next;
+      account.hasGranted = true;
       this.refill(customer, account);
       return true;
     }
     if (account.waiting.length >= MAX_WAITING) return false;
+    // One waits, so that tokens that accrue elsewhere are still asked for.
+    const mayWait = Math.max(1, this.ownTokensInTime(account));
+    if (account.isDry && account.waiting.length >= mayWait) return false;
     return new Promise(answer => {
-      const waitMs = this.options.maxWaitMs ?? MAX_WAIT_MS;
-      account.waiting.push({untilMs: nowMs + waitMs, answer});
+      const untilMs = nowMs + this.maxWaitMs;
+      account.waiting.push({sinceMs: nowMs, untilMs, answer});
       this.refill(customer, account);
     });
   }
 
+  private get maxWaitMs(): number {
+    return this.options.maxWaitMs ?? MAX_WAIT_MS;
+  }
+
+  /** Whole tokens that accrue here in the longest wait. */
+  private ownTokensInTime({bucket}: Account): number {
+    const perS = bucket.rate.ratePerS * bucket.share;
+    return Math.floor((perS * this.maxWaitMs) / MS_PER_S);
+  }
+
   dump(): object {
-    const nowMs = monotonicMs();
+    const nowMs = this.nowMs();
     return {
       share: this.options.share(''),
       balances: Object.fromEntries(
@@ -146,13 +176,16 @@
     if (known) return known;
     const rate = this.options.rates()?.get(customer) ?? DEFAULT_RATE;
     const account: Account = {
-      bucket: emptyBucket(rate, this.options.share(customer), monotonicMs()),
+      bucket: emptyBucket(rate, this.options.share(customer), this.nowMs()),
       demand: NO_DEMAND,
       waiting: [],
       borrowing: false,
       hasAccrued: false,
       nextBorrowAtMs: 0,
-      unmetRounds: 0,
+      drained: 0,
+      firstLender: 0,
+      isDry: false,
+      hasGranted: false,
       spacingMs: BORROW_SPACING_MS,
     };
     this.accounts.set(customer, account);
@@ -162,7 +195,7 @@
   private reshapeAll(): void {
     const rates = this.options.rates();
     if (!rates) return;
-    const nowMs = monotonicMs();
+    const nowMs = this.nowMs();
     for (const [customer, rate] of rates) {
       const share = this.options.share(customer);
       this.reshapeOne(customer, rate, share, nowMs);
@@ -204,7 +237,7 @@
   /** Starts a round of borrowing when the stock runs low or someone waits. */
   private refill(customer: string, account: Account): void {
     if (account.borrowing) return;
-    const nowMs = monotonicMs();
+    const nowMs = this.nowMs();
     const idle = account.waiting.length === 0;
     if (idle && this.wanted(account, nowMs) <= 0) return;
     account.borrowing = true;
@@ -219,34 +252,43 @@
 
   /** One round: borrow, answer those who wait, and go on while any does. */
   private async round(customer: string, account: Account): Promise<void> {
-    const wanted = this.wanted(account, monotonicMs());
-    const lenders = this.lenders(customer, account);
-    let got = false;
-    if (wanted > 0 && lenders.length > 0) {
+    const startedMs = this.nowMs();
+    const wanted = this.wanted(account, startedMs);
+    const peers = this.options.lenders(customer);
+    const lenders = this.nextLenders(peers, account);
+    let isShort = false;
+    if (wanted > 0) {
       const each = (wanted / lenders.length) * 1.5;
       const answers = await Promise.all(
         lenders.map(vm => this.borrowFrom(vm, customer, account, each)),
       );
-      got = answers.includes(true);
+      const generous = answers.indexOf(true);
+      isShort = generous < 0;
+      account.firstLender += isShort ? lenders.length : generous;
     }
     account.borrowing = false;
-    account.spacingMs = got
-      ? BORROW_SPACING_MS
-      : Math.min(MAX_BORROW_SPACING_MS, account.spacingMs * 2);
-    account.nextBorrowAtMs = monotonicMs() + account.spacingMs;
+    account.drained = isShort ? account.drained + lenders.length : 0;
+    account.isDry =
+      isShort && account.hasGranted && account.drained >= peers.length;
+    account.spacingMs = account.isDry
+      ? Math.min(MAX_BORROW_SPACING_MS, account.spacingMs * 2)
+      : BORROW_SPACING_MS;
+    account.nextBorrowAtMs = this.nowMs() + account.spacingMs;
     this.settle(account);
+    if (account.isDry) this.refuseSince(account, startedMs);
     const isMet = account.waiting.length === 0;
-    account.unmetRounds = isMet ? 0 : account.unmetRounds + 1;
-    if (!isMet) this.refill(customer, account);
+    if (isMet) account.firstLender = 0;
+    else this.refill(customer, account);
   }
 
+  /** Whether the lender had all that was wanted. */
   private async borrowFrom(
     vm: string,
     customer: string,
     account: Account,
     wanted: number,
   ): Promise<boolean> {
-    const requestedAtMs = monotonicMs();
+    const requestedAtMs = this.nowMs();
     try {
       const request = {customer, wanted};
       const lent = await this.options.askLender(vm, request);
@@ -254,10 +296,10 @@
         account.bucket,
         lent,
         requestedAtMs,
-        monotonicMs(),
+        this.nowMs(),
       );
       this.settle(account);
-      return lent.length > 0;
+      return tokensLent(lent) >= wanted * FULL_PART;
     } catch {
       // A lost answer loses the tokens; the next round asks again.
       return false;
@@ -266,11 +308,12 @@
 
   /** Grants those who wait, in order; refuses those who waited too long. */
   private settle(account: Account): void {
-    const nowMs = monotonicMs();
+    const nowMs = this.nowMs();
     while (account.waiting.length > 0) {
       const next = take(account.bucket, 1, nowMs);
       if (!next) break;
       account.bucket = next;
+      account.hasGranted = true;
       account.waiting.shift()?.answer(true);
     }
     while (account.waiting.length > 0 && account.waiting[0].untilMs <= nowMs) {
@@ -278,20 +321,39 @@
     }
   }
 
-  /** The best lenders, or the next ones while these do not suffice. */
-  private lenders(customer: string, account: Account): string[] {
-    const peers = this.options.lenders(customer);
+  /**
+   * Refuses those who waited for a whole round in which no lender had a token,
+   * but for as many as tokens accrue here in time.
+   */
+  private refuseSince(account: Account, startedMs: number): void {
+    const own = this.ownTokensInTime(account);
+    const {waiting} = account;
+    account.waiting = waiting.filter(
+      ({sinceMs}, place) => place < own || sinceMs > startedMs,
+    );
+    for (const waiter of waiting) {
+      if (!account.waiting.includes(waiter)) waiter.answer(false);
+    }
+  }
+
+  /**
+   * The best lenders, then the next ones, twice as many each round: those who
+   * wait soon know whether anyone has a token.
+   */
+  private nextLenders(peers: readonly string[], account: Account): string[] {
     const most = this.options.maxLenders ?? MAX_LENDERS;
-    if (peers.length <= most) return [...peers];
-    const start = (account.unmetRounds * most) % peers.length;
-    return [...peers.slice(start), ...peers.slice(0, start)].slice(0, most);
+    const {drained, isDry} = account;
+    const count = isDry ? most : Math.max(most, drained);
+    if (peers.length <= count) return [...peers];
+    const start = account.firstLender % peers.length;
+    return [...peers.slice(start), ...peers.slice(0, start)].slice(0, count);
   }
 
   /** Lends tokens to another VM. */
   lend({customer, wanted}: LendRequest): readonly LentStretch[] {
     const account = this.accountOf(customer);
     if (account.waiting.length > 0) return [];
-    const nowMs = monotonicMs();
+    const nowMs = this.nowMs();
     const reserve = reserveOf(account.bucket, account.demand, nowMs);
     const result = lend(account.bucket, wanted, reserve, nowMs);
     account.bucket = result.bucket;
--- /dev/null
+++ b/test/front/relay.test.ts
@@ -0,0 +1,149 @@
+/** Passing the store's changes on between fronts, decided without I/O. */
+import test from 'ava';
+import fc from 'fast-check';
+import {ageMs, ClockReading} from '../../src/core/freshness.js';
+import {FrontMember} from '../../src/core/fronts.js';
+import {
+  addEvents,
+  asOfOnOwnClock,
+  emptyHistory,
+  eventsAfter,
+  offsetFrom,
+  RelayedEvent,
+  relayFor,
+} from '../../src/core/relay.js';
+import {ChangeRelay, RelayedChanges} from '../../src/front/change_relay.js';
+
+const member = (vm: string, region: string, leaving = false): FrontMember => ({
+  vm,
+  host: 'h',
+  port: 1,
+  place: {zone: region, region},
+  leaving,
+});
+
+const fleet = (...members: FrontMember[]) =>
+  new Map(members.map(front => [front.vm, front]));
+
+const put = (revision: number, bytes = 10): RelayedEvent => ({
+  kind: 'put',
+  key: `k${revision}`,
+  value: Buffer.alloc(bytes),
+  revision,
+});
+
+test('many fronts in two regions: one in each watches the store for all others', t => {
+  const names = Array.from({length: 60}, (_, n) => `f${n}`);
+  const fronts = fleet(
+    ...names.map((vm, n) => member(vm, n < 40 ? 'north' : 'south')),
+  );
+  for (const [region, count] of [
+    ['north', 40],
+    ['south', 20],
+  ] as const) {
+    const own = [...fronts.values()].filter(f => f.place.region === region);
+    const asked = own.map(f => relayFor(fronts, f.vm, region, () => true));
+    const watching = asked.filter(vm => vm === undefined);
+    t.is(watching.length, 1);
+    t.is(new Set(asked.filter(vm => vm !== undefined)).size, 1);
+    t.is(own.length, count);
+  }
+});
+
+test('a relay that is unusable or leaves is replaced by the next, then by the store', t => {
+  const fronts = fleet(member('a', 'r'), member('b', 'r'), member('c', 'r'));
+  const first = ['a', 'b', 'c'].find(
+    vm => relayFor(fronts, vm, 'r', () => true) === undefined,
+  );
+  const [x, y] = ['a', 'b', 'c'].filter(vm => vm !== first);
+  const without = (vm: string) => vm !== first;
+  const next = relayFor(fronts, x, 'r', without) ?? x;
+  t.is(relayFor(fronts, next === x ? y : x, 'r', without), next);
+  t.is(
+    relayFor(fronts, x === next ? y : x, 'r', () => false),
+    undefined,
+  );
+  const leaving = new Map(fronts);
+  leaving.set(first!, member(first!, 'r', true));
+  t.not(
+    relayFor(leaving, x, 'r', () => true),
+    first,
+  );
+});
+
+test('kept changes have no gap: who lacks older ones is told so', t => {
+  let history = emptyHistory(5);
+  for (let n = 0; n < 1_500; n++) history = addEvents(history, [put(6 + n)]);
+  t.is(eventsAfter(history, 5), undefined);
+  t.is(eventsAfter(history, 1_500)?.length, 5);
+  t.is(eventsAfter(history, history.since)?.length, 1_000);
+});
+
+test('a large configuration is not passed over narrow links', t => {
+  const history = addEvents(emptyHistory(0), [put(1, 300_000), put(2)]);
+  const [large, small] = eventsAfter(history, 0) ?? [];
+  t.deepEqual(large, {kind: 'changed', key: 'k1', revision: 1});
+  t.is(small.kind, 'put');
+});
+
+test('passed on through any delays, suspensions and clock steps a state is never taken for younger', t => {
+  const step = fc.integer({min: 0, max: 5_000});
+  fc.assert(
+    fc.property(
+      step,
+      step,
+      step,
+      step,
+      fc.boolean(),
+      fc.integer({min: -8_000, max: 8_000}),
+      fc.boolean(),
+      (proofAge, sentToArrival, wait, way, isSuspended, jump, isNewer) => {
+        // Real time: the question is sent at 0.
+        const arrival = sentToArrival;
+        const answered = arrival + wait;
+        const received = answered + way;
+        const asOfReal = isNewer
+          ? Math.max(arrival - proofAge, answered - proofAge)
+          : arrival - proofAge;
+        // One of both clocks of each VM may be wrong, never both.
+        const relay = (real: number): ClockReading => ({
+          steadyMs: isSuspended && real > arrival ? arrival : real,
+          wallMs: isSuspended || real <= arrival ? real : real + jump,
+        });
+        const asker = (real: number): ClockReading => ({
+          steadyMs: 70 + (isSuspended && real > 0 ? real / 2 : real),
+          wallMs: 90 + real,
+        });
+        const offset = offsetFrom(relay(arrival), relay(asOfReal));
+        const asOf = asOfOnOwnClock(asker(0), offset, asker(received));
+        const age = ageMs(asOf, asker(received));
+        t.true(age >= received - asOfReal - 1e-9);
+      },
+    ),
+    {seed: 20261204, numRuns: 2_000},
+  );
+});
+
+test('those who ask are answered by the store’s next answer, or told that there is none', async t => {
+  let nowMs = 0;
+  const clocks = () => ({steadyMs: nowMs, wallMs: nowMs});
+  const relay = ChangeRelay.create(clocks);
+  t.is((await relay.follow({after: 1})).kind, 'unheard');
+  relay.restart(10);
+  relay.publish(10, clocks());
+  nowMs = 400;
+  const asked = relay.follow({after: 10});
+  nowMs = 900;
+  const asOf = clocks();
+  nowMs = 1_000;
+  relay.record([put(11)]);
+  relay.publish(11, asOf);
+  const changes = (await asked) as RelayedChanges & {kind: 'changes'};
+  t.is(changes.revision, 11);
+  t.is(changes.events.length, 1);
+  t.is(changes.offsetMs, 500);
+  t.is((await relay.follow({after: 9})).kind, 'gone');
+  const unanswered = relay.follow({after: 11});
+  relay.withhold();
+  t.is((await unanswered).kind, 'unheard');
+});
--- a/test/platform/fleet_fixture.ts
+++ b/test/platform/fleet_fixture.ts
@@ -1,6 +1,7 @@
 /** Fixtures: fronts over stand-ins of the platform, and a client of theirs. */
 import {connect, createServer, Socket} from 'node:net';
 import {PassThrough} from 'node:stream';
+import {threadId} from 'node:worker_threads';
 import {createPorts} from '../../platform/ports.js';
 import {Front} from '../../src/front/front.js';
 import {FrontSettings} from '../../src/front/front_settings.js';
@@ -60,16 +61,30 @@
   };
 }
 
-/** An address that nothing listens on. */
-export function freePort(): Promise<number> {
-  return new Promise(resolve => {
+/** Ports below those that the system gives to outgoing connections. */
+const FIRST_PORT = 12_000;
+const PORTS_A_THREAD = 400;
+const THREADS = 40;
+let nextPort = 0;
+
+/**
+ * A port that nothing listens on. Test files run side by side: each has a range
+ * of its own, as a port that was only probed could be taken by another.
+ */
+export async function freePort(): Promise<number> {
+  for (;;) {
+    const range = FIRST_PORT + (threadId % THREADS) * PORTS_A_THREAD;
+    const port = range + (nextPort++ % PORTS_A_THREAD);
+    if (await isFree(port)) return port;
+  }
+}
+
+const isFree = (port: number): Promise<boolean> =>
+  new Promise(resolve => {
     const server = createServer();
-    server.listen(0, HOST, () => {
-      const {port} = server.address() as {port: number};
-      server.close(() => resolve(port));
-    });
+    server.once('error', () => resolve(false));
+    server.listen(port, HOST, () => server.close(() => resolve(true)));
   });
-}
 
 /** A front with its log. */
 export interface RunningFront {
--- a/test/platform/standin_store.ts
+++ b/test/platform/standin_store.ts
@@ -36,6 +36,8 @@
 export class StandinStore {
   trouble: StoreTrouble = StoreTrouble.none;
   calls = 0;
+  /** Watches asked for. */
+  watches = 0;
   port = 0;
   /** Orders to promote, as they arrived. */
   readonly promotions: Array<{
@@ -206,6 +208,7 @@
     url: URL,
     answer: (status: number, body: object) => void,
   ): void {
+    this.watches++;
     const after = Number(url.searchParams.get('after'));
     const waitMs = Number(url.searchParams.get('wait_ms'));
     const prefix = url.searchParams.get('prefix') ?? '';
