Tell a dead primary sooner at stand-ins, and wait for a successor that comes in time

Changed: connections that open count as silent work; a stand-in that has yet to reach a database gives up after 250 ms; silence is checked after 300 ms (400); reads leave out what claims to lead and does not; a statement waits for a change of primary that should be over before its deadline, else a fifth as before.

Two dark databases of three still cost 3 s of reads once no mark is young enough: one log alone proves nothing. Tests fail on the code before.

--- a/src/core/read_choice.ts
+++ b/src/core/read_choice.ts
@@ -46,8 +46,11 @@
     const lead = entry.id === leader ? LEADER_COST_MS : 0;
     return way + load.waitMs + lead + entry.coldLeftMs * COLD_COST;
   };
+  // A former leader that lives says at once that it leads no more.
+  const isFormer = (entry: KnownDatabase): boolean =>
+    entry.isLeader && entry.id !== leader;
   return databases
-    .filter(entry => !entry.leaving)
+    .filter(entry => !entry.leaving && !isFormer(entry))
     .filter(entry => loadOf(entry.id).avoidUntilMs <= nowMs)
     .filter(
       entry => entry.id === leader || loadOf(entry.id).laggingUntilMs <= nowMs,
--- a/src/front/database_worker.ts
+++ b/src/front/database_worker.ts
@@ -40,7 +40,9 @@
 /** Wait before a new connection after one was refused or failed. */
 const REOPEN_PAUSE_MS = 120;
 /** Silence of the database after which a new connection checks it. */
-const SILENCE_MS = 400;
+const SILENCE_MS = 300;
+/** Wait of a stand-in for its first connection, before others are asked. */
+const TRIAL_MS = 250;
 const CHECK_INTERVAL_MS = 100;
 /** Age from which the newest mark is renewed on request. */
 const MARK_AGE_MS = 200;
@@ -747,17 +749,21 @@
     void this.probe().then(alive => {
       this.probing = false;
       if (alive || this.heardAtMs > startedMs) return;
-      if (this.failingSinceMs === undefined) {
-        this.failingSinceMs = startedMs;
-        this.options.log('database_lost', {
-          database: this.entry.id,
-          service: this.entry.service,
-          text,
-          silentMs: Math.round(startedMs - this.heardAtMs),
-        });
-        this.failWaiting();
-      }
+      this.lose(text, startedMs);
+    });
+  }
+
+  /** The database does not answer: nothing waits for it here. */
+  private lose(text: string, sinceMs: number): void {
+    if (this.failingSinceMs !== undefined) return;
+    this.failingSinceMs = sinceMs;
+    this.options.log('database_lost', {
+      database: this.entry.id,
+      service: this.entry.service,
+      text,
+      silentMs: Math.round(sinceMs - this.heardAtMs),
     });
+    this.failWaiting();
   }
 
   /** Work that waits for a database that does not answer goes elsewhere. */
@@ -788,18 +794,31 @@
     }
   }
 
+  /** Whether this stand-in has yet to reach the database. */
+  private get isTrial(): boolean {
+    const {connections} = this;
+    return !this.options.isHolder() && connections.every(c => c.isOpening);
+  }
+
+  /** For how long the oldest piece of work has waited for the database. */
+  private longestWaitMs(nowMs: number): number {
+    const waits = this.connections.map(({job, isOpening, lastUsedMs}) => {
+      if (isOpening) return nowMs - lastUsedMs;
+      return job && !job.over && job.sentMs > 0 ? nowMs - job.sentMs : 0;
+    });
+    return Math.max(0, ...waits);
+  }
+
   private check(): void {
     const nowMs = performance.now();
     if (this.failingSinceMs !== undefined) return this.suspect('still silent');
     if (this.shrunkTo !== Infinity && nowMs > this.growAtMs) this.grow();
-    const oldest = this.connections.find(
-      c =>
-        c.job &&
-        !c.job.over &&
-        nowMs - c.job.sentMs > SILENCE_MS &&
-        c.job.sentMs > 0,
-    );
-    if (oldest && nowMs - this.heardAtMs > SILENCE_MS) this.suspect('silent');
+    const waitedMs = this.longestWaitMs(nowMs);
+    const silentMs = Math.min(waitedMs, nowMs - this.heardAtMs);
+    if (silentMs > SILENCE_MS) this.suspect('silent');
+    if (this.isTrial && silentMs > TRIAL_MS) {
+      return this.lose('silent to a stand-in', nowMs);
+    }
     if (this.queue.size > 0) this.pump();
     if (this.jobs.size > 0 || this.shrunkTo !== Infinity) return;
     clearInterval(this.checks);
--- a/src/front/router.ts
+++ b/src/front/router.ts
@@ -4,6 +4,11 @@
  */
 import {databasesOf, KnownDatabase, leaderOf} from '../core/directory.js';
 import {Freshness, RouteConfig} from '../core/front_config.js';
+import {
+  CHANGE_OF_PRIMARY_MS,
+  LEAST_BUDGET_MS,
+  waitForLeaderUntil,
+} from '../core/leader_wait.js';
 import {addMark, floorSince, laterPosition, Marks} from '../core/marks.js';
 import {Place} from '../core/placement.js';
 import {Position} from '../core/position.js';
@@ -67,13 +72,7 @@
 /** Wait of a read for the first marks, before it goes to the leader. */
 const MARKS_WAIT_MS = 150;
 const MAX_TRIES = 5;
-/** Part of the objective for which a statement waits for a leader. */
-const LEADER_WAIT_PART = 0.2;
 const LEADER_POLL_MS = 15;
-/** Time until a change of primary is usually over. */
-const CHANGE_OF_PRIMARY_MS = 1_500;
-/** Least time in which a statement can be served. */
-const LEAST_BUDGET_MS = 10;
 
 interface Target {
   readonly entry: KnownDatabase;
@@ -89,6 +88,8 @@
   private readonly deposed = new Map<string, number>();
   /** When each service was last read from a replica's point of view. */
   private readonly readAtMs = new Map<string, number>();
+  /** Primaries that did not answer, by service. */
+  private readonly losses = new Map<string, {database: string; atMs: number}>();
   private readonly renewals = new Map<string, Promise<void>>();
   private workCount = 0;
 
@@ -175,6 +176,15 @@
     }
   }
 
+  /** When the present primary, or the last one, was found not to answer. */
+  private lostAtMs(
+    service: string,
+    leader: KnownDatabase | undefined,
+  ): number | undefined {
+    const loss = this.losses.get(service);
+    return !leader || leader.id === loss?.database ? loss?.atMs : undefined;
+  }
+
   /** Highest term that answers have shown; 0 when none has. */
   termOf(service: string): number {
     const marks = this.marks.get(service) ?? [];
@@ -272,13 +282,17 @@
     tried: ReadonlySet<string>,
     startedMs: number,
   ): Promise<KnownDatabase | undefined> {
-    const {route} = ask;
-    const untilMs = Math.min(
-      startedMs + route.objectiveMs * LEADER_WAIT_PART,
-      ask.deadlineMs - LEAST_BUDGET_MS,
-    );
+    const {route, deadlineMs} = ask;
+    const {objectiveMs} = route;
     for (;;) {
       const leader = this.leader(route.service);
+      const lostAtMs = this.lostAtMs(route.service, leader);
+      const untilMs = waitForLeaderUntil({
+        startedMs,
+        deadlineMs,
+        objectiveMs,
+        lostAtMs,
+      });
       const nowMs = performance.now();
       const avoided = (this.loads.get(leader?.id ?? '') ?? NO_LOAD)
         .avoidUntilMs;
@@ -348,6 +362,7 @@
         mode === WorkMode.open ||
         ask.access === Access.write;
       if (led) this.mark(entry.service, sentMs, reply);
+      if (led) this.losses.delete(entry.service);
       this.loads.set(entry.id, {
         ...known,
         waitMs: reply.waitMs ?? 0,
@@ -365,6 +380,8 @@
         return;
       case Fault.unreachable:
       case Fault.misrouted:
+        if (entry.id === this.leader(entry.service)?.id)
+          this.lose(entry, nowMs);
         this.loads.set(entry.id, {...known, avoidUntilMs: nowMs + AVOID_MS});
         return;
       default:
@@ -372,6 +389,11 @@
     }
   }
 
+  private lose({service, id}: KnownDatabase, atMs: number): void {
+    if (this.losses.get(service)?.database === id) return;
+    this.losses.set(service, {database: id, atMs});
+  }
+
   private mark(service: string, sentMs: number, reply: Reply): void {
     if (!reply.position) return;
     const marks = this.marks.get(service) ?? [];
--- a/test/front/decisions.test.ts
+++ b/test/front/decisions.test.ts
@@ -19,6 +19,7 @@
   FrontMember,
   holdersOf,
 } from '../../src/core/fronts.js';
+import {waitForLeaderUntil} from '../../src/core/leader_wait.js';
 import {
   addMark,
   floorSince,
@@ -337,6 +338,31 @@
   t.deepEqual(ranked({avoidUntilMs: 5}), ['lead']);
 });
 
+test('a primary goes dark under writes: they wait when its successor comes in time', t => {
+  const write = {startedMs: 0, deadlineMs: 780, objectiveMs: 600};
+  const until = (lostAtMs: number | undefined) =>
+    waitForLeaderUntil({...write, lostAtMs});
+  t.is(until(undefined), 120);
+  // Lost 900 ms ago: its successor leads in 600 ms.
+  t.is(until(-900), 600);
+  // Just lost: not over before the deadline, so the caller comes back.
+  t.is(until(-100), 120);
+  // Over by now, yet nobody leads: who knows for how long.
+  t.is(until(-5_000), 120);
+});
+
+test('a primary was replaced: reads do not go to what still claims to lead', t => {
+  const former = {...database('former', 'z1', 'r1'), isLeader: true};
+  const leader = {...database('leader', 'z2', 'r2'), isLeader: true};
+  const replica = database('replica', 'z2', 'r2');
+  const ranked = (lead: string | undefined) =>
+    rankForRead([former, leader, replica], lead, PLACE, () => NO_LOAD, 0).map(
+      e => e.id,
+    );
+  t.deepEqual(ranked('leader'), ['replica', 'leader']);
+  t.deepEqual(ranked(undefined), ['replica']);
+});
+
 test('each database has one first holder, near it, and leaving fronts are last', t => {
   const member = (vm: string, zone: string, leaving = false): FrontMember => ({
     vm,
--- /dev/null
+++ b/test/platform/worker.test.ts
@@ -0,0 +1,108 @@
+/** One database at a front: what waits when the database falls silent. */
+import {createServer, Server, Socket} from 'node:net';
+import test from 'ava';
+import {databaseCodec} from '../../platform/wire.js';
+import {putEntry} from '../../src/core/directory.js';
+import {Access, Reply, Work, WorkMode} from '../../src/core/work.js';
+import {DatabaseWorker} from '../../src/front/database_worker.js';
+import {freePort} from './fleet_fixture.js';
+
+/** Accepts connections and never answers, as behind a partition. */
+async function silentDatabase(): Promise<{port: number; close: () => void}> {
+  const sockets: Socket[] = [];
+  const server: Server = createServer(socket => sockets.push(socket));
+  const port = await freePort();
+  await new Promise<void>(done => server.listen(port, '127.0.0.1', done));
+  const close = (): void => {
+    sockets.forEach(socket => socket.destroy());
+    server.close();
+  };
+  return {port, close};
+}
+
+const read = (n: number): Work => ({
+  key: `k${n}`,
+  service: 's',
+  database: 'd',
+  customer: `c${n % 3}`,
+  requestId: `r${n}`,
+  text: 'READ a',
+  access: Access.read,
+  mode: WorkMode.single,
+  session: {values: [], prepared: undefined},
+  after: undefined,
+  priority: 1,
+  budgetMs: 1_500,
+});
+
+const workerAt = (port: number, isHolder: boolean): DatabaseWorker => {
+  const entry = {
+    id: 'd',
+    service: 's',
+    host: '127.0.0.1',
+    port,
+    zone: 'z',
+    slots: 2,
+    leaving: false,
+    coldLeftMs: 0,
+    isLeader: true,
+    bornMs: 1,
+  };
+  const place = {zone: 'z', region: 'r'};
+  const known = putEntry(new Map(), entry, place, 1).get('d');
+  return DatabaseWorker.create({
+    entry: known!,
+    codec: databaseCodec,
+    log: () => undefined,
+    connectionLimit: () => 4,
+    isHolder: () => isHolder,
+    isNear: true,
+    laneIdleMs: () => 1_000,
+  });
+};
+
+interface Timed {
+  readonly reply: Reply;
+  readonly tookMs: number;
+}
+
+async function timed(run: Promise<Reply>): Promise<Timed> {
+  const startedMs = performance.now();
+  const reply = await run;
+  return {reply, tookMs: performance.now() - startedMs};
+}
+
+test('a primary goes dark under load: a stand-in refuses soon and then at once', async t => {
+  const database = await silentDatabase();
+  const worker = workerAt(database.port, false);
+  t.teardown(() => {
+    worker.close();
+    database.close();
+  });
+  const first = await Promise.all(
+    Array.from({length: 12}, (_, n) => timed(worker.run(read(n), 'f'))),
+  );
+  t.true(first.every(({reply}) => !reply.ok));
+  t.true(
+    first.every(({tookMs}) => tookMs < 600),
+    `${Math.max(...first.map(({tookMs}) => tookMs))} ms`,
+  );
+  const next = await timed(worker.run(read(99), 'f'));
+  t.true(!next.reply.ok && next.tookMs < 50);
+});
+
+test('the holder of a silent database finds out while its first connection opens', async t => {
+  const database = await silentDatabase();
+  const worker = workerAt(database.port, true);
+  t.teardown(() => {
+    worker.close();
+    database.close();
+  });
+  const replies = await Promise.all(
+    Array.from({length: 12}, (_, n) => timed(worker.run(read(n), 'f'))),
+  );
+  t.true(
+    replies.every(({reply, tookMs}) => !reply.ok && tookMs < 1_200),
+    `${Math.max(...replies.map(({tookMs}) => tookMs))} ms`,
+  );
+});
