--- /dev/null
+++ b/src/core/connection_budget.ts
@@ -0,0 +1,45 @@
+/**
+ * How many connections a VM may hold at a database while others hold a part of
+ * what the database allows, as those of a VM that lost power do for a while.
+ */
+
+/** What is known of the room at a database. Immutable. */
+export interface ConnectionBudget {
+  /** Connections that were found possible; infinite while none was refused. */
+  readonly limit: number;
+  /** When another connection may be opened. */
+  readonly openAtMs: number;
+  /** When one connection more may be tried. */
+  readonly growAtMs: number;
+}
+
+/** Wait before a new connection after one was refused. */
+const REOPEN_PAUSE_MS = 120;
+
+export const FULL_BUDGET: ConnectionBudget = {
+  limit: Infinity,
+  openAtMs: 0,
+  growAtMs: 0,
+};
+
+/** Whether connections were refused of late. */
+export const isShrunk = (budget: ConnectionBudget): boolean =>
+  budget.limit !== Infinity;
+
+/** A connection was refused while `usable` others were open. */
+export function shrink(usable: number, nowMs: number): ConnectionBudget {
+  const againMs = nowMs + REOPEN_PAUSE_MS;
+  return {limit: Math.max(1, usable), openAtMs: againMs, growAtMs: againMs};
+}
+
+/** One connection more, when it is time, until the usual limit is reached. */
+export function grow(
+  budget: ConnectionBudget,
+  usualLimit: number,
+  nowMs: number,
+): ConnectionBudget {
+  if (!isShrunk(budget) || nowMs <= budget.growAtMs) return budget;
+  const limit = budget.limit + 1;
+  if (limit >= usualLimit) return {...FULL_BUDGET, openAtMs: budget.openAtMs};
+  return {...budget, limit, growAtMs: nowMs + REOPEN_PAUSE_MS};
+}
--- a/src/front/database_worker.ts
+++ b/src/front/database_worker.ts
@@ -2,6 +2,12 @@
  * Runs work at one database: a fair queue in front of what the database does at
  * once, connections bound to customers, and the transactions that hold some.
  */
+import {
+  FULL_BUDGET,
+  grow,
+  isShrunk,
+  shrink,
+} from '../core/connection_budget.js';
 import {chooseConnection} from '../core/connection_choice.js';
 import {KnownDatabase} from '../core/directory.js';
 import {addMark, Marks} from '../core/marks.js';
@@ -17,6 +23,7 @@
   WorkMode,
 } from '../core/work.js';
 import {WorkQueue} from '../core/work_queue.js';
+import {DatabaseHealth} from './database_health.js';
 import {DatabaseLink, LinkTarget, StepAnswer} from './database_link.js';
 import {askMark, OWN_CUSTOMER, probeDatabase} from './database_probe.js';
 import {JsonLog} from './json_log.js';
@@ -37,8 +44,6 @@
   readonly laneIdleMs: () => number;
 }
 
-/** Wait before a new connection after one was refused or failed. */
-const REOPEN_PAUSE_MS = 120;
 /** Silence of the database after which a new connection checks it. */
 const SILENCE_MS = 300;
 /** Wait of a stand-in for its first connection, before others are asked. */
@@ -87,8 +92,6 @@
 /** One database at one VM. */
 export class DatabaseWorker {
   readonly counts: WorkerCounts = {opened: 0, ran: 0, refused: 0};
-  /** Since when the database does not answer; undefined while it does. */
-  failingSinceMs: number | undefined;
   /** What the database has shown of its log while it led. */
   private proven: Marks = [];
   private entry: KnownDatabase;
@@ -98,11 +101,8 @@
   private connections: Connection[] = [];
   private inFlight = 0;
   private serviceMs = INITIAL_SERVICE_MS;
-  private heardAtMs = 0;
-  private reopenAtMs = 0;
-  private growAtMs = 0;
-  private shrunkTo = Infinity;
-  private probing = false;
+  private budget = FULL_BUDGET;
+  private readonly health: DatabaseHealth;
   private asking: Promise<PrimaryMark | undefined> | undefined;
   private closed = false;
   private laneCount = 0;
@@ -110,7 +110,15 @@
   private checks: NodeJS.Timeout | undefined;
 
   private constructor(private readonly options: WorkerOptions) {
+    const {id, service} = options.entry;
     this.entry = options.entry;
+    this.health = DatabaseHealth.create({
+      database: id,
+      service,
+      log: options.log,
+      probe: () => this.probe(),
+      onLost: () => this.failWaiting(),
+    });
   }
 
   static create(options: WorkerOptions): DatabaseWorker {
@@ -123,12 +131,12 @@
 
   /** When the database was last heard, on the steady clock. */
   get lastHeardMs(): number {
-    return this.heardAtMs;
+    return this.health.heardAtMs;
   }
 
   /** Whether the database is being checked, or has failed a check. */
   get isDoubtful(): boolean {
-    return this.probing || this.failingSinceMs !== undefined;
+    return this.health.isDoubtful;
   }
 
   /** Whether nothing is under way. */
@@ -266,7 +274,7 @@
       inFlight: this.inFlight,
       queued: this.queue.size,
       serviceMs: Math.round(this.serviceMs),
-      failing: this.failingSinceMs !== undefined,
+      failing: this.health.isFailing,
       ...this.counts,
     };
   }
@@ -287,7 +295,7 @@
 
   private enqueue(job: Job): void {
     const {work} = job;
-    if (this.failingSinceMs !== undefined) {
+    if (this.health.isFailing) {
       return this.finish(
         job,
         faultReply(Fault.unreachable, 'database does not answer'),
@@ -310,7 +318,7 @@
   }
 
   private connectionLimit(): number {
-    return Math.min(this.options.connectionLimit(), this.shrunkTo);
+    return Math.min(this.options.connectionLimit(), this.budget.limit);
   }
 
   private choose(customer: string) {
@@ -320,10 +328,10 @@
   private canServe(customer: string): boolean {
     const choice = this.choose(customer);
     if (choice.kind !== 'open') return choice.kind === 'use';
-    const isShrunk = this.shrunkTo !== Infinity;
     // One at a time: several would take each other's last place.
-    if (isShrunk && this.connections.some(c => c.isOpening)) return false;
-    return performance.now() >= this.reopenAtMs;
+    if (isShrunk(this.budget) && this.connections.some(c => c.isOpening))
+      return false;
+    return performance.now() >= this.budget.openAtMs;
   }
 
   private start(job: Job): void {
@@ -387,12 +395,10 @@
     setImmediate(() => this.pump());
   }
 
-  /** Others hold the rest, as a VM that lost power does for a while. */
+  /** Others hold the rest of what the database allows. */
   private shrink(): void {
     const usable = this.connections.filter(c => !c.isOpening).length;
-    this.shrunkTo = Math.max(1, usable);
-    this.reopenAtMs = performance.now() + REOPEN_PAUSE_MS;
-    this.growAtMs = this.reopenAtMs;
+    this.budget = shrink(usable, performance.now());
   }
 
   private wait(job: Job): void {
@@ -731,39 +737,11 @@
   }
 
   private heard(): void {
-    this.heardAtMs = performance.now();
-    if (this.failingSinceMs === undefined) return;
-    this.options.log('database_regained', {
-      database: this.entry.id,
-      service: this.entry.service,
-      afterMs: Math.round(this.heardAtMs - this.failingSinceMs),
-    });
-    this.failingSinceMs = undefined;
+    this.health.heard();
   }
 
-  /** Something went wrong: a new connection tells whether the database lives. */
   private suspect(text: string): void {
-    if (this.probing || this.closed) return;
-    this.probing = true;
-    const startedMs = performance.now();
-    void this.probe().then(alive => {
-      this.probing = false;
-      if (alive || this.heardAtMs > startedMs) return;
-      this.lose(text, startedMs);
-    });
-  }
-
-  /** The database does not answer: nothing waits for it here. */
-  private lose(text: string, sinceMs: number): void {
-    if (this.failingSinceMs !== undefined) return;
-    this.failingSinceMs = sinceMs;
-    this.options.log('database_lost', {
-      database: this.entry.id,
-      service: this.entry.service,
-      text,
-      silentMs: Math.round(sinceMs - this.heardAtMs),
-    });
-    this.failWaiting();
+    if (!this.closed) this.health.suspect(text);
   }
 
   /** Work that waits for a database that does not answer goes elsewhere. */
@@ -785,15 +763,6 @@
     }
   }
 
-  /** One connection more at a time, until the usual limit is reached. */
-  private grow(): void {
-    this.shrunkTo++;
-    this.growAtMs = performance.now() + REOPEN_PAUSE_MS;
-    if (this.shrunkTo >= this.options.connectionLimit()) {
-      this.shrunkTo = Infinity;
-    }
-  }
-
   /** Whether this stand-in has yet to reach the database. */
   private get isTrial(): boolean {
     const {connections} = this;
@@ -811,16 +780,16 @@
 
   private check(): void {
     const nowMs = performance.now();
-    if (this.failingSinceMs !== undefined) return this.suspect('still silent');
-    if (this.shrunkTo !== Infinity && nowMs > this.growAtMs) this.grow();
+    if (this.health.isFailing) return this.suspect('still silent');
+    this.budget = grow(this.budget, this.options.connectionLimit(), nowMs);
     const waitedMs = this.longestWaitMs(nowMs);
-    const silentMs = Math.min(waitedMs, nowMs - this.heardAtMs);
+    const silentMs = Math.min(waitedMs, nowMs - this.lastHeardMs);
     if (silentMs > SILENCE_MS) this.suspect('silent');
     if (this.isTrial && silentMs > TRIAL_MS) {
-      return this.lose('silent to a stand-in', nowMs);
+      return this.health.lose('silent to a stand-in', nowMs);
     }
     if (this.queue.size > 0) this.pump();
-    if (this.jobs.size > 0 || this.shrunkTo !== Infinity) return;
+    if (this.jobs.size > 0 || isShrunk(this.budget)) return;
     clearInterval(this.checks);
     this.checks = undefined;
   }
--- a/test/front/decisions.test.ts
+++ b/test/front/decisions.test.ts
@@ -1,6 +1,7 @@
 /** The fronts' pure decisions; each load test names the pattern it answers. */
 import test from 'ava';
 import fc from 'fast-check';
+import {grow, isShrunk, shrink} from '../../src/core/connection_budget.js';
 import {chooseConnection, Held} from '../../src/core/connection_choice.js';
 import {
   DatabaseEntry,
@@ -247,6 +248,18 @@
   t.is(chooseConnection(full, 'a', 3).kind, 'use');
 });
 
+test('a VM lost power and its connections linger: room is found again one at a time', t => {
+  let budget = shrink(3, 1_000);
+  t.is(budget.limit, 3);
+  t.is(grow(budget, 6, 1_100).limit, 3);
+  t.true(budget.openAtMs > 1_100);
+  budget = grow(budget, 6, 1_121);
+  t.is(budget.limit, 4);
+  budget = grow(grow(budget, 6, 1_242), 6, 1_363);
+  t.false(isShrunk(budget));
+  t.is(shrink(0, 0).limit, 1);
+});
+
 test('a customer that rests in transactions leaves the last connections to others', t => {
   const resting = Array.from({length: 8}, () => held('hot', 'pinned'));
   const busy = [
