Measure overload by policy in virtual time

npm run bench -- overload: one database at both sites' figures and at ten times their size, at one, two and four times the usual load; the fronts' queue and choice of connections beside two baselines and one alternative.

--- a/bench/run.ts
+++ b/bench/run.ts
@@ -1,6 +1,7 @@
-/** `npm run bench -- path|policy|faults|slopes [--seconds N]`. */
+/** `npm run bench -- path|policy|overload|faults|slopes [--seconds N]`. */
 import {cac} from 'cac';
 import {benchFaults} from './faults.js';
+import {benchOverload} from './overload.js';
 import {benchPath} from './path.js';
 import {benchPolicy} from './policy.js';
 import {benchSlopes} from './slopes.js';
@@ -14,13 +15,17 @@
 > = {
   path: benchPath,
   policy: benchPolicy,
+  overload: benchOverload,
   faults: benchFaults,
   slopes: benchSlopes,
 };
 
 const cli = cac('bench');
 cli
-  .command('<name>', 'run one benchmark: path, policy, faults or slopes')
+  .command(
+    '<name>',
+    'run one benchmark: path, policy, overload, faults or slopes',
+  )
   .option('--seconds <n>', 'time for each figure', {default: 3})
   .example('npm run bench -- path')
   .action(async (name: string, options: {seconds: number}) => {
