Read shares of rates only when they change, and hash names cheaply

Cause: every 100 ms each front read its share of every customer's rate anew. Each read listed and parsed all registered fronts (isNewcomer), and each change among the fronts ranked all fronts for every customer with one SHA-1 a pair. Both grow with fleet times customers.

Change: RateShares keeps committees a set of fronts, FrontList decodes an entry once and gives the same set while no entry changed, the keeper reads shares only when what they depend on is another object. Names are ranked with MurmurHash3 (imurmurhash), the key hashed once. Garbage in a front's entry is logged, it threw before.

Ruled out: marks, registration and relay calls: 20% of an idle front together.

--- a/src/core/fronts.ts
+++ b/src/core/fronts.ts
@@ -1,5 +1,5 @@
 /** The fronts that are registered, and which of them holds a database. */
-import {Candidate, Place, rankOwners, score} from './placement.js';
+import {Candidate, Place, rankByScore, rankOwners} from './placement.js';
 import {Rate} from './rates.js';
 
 /** One registered front. */
@@ -61,11 +61,8 @@
   customer: string,
   size: number,
 ): FrontMember[] {
-  const ranked = [...fronts.values()]
-    .filter(front => !front.leaving)
-    .map(front => ({front, points: score(customer, front.vm)}))
-    .sort((a, b) => b.points - a.points)
-    .map(entry => entry.front);
+  const staying = [...fronts.values()].filter(front => !front.leaving);
+  const ranked = rankByScore(customer, staying);
   const regions = new Set<string>();
   const spread = ranked.filter(({place}) => {
     const isFirst = !regions.has(place.region);
--- a/src/core/placement.ts
+++ b/src/core/placement.ts
@@ -3,7 +3,7 @@
  * VMs nearest to the group. VMs with differing membership views may disagree;
  * a request then takes a longer way but is still served.
  */
-import {createHash} from 'node:crypto';
+import murmur from 'imurmurhash';
 
 /** Where a VM or database is. */
 export interface Place {
@@ -17,14 +17,33 @@
   readonly place: Place;
 }
 
-const SCORE_BYTES = 6;
+const seedOf = (key: string): number => murmur(key).result();
 
 /** The rendezvous score of a VM for a key; the highest score wins. */
-export function score(key: string, vm: string): number {
-  return createHash('sha1')
-    .update(`${key}\0${vm}`)
-    .digest()
-    .readUIntBE(0, SCORE_BYTES);
+export const score = (key: string, vm: string, seed = seedOf(key)): number =>
+  murmur(vm, seed).result();
+
+interface Scored {
+  readonly vm: string;
+  readonly points: number;
+}
+
+/** Highest score first; equal scores by name, so that all VMs rank alike. */
+const byScore = (a: Scored, b: Scored): number =>
+  b.points - a.points || (a.vm < b.vm ? -1 : 1);
+
+/** Orders VMs by their score for a key, best first. */
+export function rankByScore<T extends {readonly vm: string}>(
+  key: string,
+  members: readonly T[],
+): T[] {
+  const seed = seedOf(key);
+  const scored = members.map(member => ({
+    member,
+    vm: member.vm,
+    points: score(key, member.vm, seed),
+  }));
+  return scored.sort(byScore).map(entry => entry.member);
 }
 
 /** Distance classes between two places. */
@@ -45,10 +64,11 @@
 ): Candidate[] {
   const scored = candidates.map(candidate => ({
     candidate,
+    vm: candidate.vm,
     nearness: distance(candidate.place, home),
-    score: score(key, candidate.vm),
+    points: score(key, candidate.vm),
   }));
-  scored.sort((a, b) => a.nearness - b.nearness || b.score - a.score);
+  scored.sort((a, b) => a.nearness - b.nearness || byScore(a, b));
   return scored.map(entry => entry.candidate);
 }
 
@@ -65,7 +85,11 @@
     const nearness = distance(candidate.place, home);
     if (nearness > bestNearness) continue;
     const points = score(key, candidate.vm);
-    if (nearness < bestNearness || points > bestScore) {
+    const isEqual = points === bestScore && nearness === bestNearness;
+    const isBetter = isEqual
+      ? best !== undefined && candidate.vm < best.vm
+      : nearness < bestNearness || points > bestScore;
+    if (isBetter) {
       best = candidate;
       bestNearness = nearness;
       bestScore = points;
--- a/src/core/relay.ts
+++ b/src/core/relay.ts
@@ -4,8 +4,8 @@
  */
 import {StoreEvent} from '../store/key_values.js';
 import {ClockReading} from './freshness.js';
-import {Fronts} from './fronts.js';
-import {score} from './placement.js';
+import {FrontMember, Fronts} from './fronts.js';
+import {rankByScore} from './placement.js';
 
 /** A change as passed on; `changed`: too large to pass, ask the store. */
 export type RelayedEvent =
@@ -16,6 +16,25 @@
 const CANDIDATES = 2;
 const RANKED_FOR = 'changes';
 
+const candidatesOf = new WeakMap<Fronts, Map<string, readonly FrontMember[]>>();
+
+/** Fronts of a region that may watch the store, best first; kept a set of fronts. */
+function relayCandidates(
+  fronts: Fronts,
+  region: string,
+): readonly FrontMember[] {
+  const byRegion = candidatesOf.get(fronts) ?? new Map();
+  candidatesOf.set(fronts, byRegion);
+  const known = byRegion.get(region);
+  if (known) return known;
+  const staying = [...fronts.values()].filter(
+    front => !front.leaving && front.place.region === region,
+  );
+  const candidates = rankByScore(RANKED_FOR, staying).slice(0, CANDIDATES);
+  byRegion.set(region, candidates);
+  return candidates;
+}
+
 /**
  * The front of the own region that is asked for changes; undefined when this
  * front should ask the store itself. All fronts rank alike, so that one front a
@@ -27,12 +46,8 @@
   region: string,
   isUsable: (vm: string) => boolean,
 ): string | undefined {
-  const ranked = [...fronts.values()]
-    .filter(front => !front.leaving && front.place.region === region)
-    .map(({vm}) => ({vm, points: score(RANKED_FOR, vm)}))
-    .sort((a, b) => b.points - a.points)
-    .slice(0, CANDIDATES);
-  const first = ranked.find(({vm}) => vm === self || isUsable(vm));
+  const candidates = relayCandidates(fronts, region);
+  const first = candidates.find(({vm}) => vm === self || isUsable(vm));
   return first?.vm === self ? undefined : first?.vm;
 }
 
--- a/src/front/dispatcher.ts
+++ b/src/front/dispatcher.ts
@@ -201,7 +201,6 @@
 
   /** Takes in changes of the directory and of the fronts. */
   refresh(): void {
-    this.ranked.clear();
     const directory = this.options.directory();
     for (const [id, worker] of this.workers) {
       const entry = directory.get(id);
--- a/src/front/front.ts
+++ b/src/front/front.ts
@@ -6,14 +6,9 @@
 import {createServer, Server, Socket} from 'node:net';
 import {map, merge, Subscription} from 'rxjs';
 import {FrontConfig} from '../core/front_config.js';
-import {
-  committeeOf,
-  committeeSize,
-  FrontMember,
-  Fronts,
-} from '../core/fronts.js';
+import {Fronts} from '../core/fronts.js';
 import {proofLimitMs} from '../core/freshness.js';
-import {LentStretch} from '../core/rates.js';
+import {LentStretch, Rate} from '../core/rates.js';
 import {Reply, Work} from '../core/work.js';
 import {relayFor} from '../core/relay.js';
 import {Lifecycle} from '../proxy/lifecycle.js';
@@ -23,12 +18,14 @@
 import {FollowRequest, RelayedChanges} from './change_relay.js';
 import {Dispatcher, PeerMethodName} from './dispatcher.js';
 import {Duty} from './duty.js';
+import {FrontList, memberKey} from './front_list.js';
 import {FrontMetrics} from './front_metrics.js';
 import {Address, FrontSettings} from './front_settings.js';
 import {JsonLog} from './json_log.js';
 import {PeerMethod, servePeers} from './peer_service.js';
 import {Promote} from './promoter.js';
-import {frontsIn, Registration} from './registration.js';
+import {RateShares} from './rate_shares.js';
+import {Registration} from './registration.js';
 import {Router} from './router.js';
 import {Relay, StoreFeed, StoreLayout} from './store_feed.js';
 import {TakeoverRunner} from './takeover_runner.js';
@@ -86,11 +83,12 @@
   private readonly metrics = FrontMetrics.create();
   private readonly host: SessionHost;
   private stopping = false;
-  private frontItems: unknown;
-  private knownFronts: Fronts = new Map();
-  /** What the known committees were chosen from. */
-  private committeesFor: {fronts?: Fronts; config?: FrontConfig} = {};
-  private readonly committees = new Map<string, readonly FrontMember[]>();
+  private readonly frontList: FrontList;
+  private readonly shares: RateShares;
+  private ratesOfConfig: {
+    readonly config?: FrontConfig;
+    readonly rates: ReadonlyMap<string, Rate>;
+  } = {rates: new Map()};
   private readonly startedAtMs = performance.now();
 
   private constructor(
@@ -115,6 +113,14 @@
       log,
     });
     this.dispatcher = this.createDispatcher();
+    this.frontList = FrontList.create(layout.ownPrefix, log);
+    this.shares = RateShares.create({
+      self: settings.vm,
+      place: settings.place,
+      fronts: () => this.fronts(),
+      config: () => this.feed.config,
+      mayAccrue: () => this.mayAccrue,
+    });
     this.router = Router.create({
       self: settings.vm,
       place: settings.place,
@@ -195,12 +201,7 @@
   }
 
   private fronts(): Fronts {
-    const items = this.feed.own$.value;
-    if (items !== this.frontItems) {
-      this.frontItems = items;
-      this.knownFronts = frontsIn(items, this.ports.layout.ownPrefix);
-    }
-    return this.knownFronts;
+    return this.frontList.in(this.feed.own$.value);
   }
 
   /** The front that is asked for the store's changes; undefined: the store is. */
@@ -233,13 +234,9 @@
 
   private createRates(): RateKeeper {
     return RateKeeper.create({
-      rates: () => {
-        const config = this.feed.config;
-        if (!config) return undefined;
-        return new Map([...config.customers].map(([n, c]) => [n, c.rate]));
-      },
+      rates: () => this.customerRates(),
       changed$: this.feed.config$,
-      lenders: customer => this.lenders(customer),
+      lenders: customer => this.shares.lendersOf(customer),
       maxLenders: LENDERS_A_ROUND,
       maxWaitMs: RATE_WAIT_MS,
       accruesFromMs: () => this.heldSharesFromMs(),
@@ -249,10 +246,23 @@
         const call = link.call<LentStretch[]>(PeerMethodName.lend, request);
         return withTimeout(call, LEND_TIMEOUT_MS);
       },
-      share: customer => this.share(customer),
+      share: customer => this.shares.shareOf(customer),
+      sharesBasis: () => this.shares.basis,
     });
   }
 
+  private customerRates(): ReadonlyMap<string, Rate> | undefined {
+    const {config} = this.feed;
+    if (!config) return undefined;
+    if (config !== this.ratesOfConfig.config) {
+      const rates = new Map(
+        [...config.customers].map(([name, {rate}]) => [name, rate]),
+      );
+      this.ratesOfConfig = {config, rates};
+    }
+    return this.ratesOfConfig.rates;
+  }
+
   /** A front that starts again under its name held its shares meanwhile. */
   private heldSharesFromMs(): number {
     const nowMs = performance.now();
@@ -262,56 +272,23 @@
 
   /** Joined a fleet that was running, too lately for all to know. */
   private get isNewcomer(): boolean {
-    const {ownAtStart} = this.feed;
-    const others = frontsIn(ownAtStart, this.ports.layout.ownPrefix).size;
-    const joined = others > 0 && !ownAtStart.has(this.registration.key);
     const ageMs = performance.now() - this.startedAtMs;
-    return joined && ageMs < NEWCOMER_WAIT_MS;
-  }
-
-  private committee(customer: string): readonly FrontMember[] {
-    const fronts = this.fronts();
-    const {config} = this.feed;
-    const isKnown =
-      fronts === this.committeesFor.fronts &&
-      config === this.committeesFor.config;
-    if (!isKnown) {
-      this.committeesFor = {fronts, config};
-      this.committees.clear();
-    }
-    let members = this.committees.get(customer);
-    if (!members) {
-      const rate = config?.customers.get(customer)?.rate;
-      const size = rate ? committeeSize(rate) : 0;
-      members = committeeOf(fronts, customer, size);
-      this.committees.set(customer, members);
-    }
-    return members;
-  }
-
-  /** Fronts that accrue a customer's rate, those of the own region first. */
-  private lenders(customer: string): string[] {
-    const {vm, place} = this.settings;
-    const others = this.committee(customer).filter(front => front.vm !== vm);
-    const isNear = (front: FrontMember): boolean =>
-      front.place.region === place.region;
-    return [
-      ...others.filter(isNear),
-      ...others.filter(front => !isNear(front)),
-    ].map(front => front.vm);
+    if (ageMs >= NEWCOMER_WAIT_MS) return false;
+    const {ownAtStart} = this.feed;
+    const others = memberKey(this.ports.layout.ownPrefix, '');
+    const wasRunning = [...ownAtStart.keys()].some(key =>
+      key.startsWith(others),
+    );
+    return wasRunning && !ownAtStart.has(this.registration.key);
   }
 
   /**
-   * An equal share among a customer's committee; none while out of touch or when
-   * others may take this front for gone, nor for a front that was not registered until those whose place it takes must
-   * have learned of it.
+   * Whether this front accrues its shares of rates: not while out of touch or
+   * when others may take it for gone, nor, if it was not registered, until those
+   * whose place it takes must have learned of it.
    */
-  private share(customer: string): number {
-    if (!this.feed.isFresh || this.isNewcomer) return 0;
-    if (!this.registration.isCovered) return 0;
-    const members = this.committee(customer);
-    const isMember = members.some(front => front.vm === this.settings.vm);
-    return isMember ? 1 / members.length : 0;
+  private get mayAccrue(): boolean {
+    return this.feed.isFresh && !this.isNewcomer && this.registration.isCovered;
   }
 
   private createDuty(): Duty {
--- a/src/front/registration.ts
+++ b/src/front/registration.ts
@@ -5,9 +5,10 @@
 import {randomBytes} from 'node:crypto';
 import {Subscription} from 'rxjs';
 import {ageMs, ClockReading} from '../core/freshness.js';
-import {FrontMember, Fronts} from '../core/fronts.js';
-import {KeyValues, StoredItem, StoreFaultKind} from '../store/key_values.js';
+import {FrontMember} from '../core/fronts.js';
+import {KeyValues, StoreFaultKind} from '../store/key_values.js';
 import {readClocks, StoreFeed} from './store_feed.js';
+import {memberKey} from './front_list.js';
 import {JsonLog} from './json_log.js';
 
 /** What a registration needs. */
@@ -27,24 +28,8 @@
 const RETRY_MS = 500;
 const SECRET_BYTES = 24;
 
-const memberKey = (prefix: string, vm: string): string =>
-  `${prefix}fronts/${vm}`;
 const secretKey = (prefix: string): string => `${prefix}secret`;
 
-/** Reads the registered fronts from the items under the own prefix. */
-export function frontsIn(
-  items: ReadonlyMap<string, StoredItem>,
-  prefix: string,
-): Fronts {
-  const fronts = new Map<string, FrontMember>();
-  for (const [key, item] of items) {
-    if (!key.startsWith(memberKey(prefix, ''))) continue;
-    const member = JSON.parse(item.value.toString('utf8')) as FrontMember;
-    fronts.set(member.vm, member);
-  }
-  return fronts;
-}
-
 /** This front's entry in the store. */
 export class Registration {
   private leaseId = 0;
--- a/src/front/store_feed.ts
+++ b/src/front/store_feed.ts
@@ -290,7 +290,8 @@
   private takeEvents(events: readonly StoreEvent[], revision: number): void {
     const {layout} = this.options;
     let directory = this.directory;
-    let own = this.own$.value;
+    const own = this.own$.value;
+    let ownDraft: Map<string, StoredItem> | undefined;
     for (const event of events) {
       const {key} = event;
       if (key === layout.configKey) {
@@ -298,13 +299,15 @@
       } else if (key.startsWith(layout.databasePrefix)) {
         directory = this.takeDatabase(directory, event);
       } else if (key.startsWith(layout.ownPrefix)) {
-        own = takeOwn(own, event);
+        ownDraft ??= new Map(own);
+        if (event.kind === 'put') ownDraft.set(key, event);
+        else ownDraft.delete(key);
       }
     }
     this.changes.record(events);
     this.revision = Math.max(this.revision, revision);
     if (directory !== this.directory) this.directory$.next(directory);
-    if (own !== this.own$.value) this.own$.next(own);
+    if (ownDraft) this.own$.next(ownDraft);
   }
 
   private takeConfig(bytes: Buffer): void {
@@ -381,13 +384,3 @@
     if (next !== this.directory) this.directory$.next(next);
   }
 }
-
-function takeOwn(
-  own: ReadonlyMap<string, StoredItem>,
-  event: StoreEvent,
-): ReadonlyMap<string, StoredItem> {
-  const next = new Map(own);
-  if (event.kind === 'put') next.set(event.key, event);
-  else next.delete(event.key);
-  return next;
-}
--- a/src/proxy/rate_keeper.ts
+++ b/src/proxy/rate_keeper.ts
@@ -50,6 +50,11 @@
   readonly nowMs?: () => number;
   /** This VM's present share of a customer's rate, 0 to 1. */
   readonly share: (customer: string) => number;
+  /**
+   * What the shares depend on: they are read again only when this is another
+   * object. By default they are read at each refresh.
+   */
+  readonly sharesBasis?: () => object;
 }
 
 interface Waiter {
@@ -99,6 +104,8 @@
   private readonly subscriptions = new Subscription();
   /** Customers that the first configuration seen here already held. */
   private known: ReadonlySet<string> | undefined;
+  /** Rates and shares that the accounts were last brought to. */
+  private applied: {readonly rates: object; readonly basis: object} | undefined;
 
   private readonly nowMs: () => number;
 
@@ -192,6 +199,10 @@
   private reshapeAll(): void {
     const rates = this.options.rates();
     if (!rates) return;
+    const basis = this.options.sharesBasis?.() ?? {};
+    const {applied} = this;
+    if (applied?.rates === rates && applied.basis === basis) return;
+    this.applied = {rates, basis};
     const nowMs = this.nowMs();
     for (const [customer, rate] of rates) {
       const share = this.options.share(customer);
--- a/test/front/rate_refusals.test.ts
+++ b/test/front/rate_refusals.test.ts
@@ -120,3 +120,29 @@
     keeper.close();
   },
 );
+
+test('shares are not read again while what they depend on is the same', async t => {
+  let reads = 0;
+  let basis = {};
+  const rates = new Map([['hot', {ratePerS: 20, burst: 20}]]);
+  const keeper = RateKeeper.create({
+    rates: () => rates,
+    changed$: NEVER,
+    lenders: () => [],
+    nowMs: () => Date.now(),
+    share: () => {
+      reads++;
+      return 1;
+    },
+    sharesBasis: () => basis,
+    askLender: () => Promise.resolve([]),
+  });
+  await advance(500);
+  const settled = reads;
+  await advance(2_000);
+  t.is(reads, settled);
+  basis = {};
+  await advance(200);
+  t.true(reads > settled);
+  keeper.close();
+});
