Retire a former primary before another is ordered, where nothing fences it

Cause: where the platform does not check fences, a former primary goes on until it is told to step down. A former primary that was listed anew was taken for the leader, and a late order could not be made void. A holder that had been frozen trusted the steady clock alone for its lease.

Change: the holder of the duty writes a record of who is to lead, on condition of its duty; a front uses a database as primary only as far as records allow and only with proof of its entry and of the store. An order goes out once the former primary has confirmed that it steps down, all fronts have stopped using it, or those that do not answer have outlived their proof; the logs are then read once more. While an order may still be carried out nothing else is ordered.

Ruled out: commits at the former primary (its replicas are stopped by then).

--- a/model/check.ts
+++ b/model/check.ts
@@ -17,7 +17,11 @@
   SystemEvent,
 } from './failover_model.js';
 import {ratesModel, SAFE_RATE_RULES} from './rates_model.js';
-import {SAFE_TAKEOVER_RULES, takeoverModel} from './takeover_model.js';
+import {
+  SAFE_TAKEOVER_RULES,
+  takeoverModel,
+  UNFENCED_TAKEOVER_RULES,
+} from './takeover_model.js';
 import {SAFE_TAKEOVER} from '../src/core/takeover.js';
 
 /** Result of all checks. */
@@ -103,6 +107,7 @@
   rates('rate shares'),
   config('configuration'),
   takeover('takeover on a platform'),
+  takeover('takeover where fences are not checked', UNFENCED_TAKEOVER_RULES),
 ];
 
 const withoutSequence: ConfirmRule = (state, commit) => {
@@ -218,6 +223,21 @@
   takeover('orders of earlier holders are not considered', {
     doubtsEarlierHolders: false,
   }),
+  takeover('a higher fence is relied on though none is checked', {
+    checksFence: false,
+  }),
+  takeover('unchecked: replicas receive while an order is outstanding', {
+    ...UNFENCED_TAKEOVER_RULES,
+    resumesInDoubt: true,
+  }),
+  takeover('unchecked: the old primary is named again despite an order', {
+    ...UNFENCED_TAKEOVER_RULES,
+    insists: false,
+  }),
+  takeover('unchecked: orders of earlier holders are not considered', {
+    ...UNFENCED_TAKEOVER_RULES,
+    doubtsEarlierHolders: false,
+  }),
 ];
 
 /** Checks every model and every mutant. */
--- a/model/takeover_model.ts
+++ b/model/takeover_model.ts
@@ -1,7 +1,7 @@
 /**
  * Takeover on a platform that arbitrates terms: three databases, a commit is
  * acknowledged once a replica holds it, replicas can be stopped, orders to
- * promote are fenced and may be carried out late.
+ * promote may be carried out late. The platform checks their fences, or does not.
  */
 import {
   chooseTakeover,
@@ -67,6 +67,13 @@
   readonly raisesFence: boolean;
   /** Whether a new holder takes orders of earlier ones into account. */
   readonly doubtsEarlierHolders: boolean;
+  /** Whether the platform refuses an order with a lower fence than it has seen. */
+  readonly checksFence: boolean;
+  /**
+   * Without that check: whether only the database of an order that may still be
+   * carried out is ordered, or named as the leader again.
+   */
+  readonly insists: boolean;
 }
 
 export const SAFE_TAKEOVER_RULES: TakeoverModelRules = {
@@ -74,6 +81,15 @@
   resumesInDoubt: false,
   raisesFence: true,
   doubtsEarlierHolders: true,
+  checksFence: true,
+  insists: false,
+};
+
+/** The rules where the platform does not check fences. */
+export const UNFENCED_TAKEOVER_RULES: TakeoverModelRules = {
+  ...SAFE_TAKEOVER_RULES,
+  checksFence: false,
+  insists: true,
 };
 
 const MAX_COMMITS = 3;
@@ -124,15 +140,19 @@
     if (database === system.knownLeader) return;
     events.push({type: 'stop', database});
   });
-  if (
-    system.orders.length < MAX_ORDERS &&
-    choice(system, rules) !== undefined
-  ) {
+  const chosen = choice(system, rules);
+  const isAllowed = chosen !== undefined && mayLead(system, chosen, rules);
+  if (system.orders.length < MAX_ORDERS && isAllowed) {
     events.push({type: 'order'});
   }
   system.orders.forEach((_, order) => events.push({type: 'carryOut', order}));
   if (!system.inDoubt || rules.resumesInDoubt) events.push({type: 'giveUp'});
-  else events.push({type: 'observe'}, {type: 'confirmLeader'});
+  else {
+    events.push({type: 'observe'});
+    if (mayLead(system, system.leader, rules)) {
+      events.push({type: 'confirmLeader'});
+    }
+  }
   if (system.holderChanges === 0) events.push({type: 'changeHolder'});
   return events;
 }
@@ -155,6 +175,19 @@
   return !stopped && isPrefix && log.length < from.length;
 }
 
+/**
+ * Whether a database may be made the leader, or named again. Where fences are
+ * not checked, an order is waited for until it cannot be carried out any more.
+ */
+function mayLead(
+  system: TakeoverSystem,
+  database: number,
+  {insists}: TakeoverModelRules,
+): boolean {
+  if (!insists) return true;
+  return system.orders.every(order => order.database === database);
+}
+
 /** What the holder would order from what it has seen. */
 function choice(
   system: TakeoverSystem,
@@ -168,7 +201,13 @@
   });
   if (logs.length === 0) return undefined;
   const group = {size: 3, syncReplicas: 1};
-  const chosen = chooseTakeover(group, logs, rules.takeover);
+  const preferred = rules.insists ? system.orders[0]?.database : undefined;
+  const chosen = chooseTakeover(
+    group,
+    logs,
+    rules.takeover,
+    preferred === undefined ? undefined : String(preferred),
+  );
   return chosen.kind === 'promote' ? Number(chosen.database) : undefined;
 }
 
@@ -194,11 +233,11 @@
       return append(system, event.database, id, {});
     }
     case 'stop':
-      return stop(system, event.database);
+      return stop(system, event.database, rules);
     case 'order':
       return order(system, rules);
     case 'carryOut':
-      return carryOut(system, event.order);
+      return carryOut(system, event.order, rules);
     case 'giveUp':
       return {
         ...resumeAll(system),
@@ -206,7 +245,7 @@
         knownLeader: system.leader,
       };
     case 'observe':
-      return observe(system);
+      return observe(system, rules);
     case 'changeHolder':
       return {
         ...system,
@@ -217,7 +256,16 @@
         holderChanges: 1,
       };
     case 'confirmLeader':
-      // Ordering the present primary changes nothing but the highest fence.
+      // Naming the present primary again ends the attempt.
+      if (rules.insists) {
+        return {
+          ...resumeAll(system),
+          seen: NONE_SEEN,
+          knownLeader: system.leader,
+          inDoubt: false,
+        };
+      }
+      // Ordering it changes nothing but the highest fence.
       return {
         ...system,
         fence: system.fence + 1,
@@ -239,9 +287,13 @@
   return {...system, ...extra, databases};
 }
 
-function stop(system: TakeoverSystem, database: number): TakeoverSystem {
+function stop(
+  system: TakeoverSystem,
+  database: number,
+  rules: TakeoverModelRules,
+): TakeoverSystem {
   // The database reports that it leads: the holder begins anew.
-  if (database === system.leader) return observe(system);
+  if (database === system.leader) return observe(system, rules);
   const {log} = system.databases[database];
   return {
     ...system,
@@ -274,10 +326,15 @@
 }
 
 /** The platform carries an order out, unless a higher fence came before. */
-function carryOut(system: TakeoverSystem, index: number): TakeoverSystem {
+function carryOut(
+  system: TakeoverSystem,
+  index: number,
+  {checksFence}: TakeoverModelRules,
+): TakeoverSystem {
   const {database, fence} = system.orders[index];
   const orders = system.orders.filter((_, at) => at !== index);
-  const refused = fence < system.seenFence || database === system.leader;
+  const isOutdated = checksFence && fence < system.seenFence;
+  const refused = isOutdated || database === system.leader;
   const seenFence = Math.max(fence, system.seenFence);
   if (refused) return {...system, orders, seenFence};
   const {log} = system.databases[database];
@@ -295,8 +352,13 @@
 }
 
 /** The holder sees who leads; without open orders replicas may receive. */
-function observe(system: TakeoverSystem): TakeoverSystem {
+function observe(
+  system: TakeoverSystem,
+  rules: TakeoverModelRules,
+): TakeoverSystem {
   const seen = {...system, seen: NONE_SEEN, knownLeader: system.leader};
+  if (!mayLead(system, system.leader, rules)) return seen;
+  if (rules.insists && system.orders.length > 0) return resumeAll(seen);
   const open = system.orders.some(({fence}) => fence === system.fence);
   if (open || system.seenFence < system.fence) return seen;
   return {...resumeAll(seen), inDoubt: false};
--- a/src/core/takeover.ts
+++ b/src/core/takeover.ts
@@ -45,11 +45,12 @@
 
 export const SAFE_TAKEOVER: TakeoverRules = {logsNeeded, isBetter: isFurther};
 
-/** Chooses among the logs that are known. */
+/** Chooses among the logs that are known; `preferred` among equals. */
 export function chooseTakeover(
   group: TakeoverGroup,
   logs: readonly StoppedLog[],
   rules: TakeoverRules = SAFE_TAKEOVER,
+  preferred?: string,
 ): TakeoverChoice {
   const missing = rules.logsNeeded(group) - logs.length;
   if (missing > 0) return {kind: 'need_logs', missing};
@@ -62,7 +63,8 @@
   if (fit.length === 0) return {kind: 'catch_up'};
   // The same choice at every front, so that a late order and a new one agree.
   const names = fit.map(log => log.database).sort();
-  return {kind: 'promote', database: names[0]};
+  const isFit = preferred !== undefined && names.includes(preferred);
+  return {kind: 'promote', database: isFit ? preferred : names[0]};
 }
 
 /** Votes on whether a primary answers; silent voters do not count. */
--- a/src/front/database_worker.ts
+++ b/src/front/database_worker.ts
@@ -37,6 +37,8 @@
   readonly log: JsonLog;
   /** Connections that this VM may hold at the database. */
   readonly connectionLimit: () => number;
+  /** Whether this VM may use the database as primary at this moment. */
+  readonly mayUseAsPrimary: () => boolean;
   /** Whether this VM should hold the database's connections. */
   readonly isHolder: () => boolean;
   /** Round trip to the database, for how much may be on its way. */
@@ -70,6 +72,8 @@
   readonly id: string;
   readonly connection: Connection;
   readonly origin: string;
+  /** Only a primary runs it. */
+  readonly isPlain: boolean;
   timer?: NodeJS.Timeout;
 }
 
@@ -82,6 +86,12 @@
   over: boolean;
 }
 
+/** Whether work that is no part of a transaction runs at a primary only. */
+const needsPrimary = ({mode, access}: Work): boolean =>
+  mode === WorkMode.fenced ||
+  mode === WorkMode.open ||
+  (mode === WorkMode.single && access !== Access.read);
+
 /** Counts that tell how a worker does. */
 export interface WorkerCounts {
   opened: number;
@@ -125,6 +135,23 @@
     return new DatabaseWorker(options);
   }
 
+  /** The database as last listed. */
+  get database(): KnownDatabase {
+    return this.entry;
+  }
+
+  /** Ends transactions and statements that only a primary may run. */
+  stopLeading(): void {
+    for (const connection of [...this.connections]) {
+      const {lane, job} = connection;
+      const isLeading =
+        lane?.isPlain === true || (job !== undefined && needsPrimary(job.work));
+      if (isLeading && !connection.isOpening) {
+        connection.link.close('another database is to lead');
+      }
+    }
+  }
+
   update(entry: KnownDatabase): void {
     this.entry = entry;
   }
@@ -201,6 +228,7 @@
 
   /** Marks of this database as a leader; asks it when the newest is old. */
   async marks(): Promise<Marks> {
+    if (!this.options.mayUseAsPrimary()) return this.proven;
     const newest = this.proven[this.proven.length - 1];
     const nowMs = performance.now();
     if (newest && nowMs - newest.atMs < MARK_AGE_MS) return this.proven;
@@ -219,6 +247,7 @@
     const mark = await this.asking;
     if (!mark) return;
     this.heard();
+    if (!this.options.mayUseAsPrimary()) return;
     this.proven = addMark(this.proven, mark);
   }
 
@@ -247,6 +276,7 @@
   /** Keeps the position of an answer that only a leader gives. */
   private prove(sentMs: number, answer: StepAnswer): void {
     if (!answer.ok || !answer.position) return;
+    if (!this.options.mayUseAsPrimary()) return;
     const mark = {atMs: sentMs, position: answer.position};
     this.proven = addMark(this.proven, mark);
   }
@@ -416,9 +446,16 @@
       this.release(connection, LinkState.idle);
       return this.pump();
     }
+    const {work} = job;
+    if (needsPrimary(work) && !this.options.mayUseAsPrimary()) {
+      this.inFlight--;
+      const text = 'no proof that this database leads';
+      this.finish(job, faultReply(Fault.unreachable, text));
+      this.release(connection, LinkState.idle);
+      return this.pump();
+    }
     connection.use = 'busy';
     connection.job = job;
-    const {work} = job;
     const {codec} = this.options;
     const texts = setupTexts(connection.link, work.session, codec, false);
     const statement = codec.statement(
@@ -517,7 +554,8 @@
       return this.pump();
     }
     if (job.work.mode === WorkMode.open) this.prove(job.sentMs, begun);
-    const lane = this.pin(connection, job.origin);
+    const isPlain = job.work.mode === WorkMode.open;
+    const lane = this.pin(connection, job.origin, isPlain);
     job.sentMs = performance.now();
     connection.link.run([statement], (_, answer) => {
       this.heardUnlessLost(answer);
@@ -546,6 +584,13 @@
     }
     clearTimeout(lane.timer);
     const {link} = lane.connection;
+    if (lane.isPlain && !this.options.mayUseAsPrimary()) {
+      link.close('no proof that this database leads');
+      return this.finish(job, {
+        ...faultReply(Fault.aborted, 'no proof that this database leads'),
+        state: LinkState.failed,
+      });
+    }
     if (job.work.access === Access.rollback) {
       this.dropLane(lane);
       return this.finish(job, {
@@ -597,9 +642,9 @@
     if (!lost) this.release(lane.connection, answer.state);
   }
 
-  private pin(connection: Connection, origin: string): Lane {
+  private pin(connection: Connection, origin: string, isPlain: boolean): Lane {
     const id = `${this.entry.id}/${++this.laneCount}`;
-    const lane: Lane = {id, connection, origin};
+    const lane: Lane = {id, connection, origin, isPlain};
     connection.use = 'pinned';
     connection.lane = lane;
     this.lanes.set(id, lane);
--- a/src/front/dispatcher.ts
+++ b/src/front/dispatcher.ts
@@ -31,6 +31,8 @@
   readonly serviceOf: (name: string) => FrontService | undefined;
   readonly idleTransactionMs: () => number;
   readonly secret: () => string;
+  /** Whether this front may use a database as primary at this moment. */
+  readonly mayUseAsPrimary: (entry: KnownDatabase) => boolean;
 }
 
 /** Names of the methods that fronts serve each other. */
@@ -43,6 +45,7 @@
   suspect: 'duty.suspect',
   marks: 'database.marks',
   follow: 'store.follow',
+  leader: 'leader.hear',
   ping: 'ping',
 } as const;
 
@@ -157,12 +160,24 @@
       isNear: entry.zone === zone,
       connectionLimit: () => this.connectionLimit(database),
       isHolder: () => this.isHolder(entry),
+      mayUseAsPrimary: () =>
+        this.options.mayUseAsPrimary(
+          this.options.directory().get(database) ?? entry,
+        ),
       laneIdleMs: () => this.options.idleTransactionMs() + LANE_EXTRA_MS,
     });
     this.workers.set(database, worker);
     return worker;
   }
 
+  /** Ends what only a primary may run at a service's other databases. */
+  stopOthers(service: string, leader: string): void {
+    for (const worker of this.workers.values()) {
+      const {service: own, id} = worker.database;
+      if (own === service && id !== leader) worker.stopLeading();
+    }
+  }
+
   /** Workers that exist, by database. */
   get known(): ReadonlyMap<string, DatabaseWorker> {
     return this.workers;
--- a/src/front/duty.ts
+++ b/src/front/duty.ts
@@ -4,7 +4,8 @@
  */
 import {Subscription} from 'rxjs';
 import {KeyValues, StoreFaultKind} from '../store/key_values.js';
-import {StoreFeed} from './store_feed.js';
+import {ageMs, ClockReading} from '../core/freshness.js';
+import {readClocks, StoreFeed} from './store_feed.js';
 import {JsonLog} from './json_log.js';
 
 /** What the duty needs. */
@@ -26,12 +27,15 @@
 const RANK_DELAY_MS = 250;
 /** Part of the lease after which it is no longer relied on. */
 const RELIED_PART = 0.8;
+/** Pause before a write without an answer is sent again. */
+const WRITE_RETRY_MS = 60;
 
 /** Holds the duty, or waits for it. */
 export class Duty {
   private leaseId = 0;
   private fence = 0;
-  private renewedAtMs = -Infinity;
+  /** When the call was sent from which the lease runs at least. */
+  private renewedAt: ClockReading | undefined;
   private takenAtMs = 0;
   private leaseMs = LEASE_MS;
   private acquiring = false;
@@ -51,8 +55,9 @@
 
   /** Whether the lease is certainly still ours. */
   get isHeld(): boolean {
-    const age = performance.now() - this.renewedAtMs;
-    return this.fence > 0 && age < this.leaseMs * RELIED_PART;
+    if (this.fence === 0 || !this.renewedAt) return false;
+    const heldMs = ageMs(this.renewedAt, readClocks());
+    return heldMs < this.leaseMs * RELIED_PART;
   }
 
   /** For how long the duty has been held without a break. */
@@ -89,6 +94,26 @@
     return undefined;
   }
 
+  /**
+   * Writes an item while the duty is held, and only then. Resolves to its
+   * revision; undefined once the duty is no longer held.
+   */
+  async write(key: string, value: string): Promise<number | undefined> {
+    while (this.isHeld) {
+      const answer = await this.options.store.change({
+        expected: [{key: this.options.key, revision: this.fence}],
+        writes: [{key, value, leaseId: 0}],
+        removals: [],
+      });
+      if (answer.isOk()) return answer.value;
+      const {kind, message} = answer.error;
+      this.options.log('duty_write_failed', {key, kind, text: message});
+      if (kind === StoreFaultKind.conflict) this.lose('superseded');
+      else await new Promise(done => setTimeout(done, WRITE_RETRY_MS));
+    }
+    return undefined;
+  }
+
   /** Gives the duty up. */
   async release(): Promise<void> {
     this.stopped = true;
@@ -124,7 +149,7 @@
       return;
     }
     this.acquiring = true;
-    const startedMs = performance.now();
+    const startedAt = readClocks();
     const lease = await store.grant(Math.max(minLeaseMs, LEASE_MS));
     if (lease.isOk()) {
       const {leaseId, ttlMs} = lease.value;
@@ -137,8 +162,8 @@
         this.leaseId = leaseId;
         this.leaseMs = ttlMs;
         this.fence = answer.value;
-        this.renewedAtMs = startedMs;
-        this.takenAtMs = startedMs;
+        this.renewedAt = startedAt;
+        this.takenAtMs = startedAt.steadyMs;
         this.options.log('duty_taken', {fence: this.fence, ttlMs});
       } else {
         this.options.log('duty_missed', {text: answer.error.message});
@@ -151,10 +176,10 @@
 
   private async renew(): Promise<void> {
     if (this.fence === 0) return this.consider();
-    const startedMs = performance.now();
+    const startedAt = readClocks();
     const answer = await this.options.store.renew(this.leaseId);
     if (this.fence === 0) return;
-    if (answer.isOk()) this.renewedAtMs = startedMs;
+    if (answer.isOk()) this.renewedAt = startedAt;
     else if (answer.error.kind === StoreFaultKind.leaseGone) {
       this.lose('lease ended');
     }
@@ -165,6 +190,6 @@
       this.options.log('duty_lost', {fence: this.fence, reason});
     this.fence = 0;
     this.leaseId = 0;
-    this.renewedAtMs = -Infinity;
+    this.renewedAt = undefined;
   }
 }
--- a/src/front/front.ts
+++ b/src/front/front.ts
@@ -8,6 +8,7 @@
 import {FrontConfig} from '../core/front_config.js';
 import {Fronts} from '../core/fronts.js';
 import {proofLimitMs} from '../core/freshness.js';
+import {KnownRecord} from '../core/leadership.js';
 import {LentStretch, Rate} from '../core/rates.js';
 import {Reply, Work} from '../core/work.js';
 import {relayFor} from '../core/relay.js';
@@ -19,6 +20,7 @@
 import {Dispatcher, PeerMethodName} from './dispatcher.js';
 import {Duty} from './duty.js';
 import {FrontList, memberKey} from './front_list.js';
+import {Leadership} from './leadership.js';
 import {FrontMetrics} from './front_metrics.js';
 import {Address, FrontSettings} from './front_settings.js';
 import {JsonLog} from './json_log.js';
@@ -85,6 +87,7 @@
   private stopping = false;
   private readonly frontList: FrontList;
   private readonly shares: RateShares;
+  private readonly leadership: Leadership;
   private ratesOfConfig: {
     readonly config?: FrontConfig;
     readonly rates: ReadonlyMap<string, Rate>;
@@ -112,6 +115,7 @@
       feed: this.feed,
       log,
     });
+    this.leadership = this.createLeadership();
     this.dispatcher = this.createDispatcher();
     this.frontList = FrontList.create(layout.ownPrefix, log);
     this.shares = RateShares.create({
@@ -126,6 +130,7 @@
       place: settings.place,
       directory: () => this.feed.directory,
       dispatcher: this.dispatcher,
+      mayLead: entry => this.leadership.mayLead(entry),
       log,
     });
     this.rates = this.createRates();
@@ -229,6 +234,30 @@
       serviceOf: name => this.feed.config?.services.get(name),
       idleTransactionMs: () => this.feed.config?.idleTransactionMs ?? 0,
       secret: () => this.registration.secret,
+      mayUseAsPrimary: entry => this.leadership.mayUse(entry),
+    });
+  }
+
+  private createLeadership(): Leadership {
+    const {settings, ports, feed} = this;
+    return Leadership.create({
+      isFenced: settings.isFenced,
+      prefix: ports.layout.ownPrefix,
+      items: () => feed.own$.value,
+      revision: () => feed.knownRevision,
+      fronts: () => this.fronts(),
+      isSure: () =>
+        feed.isFresh && this.registration.isCovered && this.isRegistered,
+      proofLimitMs: proofLimitMs(settings.revokeMs),
+      duty: () => this.duty,
+      codec: ports.databases,
+      tell: async (vm, record) => {
+        if (vm === settings.vm) return;
+        await this.dispatcher.link(vm)?.call(PeerMethodName.leader, record);
+      },
+      stopOthers: (service, leader) =>
+        this.dispatcher.stopOthers(service, leader),
+      log: ports.log,
     });
   }
 
@@ -321,6 +350,7 @@
       services: () => [...(this.feed.config?.services.keys() ?? [])],
       termOf: service => this.router.termOf(service),
       vote: database => this.vote(database),
+      leadership: this.leadership,
       log: ports.log,
     });
   }
@@ -381,6 +411,10 @@
     const {dispatcher} = this;
     return {
       [PeerMethodName.ping]: () => true,
+      [PeerMethodName.leader]: (record: KnownRecord) => {
+        this.leadership.hear(record);
+        return true;
+      },
       [PeerMethodName.run]: (work: Work, from: string): Promise<Reply> =>
         dispatcher.runHere(work, from),
       [PeerMethodName.cancel]: (p: {database: string; key: string}) =>
@@ -446,7 +480,9 @@
       own$.pipe(map(() => undefined)),
       config$.pipe(map(() => undefined)),
     );
-    return changes$.subscribe(() => this.dispatcher.refresh());
+    const subscription = changes$.subscribe(() => this.dispatcher.refresh());
+    subscription.add(own$.subscribe(() => this.leadership.refresh()));
+    return subscription;
   }
 
   private serveCallers(): Promise<Server> {
--- a/src/front/front_settings.ts
+++ b/src/front/front_settings.ts
@@ -27,4 +27,6 @@
   readonly revokeMs: number;
   /** Time from the request to stop until the process is killed. */
   readonly graceMs: number;
+  /** Whether the platform refuses orders and primaries that are outdated. */
+  readonly isFenced: boolean;
 }
--- a/src/front/router.ts
+++ b/src/front/router.ts
@@ -59,6 +59,8 @@
   readonly place: Place;
   readonly directory: () => Directory;
   readonly dispatcher: Dispatcher;
+  /** Whether a database that says it leads may be taken at its word. */
+  readonly mayLead: (entry: KnownDatabase) => boolean;
   readonly log: JsonLog;
 }
 
@@ -150,7 +152,9 @@
     return leaderOf(
       directory,
       service,
-      entry => this.deposed.get(entry.id) === entry.leadsSince,
+      entry =>
+        this.deposed.get(entry.id) === entry.leadsSince ||
+        !this.options.mayLead(entry),
     );
   }
 
--- a/src/front/store_feed.ts
+++ b/src/front/store_feed.ts
@@ -120,6 +120,11 @@
     return this.directory$.value;
   }
 
+  /** Revision up to which the store is known here. */
+  get knownRevision(): number {
+    return this.revision;
+  }
+
   /** Whether what is held here is recent enough to act on a key. */
   get isFresh(): boolean {
     return isFresh(this.proof, readClocks(), this.options.proofLimitMs);
--- a/src/front/takeover_runner.ts
+++ b/src/front/takeover_runner.ts
@@ -8,12 +8,15 @@
 import {
   chooseTakeover,
   isLost,
+  SAFE_TAKEOVER,
   StoppedLog,
   TakeoverChoice,
 } from '../core/takeover.js';
 import {orderDatabase} from './control_link.js';
+import {DoubtfulOrder, mayOrder} from '../core/leadership.js';
 import {Duty} from './duty.js';
 import {JsonLog} from './json_log.js';
+import {Leadership} from './leadership.js';
 import {Promote} from './promoter.js';
 import {DatabaseCodec} from './wire_types.js';
 
@@ -31,6 +34,7 @@
   readonly termOf: (service: string) => number;
   /** Votes of several fronts on whether a database answers. */
   readonly vote: (database: string) => Promise<readonly boolean[]>;
+  readonly leadership: Leadership;
   readonly log: JsonLog;
 }
 
@@ -66,6 +70,10 @@
   private readonly everLed = new Set<string>();
   /** An order whose outcome is unknown may still be carried out. */
   private readonly inDoubt = new Set<string>();
+  /** The same where the platform does not check fences, by service. */
+  private readonly doubts = new Map<string, DoubtfulOrder>();
+  /** Since when this front has held the duty, to tell a new tenure. */
+  private tenureSinceMs: number | undefined;
   private readonly timer: NodeJS.Timeout;
 
   private constructor(private readonly options: TakeoverOptions) {
@@ -88,8 +96,12 @@
   }
 
   private check(): void {
-    if (!this.options.duty.isHeld) return this.leaderlessSinceMs.clear();
+    if (!this.options.duty.isHeld) {
+      this.tenureSinceMs = undefined;
+      return this.leaderlessSinceMs.clear();
+    }
     const nowMs = performance.now();
+    if (this.tenureSinceMs === undefined) this.beginTenure(nowMs);
     for (const service of this.options.services()) {
       const leader = this.options.leader(service);
       if (leader) {
@@ -105,6 +117,27 @@
     }
   }
 
+  /** Orders of earlier holders that are not settled may still be carried out. */
+  private beginTenure(nowMs: number): void {
+    const {services, leadership} = this.options;
+    this.tenureSinceMs = nowMs;
+    for (const service of services()) {
+      const record = leadership.record(service);
+      if (record && !record.settled) this.doubt(service, record.database);
+    }
+  }
+
+  private doubt(service: string, database: string): void {
+    const untilMs = performance.now() + LATE_ORDER_MS;
+    this.doubts.set(service, {database, untilMs});
+  }
+
+  /** The order of a service that may still be carried out. */
+  private doubtOf(service: string): DoubtfulOrder | undefined {
+    const doubt = this.doubts.get(service);
+    return doubt && performance.now() < doubt.untilMs ? doubt : undefined;
+  }
+
   private start(service: string, reason: Reason): void {
     const restMs = this.restUntilMs.get(service) ?? 0;
     if (this.running.has(service) || performance.now() < restMs) return;
@@ -172,7 +205,11 @@
       const choice = await this.chooseOnce(service, leader);
       if (!duty.isHeld) return false;
       if (choice.kind === 'promote') {
-        const done = await this.order(service, choice.database);
+        const done = await this.appointAndOrder(
+          service,
+          choice.database,
+          leader,
+        );
         if (done) return this.settle(service, choice.database);
       } else if (choice.kind === 'catch_up' || late) {
         await this.letReceive(service, leader);
@@ -201,7 +238,8 @@
     service: string,
     leader: KnownDatabase | undefined,
   ): Promise<void> {
-    const {duty, promote, self, log} = this.options;
+    const {duty, promote, self, log, leadership} = this.options;
+    if (leadership.isNeeded) return this.letReceiveUnfenced(service, leader);
     const inDoubt = this.inDoubt.has(service) || duty.heldMs < LATE_ORDER_MS;
     if (leader && inDoubt) {
       const fence = await duty.raiseFence();
@@ -217,6 +255,30 @@
     await this.resumeAll(service, leader?.id);
   }
 
+  /**
+   * The same where no fence makes an order void: while one may still be carried
+   * out, the replicas wait. Then the present primary is named again.
+   */
+  private async letReceiveUnfenced(
+    service: string,
+    leader: KnownDatabase | undefined,
+  ): Promise<void> {
+    const {leadership} = this.options;
+    const record = leadership.record(service);
+    if (!mayOrder(this.doubtOf(service), leader?.id)) return;
+    if (leader && record && !this.isSettledOn(service, leader.id)) {
+      const {id: database} = leader;
+      const named = await leadership.write({service, database, settled: true});
+      if (!named) return;
+    }
+    await this.resumeAll(service, leader?.id);
+  }
+
+  private isSettledOn(service: string, database: string): boolean {
+    const record = this.options.leadership.record(service);
+    return record?.database === database && record.settled;
+  }
+
   private async leads(entry: KnownDatabase): Promise<boolean> {
     const {codec} = this.options;
     const report = await orderDatabase(entry, codec, {kind: 'status'});
@@ -234,6 +296,10 @@
       if (performance.now() > untilMs || !duty.isHeld) return false;
       await pause(STEP_PAUSE_MS);
     }
+    const {leadership} = this.options;
+    if (leadership.isNeeded && !this.doubtOf(service)) {
+      await leadership.write({service, database, settled: true});
+    }
     await this.resumeAll(service, database);
     return true;
   }
@@ -267,8 +333,11 @@
       })),
     );
     const logs: StoppedLog[] = [];
-    if (reports.some(({report}) => report?.isLeader)) {
-      log('takeover_superseded', {service});
+    const leading = reports.filter(({report}) => report?.isLeader);
+    if (leading.length > 0) {
+      const names = leading.map(({entry}) => entry.id);
+      log('takeover_superseded', {service, leading: names});
+      await Promise.all(leading.map(({entry}) => this.stepDown(entry, term)));
       return {kind: 'need_logs', missing: replicas.length};
     }
     for (const {entry, report} of reports) {
@@ -278,7 +347,9 @@
     }
     const size = replicas.length + 1;
     const syncReplicas = serviceOf(service)?.syncReplicas ?? 0;
-    const choice = chooseTakeover({size, syncReplicas}, logs);
+    const group = {size, syncReplicas};
+    const preferred = this.doubtOf(service)?.database;
+    const choice = chooseTakeover(group, logs, SAFE_TAKEOVER, preferred);
     log('takeover_choice', {
       service,
       term,
@@ -291,6 +362,13 @@
     return choice;
   }
 
+  /** Ends the lead of a database that the records do not let lead. */
+  private async stepDown(entry: KnownDatabase, term: number): Promise<void> {
+    const {leadership, codec} = this.options;
+    if (leadership.mayLead(entry)) return;
+    await orderDatabase(entry, codec, {kind: 'step_down', term});
+  }
+
   private async nextTerm(
     service: string,
     replicas: readonly KnownDatabase[],
@@ -304,6 +382,28 @@
     return 1 + Math.max(0, ...reports.map(report => report?.term ?? 0));
   }
 
+  /** Makes sure that no front uses another primary, then orders. */
+  private async appointAndOrder(
+    service: string,
+    database: string,
+    leader: KnownDatabase | undefined,
+  ): Promise<boolean> {
+    const {leadership, duty, log} = this.options;
+    if (!leadership.isNeeded) return this.order(service, database);
+    const doubt = this.doubtOf(service);
+    if (!mayOrder(doubt, database)) {
+      log('order_withheld', {service, database, inDoubt: doubt?.database});
+      return false;
+    }
+    const term = await this.nextTerm(service, this.replicas(service));
+    const appointed = await leadership.appoint(service, database, leader, term);
+    if (!appointed || !duty.isHeld) return false;
+    // That may have taken long: a replica that has started again receives.
+    const choice = await this.chooseOnce(service, leader);
+    const isSame = choice.kind === 'promote' && choice.database === database;
+    return isSame && duty.isHeld ? this.order(service, database) : false;
+  }
+
   /** Orders the promotion; false when another round is needed. */
   private async order(service: string, database: string): Promise<boolean> {
     const {duty, promote, self, log} = this.options;
@@ -322,6 +422,7 @@
         return false;
       case 'unknown':
         this.inDoubt.add(service);
+        this.doubt(service, database);
         return false;
       case 'not_done':
         return false;
--- a/src/front/wire_types.ts
+++ b/src/front/wire_types.ts
@@ -67,7 +67,9 @@
   | {readonly kind: 'prepare'; readonly prepared: PreparedStatement}
   | {readonly kind: 'status'}
   | {readonly kind: 'pause'; readonly term: number}
-  | {readonly kind: 'resume'};
+  | {readonly kind: 'resume'}
+  /** Makes a primary of a lower term a replica. */
+  | {readonly kind: 'step_down'; readonly term: number};
 
 /** What a database reports about itself. */
 export interface DatabaseReport {
--- a/test/platform/fleet_fixture.ts
+++ b/test/platform/fleet_fixture.ts
@@ -116,6 +116,7 @@
     beatIntervalMs: 1_000,
     revokeMs: 5_000,
     graceMs: 3_000,
+    isFenced: true,
     ...changes,
   };
   const output = new PassThrough();
--- a/test/platform/standin_database.ts
+++ b/test/platform/standin_database.ts
@@ -21,6 +21,9 @@
   readonly requestId: string;
   readonly text: string;
   readonly values: ReadonlyMap<string, string>;
+  readonly atMs: number;
+  /** Only a primary runs it. */
+  readonly needsPrimary: boolean;
 }
 
 const VERSION = 'v1';
@@ -118,6 +121,12 @@
   lagMs = 3;
   maxConnections = 16;
   promoteMs = 30;
+  /** Whether a promotion ends the lead of the former primary at once. */
+  fences = true;
+  /** Whether databases carry out `STEPDOWN`. */
+  stepsDown = true;
+  /** When the last promotion took effect. */
+  promotedAtMs = Infinity;
   onChange: () => void = () => undefined;
   /** Commits told to a client as done. */
   readonly acknowledged: Commit[] = [];
@@ -142,8 +151,9 @@
     return group;
   }
 
+  /** The database that leads; the one promoted last where two say so. */
   get leader(): StandinDatabase | undefined {
-    return this.databases.find(database => database.leads);
+    return this.databases.findLast(database => database.leads);
   }
 
   find(id: string): StandinDatabase | undefined {
@@ -179,7 +189,9 @@
     if (target.leads) return true;
     setTimeout(() => {
       this.term++;
+      this.promotedAtMs = performance.now();
       for (const database of this.databases) {
+        if (database.leads && !this.fences) continue;
         database.leads = database === target;
         database.paused = false;
         database.log.splice(target.log.length);
@@ -277,6 +289,7 @@
       case 'STATUS':
       case 'PAUSE':
       case 'RESUME':
+      case 'STEPDOWN':
         return this.control(word);
       case 'RESET':
         this.values.clear();
@@ -307,6 +320,10 @@
   private control(word: string): void {
     if (word === 'PAUSE') this.database.paused = true;
     if (word === 'RESUME') this.database.paused = false;
+    if (word === 'STEPDOWN' && this.database.group.stepsDown) {
+      this.database.leads = false;
+      this.database.group.onChange();
+    }
     const {leads, position, group} = this.database;
     const role = leads ? 'primary' : 'replica';
     this.send(`ROW ${role} ${group.term} ${position} ${group.term} 0 0 1`);
@@ -334,6 +351,8 @@
       requestId,
       text,
       values: new Map(this.values),
+      atMs: performance.now(),
+      needsPrimary: writes || plain === true,
     });
     if (access === 'READ') {
       const item = args[word === 'EXECUTE' ? 1 : 0];
--- /dev/null
+++ b/test/platform/unfenced.test.ts
@@ -0,0 +1,100 @@
+/**
+ * Changes of primary where the platform does not fence: a former primary goes on
+ * until it is told to step down, and a late order is carried out.
+ */
+import test from 'ava';
+import {
+  openSession,
+  operatorConfig,
+  startFront,
+  until,
+} from './fleet_fixture.js';
+import {StandinGroup} from './standin_database.js';
+import {StandinStore} from './standin_store.js';
+
+/** Two fronts before one service, on a platform that does not fence. */
+async function startUnfenced(stepsDown: boolean) {
+  const group = await StandinGroup.start('orders', [
+    'norte',
+    'puerto',
+    'parque',
+  ]);
+  group.fences = false;
+  group.stepsDown = stepsDown;
+  const store = await StandinStore.start([group]);
+  store.put('op/config', operatorConfig('orders'));
+  const fronts = [
+    await startFront('front-1', 'norte', store, {isFenced: false}),
+    await startFront('front-2', 'puerto', store, {isFenced: false}),
+  ];
+  await until(() => fronts.every(({front}) => front.isReady));
+  const stop = async (): Promise<void> => {
+    await Promise.all(fronts.map(({front}) => front.stop()));
+    await group.stop();
+    await store.stop();
+  };
+  return {group, store, fronts, stop};
+}
+
+for (const stepsDown of [true, false]) {
+  const how = stepsDown ? 'steps down' : 'does not listen';
+  test(`a former primary that ${how} runs nothing more that needs a primary`, async t => {
+    const {group, store, fronts, stop} = await startUnfenced(stepsDown);
+    t.teardown(stop);
+    const [old] = group.databases;
+    let ended = false;
+    const readers = await Promise.all(
+      fronts.map(front => openSession(front, 'primary', 'ana-key')),
+    );
+    const reading = readers.map(async reader => {
+      while (!ended) {
+        const {error} = await reader.query('READ k');
+        if (error) await new Promise(resolve => setTimeout(resolve, 5));
+      }
+    });
+    await until(() => old.runs.length > 20);
+    old.draining = true;
+    store.register();
+    await until(() => group.databases.some(d => d !== old && d.leads));
+    const successor = group.databases.find(d => d !== old && d.leads);
+    await until(
+      () => successor?.runs.some(run => run.needsPrimary) === true,
+      12_000,
+    );
+    ended = true;
+    await Promise.all(reading);
+    const late = old.runs.filter(
+      run => run.needsPrimary && run.atMs > group.promotedAtMs,
+    );
+    t.deepEqual(late, []);
+  });
+}
+
+test('a former primary that is listed anew is not taken for the leader', async t => {
+  const {group, store, fronts, stop} = await startUnfenced(false);
+  t.teardown(stop);
+  const [old] = group.databases;
+  old.draining = true;
+  store.register();
+  const session = await openSession(fronts[0], 'primary', 'ana-key');
+  await until(() => group.promotedAtMs < Infinity);
+  let served = false;
+  const endMs = performance.now() + 8_000;
+  while (!served && performance.now() < endMs) {
+    served = (await session.query('WRITE k v')).done !== undefined;
+  }
+  t.true(served);
+  store.remove(`servers/${old.id}`);
+  // Longer than a vanished entry is kept, so that its claim is a new one.
+  await new Promise(resolve => setTimeout(resolve, 3_600));
+  old.draining = false;
+  store.register();
+  await new Promise(resolve => setTimeout(resolve, 500));
+  const before = old.runs.length;
+  for (let n = 0; n < 20; n++) await session.query('READ k');
+  t.deepEqual(
+    old.runs.slice(before).filter(run => run.needsPrimary),
+    [],
+  );
+  t.deepEqual((await session.query('READ k')).rows, ['v']);
+});
--- a/test/platform/worker.test.ts
+++ b/test/platform/worker.test.ts
@@ -57,6 +57,7 @@
     connectionLimit: () => 4,
     isHolder: () => isHolder,
     isNear: true,
+    mayUseAsPrimary: () => true,
     laneIdleMs: () => 1_000,
   });
 };
