Lend whole tokens, from one lender first, and hold more connections

Cause: on many fronts most refusals hit customers within their rate. A front that lacked one token asked two lenders for 1.9 each, and what it did not use expired there; all fronts of a region asked the same lender first; fractions lent to many fronts served none of them.

Change: less than a token expected is not kept in stock; a lender gives nothing rather than a fraction of what one request needs, until all were asked in vain; one lender is asked first, in an order of each front's own; a share holds four tokens, so that a small rate is accrued by one front. A holder uses all but ten of a database's connections (six tenths at least), a stand-in five at most.

--- a/src/core/connection_budget.ts
+++ b/src/core/connection_budget.ts
@@ -13,6 +13,26 @@
   readonly growAtMs: number;
 }
 
+/** Part of a database's connections that its holder may always use. */
+const HOLDER_PART = 0.6;
+/** Connections that stay free: a holder's successor needs some at once. */
+const HOLDER_RESERVE = 10;
+const OTHER_PART = 0.15;
+const OTHER_MAX = 5;
+
+/**
+ * Connections that a VM may hold at a database that allows `most`: as many as
+ * possible for the one that should hold them, as each is bound to a customer;
+ * few for the others, which stand in for it. The rest stays free, because those
+ * of a VM that lost power linger.
+ */
+export function usualLimit(most: number, isHolder: boolean): number {
+  const limit = isHolder
+    ? Math.max(most * HOLDER_PART, most - HOLDER_RESERVE)
+    : Math.min(most * OTHER_PART, OTHER_MAX);
+  return Math.max(1, Math.floor(limit));
+}
+
 /** Wait before a new connection after one was refused. */
 const REOPEN_PAUSE_MS = 120;
 
--- a/src/core/fronts.ts
+++ b/src/core/fronts.ts
@@ -38,8 +38,8 @@
 }
 
 /** Tokens that a share should hold when it is full. */
-const TOKENS_A_SHARE = 2;
-const MIN_COMMITTEE = 2;
+const TOKENS_A_SHARE = 4;
+const MIN_COMMITTEE = 1;
 const MAX_COMMITTEE = 16;
 
 /**
--- a/src/core/rates.ts
+++ b/src/core/rates.ts
@@ -167,16 +167,20 @@
   return {rate, share, stretches, accruesFromMs: nowMs};
 }
 
-/** Lends up to `wanted` tokens, keeping `reserve`. */
+/**
+ * Lends up to `wanted` tokens, keeping `reserve`; nothing when there are fewer
+ * than `least`: fractions of a token lent to many VMs serve none of them.
+ */
 export function lend(
   bucket: Bucket,
   wanted: number,
   reserve: number,
   nowMs: number,
+  least = 0,
 ): {bucket: Bucket; lent: readonly LentStretch[]} {
   const ripe = dropExpiring(bucket, nowMs);
   const amount = Math.min(wanted, balance(ripe, nowMs) - reserve);
-  if (amount <= EPSILON) return {bucket, lent: []};
+  if (amount <= EPSILON || amount + EPSILON < least) return {bucket, lent: []};
   const taken = remove(ripe, amount, nowMs);
   return {
     bucket: taken.bucket,
@@ -269,11 +273,13 @@
   );
   const ownPerS = bucket.rate.ratePerS * bucket.share;
   const uncoveredPerS = Math.max(0, needPerS - ownPerS);
-  const target = (uncoveredPerS * policy.stockMs) / MS_PER_S + waiting;
+  const expected = (uncoveredPerS * policy.stockMs) / MS_PER_S;
+  // Less than a token in stock at each of many VMs is a token at none of them.
+  const stock = expected >= 1 ? expected : 0;
+  const target = stock + waiting;
   const held = balance(bucket, nowMs);
-  return held >= target * policy.refillBelow && held >= waiting
-    ? 0
-    : Math.min(target - held + waiting, bucket.rate.burst);
+  const isEnough = held >= target * policy.refillBelow && held >= waiting;
+  return isEnough ? 0 : Math.min(target - held, bucket.rate.burst);
 }
 
 /** Tokens a lender keeps for its own demand. */
--- a/src/front/dispatcher.ts
+++ b/src/front/dispatcher.ts
@@ -14,6 +14,7 @@
   Work,
   WorkMode,
 } from '../core/work.js';
+import {usualLimit} from '../core/connection_budget.js';
 import {DatabaseWorker} from './database_worker.js';
 import {MarkByAge, Marks, marksByAge, marksFromAge} from '../core/marks.js';
 import {JsonLog} from './json_log.js';
@@ -49,13 +50,6 @@
   ping: 'ping',
 } as const;
 
-/**
- * Parts of a database's connections for the first front in rank and for each
- * other one. The rest stays free: those of a VM that lost power linger, and its
- * successor needs some at once.
- */
-const HOLDER_PART = 0.6;
-const OTHER_PART = 0.15;
 /** Fronts tried for one piece of work. */
 const MAX_HOLDERS = 2;
 /** Time that an answer may take on its way beyond the work's own limit. */
@@ -280,8 +274,7 @@
     const entry = this.options.directory().get(database);
     const service = entry && this.options.serviceOf(entry.service);
     if (!entry || !service) return 1;
-    const part = this.isHolder(entry) ? HOLDER_PART : OTHER_PART;
-    return Math.max(1, Math.floor(service.maxConnections * part));
+    return usualLimit(service.maxConnections, this.isHolder(entry));
   }
 
   private isHolder(entry: KnownDatabase): boolean {
--- a/src/front/front.ts
+++ b/src/front/front.ts
@@ -267,6 +267,7 @@
       changed$: this.feed.config$,
       lenders: customer => this.shares.lendersOf(customer),
       maxLenders: LENDERS_A_ROUND,
+      firstLenders: 1,
       maxWaitMs: RATE_WAIT_MS,
       accruesFromMs: () => this.heldSharesFromMs(),
       askLender: async (peer, request) => {
--- a/src/front/rate_shares.ts
+++ b/src/front/rate_shares.ts
@@ -6,7 +6,7 @@
   FrontMember,
   Fronts,
 } from '../core/fronts.js';
-import {Place} from '../core/placement.js';
+import {Place, rankByScore} from '../core/placement.js';
 
 /** What shares are worked out from. */
 export interface RateSharesOptions {
@@ -70,8 +70,10 @@
   /** Other fronts that accrue a customer's rate, those of the own region first. */
   lendersOf(customer: string): string[] {
     const {self, place} = this.options;
-    const others = this.committee(customer).members.filter(
-      front => front.vm !== self,
+    // Each front has an order of its own, so that no lender is asked by all.
+    const others = rankByScore(
+      `${customer}/${self}`,
+      this.committee(customer).members.filter(front => front.vm !== self),
     );
     const isNear = (front: FrontMember): boolean =>
       front.place.region === place.region;
--- a/src/proxy/rate_keeper.ts
+++ b/src/proxy/rate_keeper.ts
@@ -22,6 +22,8 @@
 export interface LendRequest {
   readonly customer: string;
   readonly wanted: number;
+  /** Fewer tokens than these are of no use; by default any are. */
+  readonly least?: number;
 }
 
 /** What the keeper needs. */
@@ -39,6 +41,8 @@
   ) => Promise<readonly LentStretch[]>;
   /** VMs asked in one round. */
   readonly maxLenders?: number;
+  /** VMs asked in the first round; by default as many as in the others. */
+  readonly firstLenders?: number;
   /** Longest wait for a token before a request is refused. */
   readonly maxWaitMs?: number;
   /**
@@ -95,6 +99,15 @@
 /** Longest wait for a token before a request is refused. */
 const MAX_WAIT_MS = 250;
 
+/**
+ * What each of several lenders is asked for: more than its part, as some will
+ * have less, and a whole token where one is needed.
+ */
+const wantedOfEach = (wanted: number, lenders: number): number =>
+  lenders > 1
+    ? Math.max(Math.min(1, wanted), (wanted / lenders) * 1.5)
+    : wanted;
+
 /** Monotonic time, so that a clock step neither mints nor loses tokens. */
 const monotonicMs = (): number => performance.now();
 
@@ -266,9 +279,14 @@
     const lenders = this.nextLenders(peers, account);
     let isShort = false;
     if (wanted > 0) {
-      const each = (wanted / lenders.length) * 1.5;
+      // Once all were asked in vain, several fractions may add up to a token.
+      const wasAsked = account.drained >= peers.length;
+      const least = wasAsked ? 0 : Math.min(1, wanted);
+      const each = wantedOfEach(wanted, lenders.length);
       const answers = await Promise.all(
-        lenders.map(vm => this.borrowFrom(vm, customer, account, each)),
+        lenders.map(vm =>
+          this.borrowFrom(vm, account, {customer, wanted: each, least}),
+        ),
       );
       const generous = answers.indexOf(true);
       isShort = generous < 0;
@@ -292,13 +310,11 @@
   /** Whether the lender had any. */
   private async borrowFrom(
     vm: string,
-    customer: string,
     account: Account,
-    wanted: number,
+    request: LendRequest,
   ): Promise<boolean> {
     const requestedAtMs = this.nowMs();
     try {
-      const request = {customer, wanted};
       const lent = await this.options.askLender(vm, request);
       account.bucket = receive(
         account.bucket,
@@ -351,19 +367,22 @@
   private nextLenders(peers: readonly string[], account: Account): string[] {
     const most = this.options.maxLenders ?? MAX_LENDERS;
     const {drained, isDry} = account;
-    const count = isDry ? most : Math.max(most, drained);
+    const first = this.options.firstLenders ?? most;
+    const count = isDry
+      ? most
+      : Math.max(drained === 0 ? first : most, drained);
     if (peers.length <= count) return [...peers];
     const start = account.firstLender % peers.length;
     return [...peers.slice(start), ...peers.slice(0, start)].slice(0, count);
   }
 
   /** Lends tokens to another VM. */
-  lend({customer, wanted}: LendRequest): readonly LentStretch[] {
+  lend({customer, wanted, least}: LendRequest): readonly LentStretch[] {
     const account = this.accountOf(customer);
     if (account.waiting.length > 0) return [];
     const nowMs = this.nowMs();
     const reserve = reserveOf(account.bucket, account.demand, nowMs);
-    const result = lend(account.bucket, wanted, reserve, nowMs);
+    const result = lend(account.bucket, wanted, reserve, nowMs, least);
     account.bucket = result.bucket;
     return result.lent;
   }
