Pass configurations on packed, register once, and ignore answers for a lease that ended

Change: values above 1 KB are passed on between fronts compressed, up to 16 KB; an entry is written again only once the view has passed its revision without it; leases of entries are renewed every 2 s, once more 400 ms after a renewal without an answer; marks are renewed for services read in the last second; registerAlone logs.

Replaced test: the large configuration that is not passed on is noise now, as 300,000 equal bytes compress.

--- a/src/core/relay.ts
+++ b/src/core/relay.ts
@@ -2,14 +2,24 @@
  * Passing the store's changes on between fronts: whom a front asks, what the
  * asked one keeps, and how recent the answer is on the asker's clocks.
  */
+import {deflateRawSync, inflateRawSync} from 'node:zlib';
 import {StoreEvent} from '../store/key_values.js';
 import {ClockReading} from './freshness.js';
 import {FrontMember, Fronts} from './fronts.js';
 import {rankByScore} from './placement.js';
 
-/** A change as passed on; `changed`: too large to pass, ask the store. */
+/**
+ * A change as passed on; `packed`: its value is compressed; `changed`: too large
+ * to pass, ask the store.
+ */
 export type RelayedEvent =
   | StoreEvent
+  | {
+      readonly kind: 'packed';
+      readonly key: string;
+      readonly revision: number;
+      readonly value: Buffer;
+    }
   | {readonly kind: 'changed'; readonly key: string; readonly revision: number};
 
 /** Fronts of a region that may watch the store for the others. */
@@ -62,12 +72,26 @@
 
 const MAX_EVENTS = 1_000;
 /** Longest value that is passed on: links between fronts may be narrow. */
-const MAX_PASSED_BYTES = 8_192;
+const MAX_PASSED_BYTES = 16_384;
+/** Shorter values are not worth compressing. */
+const MIN_PACKED_BYTES = 1_024;
+/** Longest value that the store keeps, and so the longest one unpacked. */
+const MAX_VALUE_BYTES = 1_048_576;
+
+function toRelayed(event: RelayedEvent): RelayedEvent {
+  if (event.kind !== 'put' || event.value.length <= MIN_PACKED_BYTES) {
+    return event;
+  }
+  const {key, revision} = event;
+  const value = deflateRawSync(event.value);
+  return value.length > MAX_PASSED_BYTES
+    ? {kind: 'changed', key, revision}
+    : {kind: 'packed', key, revision, value};
+}
 
-const toRelayed = (event: RelayedEvent): RelayedEvent =>
-  event.kind === 'put' && event.value.length > MAX_PASSED_BYTES
-    ? {kind: 'changed', key: event.key, revision: event.revision}
-    : event;
+/** The value of a packed change; throws when it is not one. */
+export const unpackValue = (value: Uint8Array): Buffer =>
+  inflateRawSync(value, {maxOutputLength: MAX_VALUE_BYTES});
 
 /** Adds changes; the oldest are forgotten above a bound. */
 export function addEvents(
--- a/src/front/registration.ts
+++ b/src/front/registration.ts
@@ -22,7 +22,9 @@
 
 /** Longer than any proof: a front that stopped renewing serves no more. */
 const LEASE_MS = 6_000;
-const RENEW_INTERVAL_MS = 1_500;
+const RENEW_INTERVAL_MS = 2_000;
+/** Pause before a renewal without an answer is sent again. */
+const RENEW_RETRY_MS = 400;
 /** Time before the end of the lease from which it is not relied on. */
 const LEASE_MARGIN_MS = 200;
 const RETRY_MS = 500;
@@ -40,6 +42,7 @@
   /** When the call was sent from which the lease runs at least. */
   private coveredFrom: ClockReading | undefined;
   private readonly timers: NodeJS.Timeout[] = [];
+  private retry: NodeJS.Timeout | undefined;
   private readonly following: Subscription;
 
   private constructor(private readonly options: RegistrationOptions) {
@@ -84,6 +87,7 @@
   async close(): Promise<void> {
     this.stopped = true;
     this.timers.forEach(timer => clearInterval(timer));
+    clearTimeout(this.retry);
     this.following.unsubscribe();
     const {leaseId} = this;
     this.leaseId = 0;
@@ -99,7 +103,10 @@
   /** Registers when the entry is missing, as at start or after a lapse. */
   private async ensure(): Promise<void> {
     const {feed} = this.options;
-    const due = this.writtenRevision === 0 || !this.isListed;
+    // The view of the store may not have reached the entry yet.
+    const isMissing =
+      feed.knownRevision >= this.writtenRevision && !this.isListed;
+    const due = this.writtenRevision === 0 || isMissing;
     if (this.busy || this.stopped || feed.isCutOff) return;
     if (!due || feed.config === undefined) return;
     this.busy = true;
@@ -108,7 +115,7 @@
   }
 
   private async register(): Promise<void> {
-    const {store, prefix, member, log, feed} = this.options;
+    const {store, prefix, member, feed} = this.options;
     if (this.leaseId === 0) {
       const sentAt = readClocks();
       const lease = await store.grant(LEASE_MS);
@@ -127,13 +134,12 @@
     const secret = {key: secretKey(prefix), value: fresh, leaseId: 0};
     const answer = await store.change({
       expected: known ? [] : [{key: secretKey(prefix), revision: 0}],
-      writes: known ? [entry] : [entry, secret],
+      // The entry comes last: its revision is the one that is answered.
+      writes: known ? [entry] : [secret, entry],
       removals: [],
     });
-    if (answer.isOk()) {
-      this.writtenRevision = answer.value;
-      log('registered', {revision: answer.value, leaving: this.leaving});
-    } else if (answer.error.kind === StoreFaultKind.leaseGone) {
+    if (answer.isOk()) this.noteWritten(answer.value);
+    else if (answer.error.kind === StoreFaultKind.leaseGone) {
       this.leaseId = 0;
     } else if (answer.error.kind === StoreFaultKind.conflict) {
       // Another front has written the secret; the feed will show it.
@@ -151,18 +157,29 @@
       writes: [entry],
       removals: [],
     });
-    if (answer.isOk()) this.writtenRevision = answer.value;
+    if (answer.isOk()) this.noteWritten(answer.value);
+  }
+
+  private noteWritten(revision: number): void {
+    this.writtenRevision = revision;
+    const {leaving} = this;
+    this.options.log('registered', {revision, leaving});
   }
 
-  private async renew(): Promise<void> {
-    if (this.leaseId === 0 || this.stopped) return;
+  private async renew(isRetry = false): Promise<void> {
+    const {leaseId} = this;
+    if (leaseId === 0 || this.stopped) return;
     const sentAt = readClocks();
-    const answer = await this.options.store.renew(this.leaseId);
+    const answer = await this.options.store.renew(leaseId);
+    // The answer is of no use for another lease.
+    if (this.leaseId !== leaseId) return;
     if (answer.isOk()) this.coveredFrom = sentAt;
     else if (answer.error.kind === StoreFaultKind.leaseGone) {
-      this.options.log('registration_lapsed', {leaseId: this.leaseId});
+      this.options.log('registration_lapsed', {leaseId});
       this.leaseId = 0;
       this.writtenRevision = 0;
+    } else if (!isRetry) {
+      this.retry = setTimeout(() => void this.renew(true), RENEW_RETRY_MS);
     }
   }
 }
--- a/src/front/router.ts
+++ b/src/front/router.ts
@@ -69,8 +69,11 @@
 const LAGGING_MS = 80;
 /** Longest pause of asking a database that lags. */
 const MAX_LAGGING_MS = 640;
-/** Time after a service's last read for which its marks are renewed. */
-const MARKS_WANTED_MS = 3_000;
+/**
+ * Time after a service's last read for which its marks are renewed. A service
+ * that is read less often is asked when it is read.
+ */
+const MARKS_WANTED_MS = 1_000;
 /** Wait of a read for the first marks, before it goes to the leader. */
 const MARKS_WAIT_MS = 150;
 const MAX_TRIES = 5;
--- a/src/front/store_feed.ts
+++ b/src/front/store_feed.ts
@@ -13,7 +13,7 @@
 } from '../core/directory.js';
 import {ClockReading, isFresh, Proof, renewProof} from '../core/freshness.js';
 import {FrontConfig} from '../core/front_config.js';
-import {asOfOnOwnClock, RelayedEvent} from '../core/relay.js';
+import {asOfOnOwnClock, RelayedEvent, unpackValue} from '../core/relay.js';
 import {
   KeyValues,
   StoredItem,
@@ -197,7 +197,7 @@
       if (changes.kind === 'unheard')
         throw new Error('it hears nothing itself');
       const events = await this.complete(changes.events);
-      this.takeEvents(events, changes.revision);
+      this.takeEvents(events, changes.revision, changes.events);
       const {offsetMs} = changes;
       const asOf = asOfOnOwnClock(sentAt, offsetMs, readClocks());
       this.succeed(changes.revision, asOf);
@@ -216,6 +216,11 @@
   ): Promise<StoreEvent[]> {
     const out: StoreEvent[] = [];
     for (const event of events) {
+      if (event.kind === 'packed') {
+        const {key, revision} = event;
+        out.push({kind: 'put', key, revision, value: unpackValue(event.value)});
+        continue;
+      }
       if (event.kind !== 'changed') {
         out.push(event);
         continue;
@@ -292,7 +297,12 @@
     this.expireMissing();
   }
 
-  private takeEvents(events: readonly StoreEvent[], revision: number): void {
+  /** Takes in changes; `passedOn` is how they are kept for those who ask. */
+  private takeEvents(
+    events: readonly StoreEvent[],
+    revision: number,
+    passedOn: readonly RelayedEvent[] = events,
+  ): void {
     const {layout} = this.options;
     let directory = this.directory;
     const own = this.own$.value;
@@ -309,7 +319,7 @@
         else ownDraft.delete(key);
       }
     }
-    this.changes.record(events);
+    this.changes.record(passedOn);
     this.revision = Math.max(this.revision, revision);
     if (directory !== this.directory) this.directory$.next(directory);
     if (ownDraft) this.own$.next(ownDraft);
--- /dev/null
+++ b/test/front/registration.test.ts
@@ -0,0 +1,76 @@
+/** A front's entry in the store, in virtual time. */
+import {mock} from 'node:test';
+import test from 'ava';
+import {err, ok} from 'neverthrow';
+import {BehaviorSubject} from 'rxjs';
+import {Registration} from '../../src/front/registration.js';
+import {StoreFeed} from '../../src/front/store_feed.js';
+import {
+  KeyValues,
+  StoreFaultKind,
+  StoreResult,
+} from '../../src/store/key_values.js';
+
+const settle = async (): Promise<void> => {
+  for (let n = 0; n < 30; n++) await Promise.resolve();
+};
+
+async function advance(ms: number): Promise<void> {
+  for (let n = 0; n < ms; n += 50) {
+    mock.timers.tick(50);
+    await settle();
+  }
+}
+
+test.serial(
+  'a late answer for a lease that has ended does not end the next one',
+  async t => {
+    mock.timers.enable({apis: ['setTimeout', 'setInterval']});
+    t.teardown(() => mock.timers.reset());
+    let leases = 0;
+    const renewals: Array<() => void> = [];
+    const gone = err({kind: StoreFaultKind.leaseGone, message: 'gone'});
+    const store = {
+      grant: () => Promise.resolve(ok({leaseId: ++leases, ttlMs: 6_000})),
+      change: () => Promise.resolve(ok(1)),
+      renew: () =>
+        new Promise(resolve =>
+          renewals.push(() => resolve(gone)),
+        ) as StoreResult<number>,
+      revoke: () => Promise.resolve(ok(undefined)),
+    } as unknown as KeyValues;
+    const feed = {
+      config: {},
+      config$: new BehaviorSubject({}),
+      own$: new BehaviorSubject(new Map()),
+      isCutOff: false,
+      knownRevision: 0,
+    } as unknown as StoreFeed;
+    const registration = Registration.create({
+      member: {
+        vm: 'a',
+        host: 'h',
+        port: 1,
+        place: {zone: 'z', region: 'r'},
+        leaving: false,
+      },
+      prefix: 'own/',
+      store,
+      feed,
+      log: () => undefined,
+    });
+    await advance(100);
+    t.is(leases, 1);
+    await advance(4_000);
+    t.is(renewals.length, 2);
+    renewals[0]();
+    await advance(600);
+    t.is(leases, 2);
+    t.true(registration.isCovered);
+    renewals[1]();
+    await settle();
+    t.true(registration.isCovered);
+    t.is(leases, 2);
+    await registration.close();
+  },
+);
--- a/test/front/relay.test.ts
+++ b/test/front/relay.test.ts
@@ -1,4 +1,5 @@
 /** Passing the store's changes on between fronts, decided without I/O. */
+import {randomBytes} from 'node:crypto';
 import test from 'ava';
 import fc from 'fast-check';
 import {ageMs, ClockReading} from '../../src/core/freshness.js';
@@ -11,6 +12,7 @@
   offsetFrom,
   RelayedEvent,
   relayFor,
+  unpackValue,
 } from '../../src/core/relay.js';
 import {ChangeRelay, RelayedChanges} from '../../src/front/change_relay.js';
 
@@ -80,7 +82,13 @@
 });
 
 test('a large configuration is not passed over narrow links', t => {
-  const history = addEvents(emptyHistory(0), [put(1, 300_000), put(2)]);
+  const noise: RelayedEvent = {
+    kind: 'put',
+    key: 'k1',
+    revision: 1,
+    value: randomBytes(300_000),
+  };
+  const history = addEvents(emptyHistory(0), [noise, put(2)]);
   const [large, small] = eventsAfter(history, 0) ?? [];
   t.deepEqual(large, {kind: 'changed', key: 'k1', revision: 1});
   t.is(small.kind, 'put');
@@ -147,3 +155,16 @@
   relay.withhold();
   t.is((await unanswered).kind, 'unheard');
 });
+
+test('a configuration that compresses well is passed on whole', t => {
+  const value = Buffer.from('{"name":"route","kind":"bounded"},'.repeat(2_000));
+  const event = {kind: 'put', key: 'config', revision: 1, value} as const;
+  const [passed] = eventsAfter(addEvents(emptyHistory(0), [event]), 0) ?? [];
+  t.is(passed.kind, 'packed');
+  if (passed.kind !== 'packed') return;
+  t.true(passed.value.length < value.length / 4);
+  t.deepEqual(unpackValue(passed.value), value);
+  t.throws(() => unpackValue(randomBytes(100)));
+  // Those who pass it on again keep it as it came.
+  t.deepEqual(addEvents(emptyHistory(0), [passed]).events, [passed]);
+});
