--- a/src/front/front.ts
+++ b/src/front/front.ts
@@ -558,6 +558,8 @@
       sessions: this.sessions.size,
       ready: this.isReady ? 1 : 0,
       duty_held: this.coordinatorLease.isHeld ? 1 : 0,
+      config_version: this.feed.config?.version ?? 0,
+      store_revision: this.feed.knownRevision,
       resident_bytes: process.memoryUsage.rss(),
     };
   }
--- a/src/front/store_feed.ts
+++ b/src/front/store_feed.ts
@@ -96,6 +96,8 @@
 const RETRY_PAUSE_MS = 150;
 const MAX_RETRY_PAUSE_MS = 600;
 
+const MAX_LOGGED_KEYS = 10;
+
 /** How long after a store failure a removed database is presumed alive. */
 const OUTAGE_GRACE_MS = 1_500;
 
@@ -298,6 +300,7 @@
     const listed = await this.options.store.list('');
     if (listed.isErr()) return this.recordFailure('list', listed.error.message);
     const {items, revision} = listed.value;
+    this.logListed(items, revision);
     const keys = new Set(items.map(item => item.key));
     const isFirst = this.revision === 0;
     this.applyEvents(
@@ -311,6 +314,28 @@
     return 'ok';
   }
 
+  /**
+   * Logs what a complete list shows beside what this front knew before, which
+   * tells whether the store lost anything.
+   */
+  private logListed(items: readonly StoredItem[], revision: number): void {
+    const {layout, log} = this.options;
+    const keys = new Set(items.map(({key}) => key));
+    const config = items.find(({key}) => key === layout.configKey);
+    const decoded = config && layout.decodeConfig(config.value);
+    const missing = [...this.fleetItems$.value.keys()].filter(
+      key => !keys.has(key),
+    );
+    log('store_listed', {
+      revision,
+      knownRevision: this.revision,
+      version: decoded?.isOk() ? decoded.value.version : undefined,
+      knownVersion: this.config?.version,
+      missing: missing.length,
+      missingKeys: missing.slice(0, MAX_LOGGED_KEYS),
+    });
+  }
+
   private async watchOnce(): Promise<'ok' | 'failed' | 'list'> {
     const asOf = readClocks();
     const {store} = this.options;
@@ -375,7 +400,7 @@
     for (const event of events) {
       const {key} = event;
       if (key === layout.configKey) {
-        if (event.kind === 'put') this.applyConfig(event.value);
+        if (event.kind === 'put') this.applyConfig(event);
       } else if (key.startsWith(layout.databasePrefix)) {
         directory = this.applyDatabaseEvent(directory, event);
       } else if (key.startsWith(layout.fleetPrefix)) {
@@ -390,17 +415,22 @@
     if (fleetItemsDraft) this.fleetItems$.next(fleetItemsDraft);
   }
 
-  private applyConfig(bytes: Buffer): void {
-    const decoded = this.options.layout.decodeConfig(bytes);
+  private applyConfig({value, revision}: StoredItem): void {
+    const decoded = this.options.layout.decodeConfig(value);
     if (decoded.isErr()) {
       return this.options.log('config_rejected', {text: decoded.error});
     }
     const config = decoded.value;
     const knownVersion = this.config?.version ?? -1;
+    if (config.version < knownVersion) {
+      const {version} = config;
+      this.options.log('config_older', {version, knownVersion, revision});
+    }
     if (config.version <= knownVersion) return;
     this.options.log('config_applied', {
       version: config.version,
       before: knownVersion,
+      revision,
     });
     this.config$.next(config);
   }
