--- /dev/null
+++ b/test/platform/restored.test.ts
@@ -0,0 +1,90 @@
+/** Fronts whose store comes back from an older copy of itself. */
+import test from 'ava';
+import {
+  Fleet,
+  operatorConfig,
+  RunningFront,
+  startFleet,
+  until,
+} from './fleet_fixture.js';
+import {StandinStore, StoreFaultMode} from './standin_store.js';
+
+/** Bound within which a confirmed configuration is in force. */
+const CONFIG_BOUND_MS = 3_000;
+const COPY_AGE_MS = 1_000;
+const OUTAGE_MS = 500;
+
+const sleep = (ms: number): Promise<void> =>
+  new Promise(resolve => setTimeout(resolve, ms));
+
+const versionOf = ({events}: RunningFront): unknown =>
+  events('config_applied').at(-1)?.version;
+
+const isInEra =
+  (era: number) =>
+  ({events}: RunningFront): boolean =>
+    events('store_era').at(-1)?.era === era;
+
+/** Raises the store's revision without any meaning for fronts. */
+function writeUnrelated(store: StandinStore, count: number): void {
+  for (let n = 0; n < count; n++) store.put('unrelated', `${n} ${Date.now()}`);
+}
+
+/** An outage, after which the store is as it was `ageMs` before. */
+async function restoreAfterOutage(
+  store: StandinStore,
+  ageMs = COPY_AGE_MS,
+): Promise<void> {
+  store.faultMode = StoreFaultMode.busy;
+  await sleep(OUTAGE_MS);
+  store.restore(ageMs + OUTAGE_MS);
+  store.faultMode = StoreFaultMode.none;
+}
+
+async function startSettledFleet(zones: readonly string[]): Promise<Fleet> {
+  const fleet = await startFleet(zones);
+  await sleep(COPY_AGE_MS + OUTAGE_MS);
+  return fleet;
+}
+
+// Guards against continuing at a revision of the lost history, which passes
+// over the changes that are given the same revisions again.
+test('a configuration written soon after a restore is in force at all fronts', async t => {
+  const fleet = await startSettledFleet(['norte', 'norte', 'puerto']);
+  t.teardown(() => fleet.stop());
+  const {store, fronts} = fleet;
+  writeUnrelated(store, 10);
+  store.put('op/config', operatorConfig('orders', {version: 2}));
+  await until(() => fronts.every(front => versionOf(front) === 2));
+  await restoreAfterOutage(store);
+  await until(() => fronts.every(isInEra(2)));
+  store.put('op/config', operatorConfig('orders', {version: 9}));
+  writeUnrelated(store, 20);
+  await until(
+    () => fronts.every(front => versionOf(front) === 9),
+    CONFIG_BOUND_MS,
+  );
+  t.pass();
+});
+
+// Guards against a watch that succeeds although the store was restored, since
+// its counter has passed the known revision before the first call.
+test('a restored store that has caught up by number is listed again', async t => {
+  const fleet = await startSettledFleet(['norte', 'norte', 'puerto']);
+  t.teardown(() => fleet.stop());
+  const {store, fronts} = fleet;
+  writeUnrelated(store, 10);
+  store.put('op/config', operatorConfig('orders', {version: 2}));
+  await until(() => fronts.every(front => versionOf(front) === 2));
+  store.faultMode = StoreFaultMode.busy;
+  await sleep(OUTAGE_MS);
+  store.restore(COPY_AGE_MS + OUTAGE_MS);
+  store.put('op/config', operatorConfig('orders', {version: 9}));
+  writeUnrelated(store, 20);
+  store.faultMode = StoreFaultMode.none;
+  await until(
+    () => fronts.every(front => versionOf(front) === 9),
+    CONFIG_BOUND_MS,
+  );
+  t.pass();
+});
--- a/test/platform/standin_store.ts
+++ b/test/platform/standin_store.ts
@@ -1,5 +1,6 @@
 /** A stand-in of the platform's store and of its promotion endpoint. */
 import {createServer, IncomingMessage, Server, ServerResponse} from 'node:http';
+import {Copies} from '../../src/standin/copies.js';
 import {StandinGroup} from './standin_database.js';
 
 interface Item {
@@ -10,6 +11,18 @@
   readonly lease_id: number;
 }
 
+type ItemEvent = Item | {key: string; revision: number; tombstone: true};
+
+/** Everything that a restore from a copy brings back. */
+interface StoreState {
+  readonly revision: number;
+  readonly items: ReadonlyMap<string, Item>;
+  readonly events: readonly ItemEvent[];
+  /** Durations of the leases by id. */
+  readonly leaseTtlsMs: ReadonlyMap<number, number>;
+  readonly leaseCount: number;
+}
+
 interface Transaction {
   readonly expected_rev: ReadonlyArray<{key: string; revision: number}>;
   readonly writes: ReadonlyArray<{
@@ -54,9 +67,10 @@
   private revision = 1;
   private compactedRevision = 0;
   private readonly items = new Map<string, Item>();
-  private events: Array<
-    Item | {key: string; revision: number; tombstone: true}
-  > = [];
+  private events: ItemEvent[] = [];
+  /** How often the store was restored, counted from 1. */
+  private era = 1;
+  private readonly copies = Copies.create<StoreState, string>();
   private readonly leases = new Map<
     number,
     {ttlMs: number; timer: NodeJS.Timeout}
@@ -88,15 +102,40 @@
    */
   put(key: string, value: unknown, leaseId = 0): void {
     const text = typeof value === 'string' ? value : JSON.stringify(value);
-    this.write(key, Buffer.from(text).toString('base64'), leaseId);
+    const encoded = Buffer.from(text).toString('base64');
+    this.write(key, encoded, leaseId);
+    this.copies.recordRepeated(key, encoded);
     this.notifyWatchers();
   }
 
+  /** Removes an item in place of the operator or a database. */
   remove(key: string): void {
-    if (!this.items.delete(key)) return;
-    this.revision++;
-    this.events.push({key, revision: this.revision, tombstone: true});
-    this.notifyWatchers();
+    this.delete(key);
+    this.copies.recordRepeated(key, undefined);
+  }
+
+  /**
+   * Replaces the state by that of `ageMs` ago, as after an outage. Items that
+   * the operator or a database wrote since are written again. Connections are
+   * cut.
+   */
+  restore(ageMs: number): void {
+    const {state, repeated} = this.copies.restore(ageMs);
+    for (const {timer} of this.leases.values()) clearTimeout(timer);
+    this.leases.clear();
+    this.era++;
+    this.revision = state.revision;
+    this.leaseCount = state.leaseCount;
+    this.items.clear();
+    for (const [key, item] of state.items) this.items.set(key, item);
+    this.events = [...state.events];
+    for (const [id, ttlMs] of state.leaseTtlsMs) this.addLease(id, ttlMs);
+    for (const [key, value] of repeated) {
+      if (value === undefined) this.delete(key);
+      else if (this.items.get(key)?.value !== value) this.write(key, value, 0);
+    }
+    this.watchers.clear();
+    this.server?.closeAllConnections();
   }
 
   get(key: string): Item | undefined {
@@ -142,6 +181,29 @@
     };
     this.items.set(key, item);
     this.events.push(item);
+    this.recordCopy();
+  }
+
+  private delete(key: string): void {
+    if (!this.items.delete(key)) return;
+    this.revision++;
+    this.events.push({key, revision: this.revision, tombstone: true});
+    this.recordCopy();
+    this.notifyWatchers();
+  }
+
+  private recordCopy(): void {
+    const {revision, leaseCount} = this;
+    const leaseTtlsMs = new Map(
+      [...this.leases].map(([id, {ttlMs}]) => [id, ttlMs] as const),
+    );
+    this.copies.record({
+      revision,
+      items: new Map(this.items),
+      events: [...this.events],
+      leaseTtlsMs,
+      leaseCount,
+    });
   }
 
   private notifyWatchers(): void {
@@ -156,6 +218,7 @@
     if (this.faultMode === StoreFaultMode.silent) return;
     if (this.faultMode === StoreFaultMode.busy) {
       response.statusCode = 503;
+      response.setHeader('store-era', this.era);
       return void response.end();
     }
     const chunks: Buffer[] = [];
@@ -169,6 +232,7 @@
           return void request.socket.destroy();
         }
         response.statusCode = status;
+        response.setHeader('store-era', this.era);
         response.setHeader('content-type', 'application/json');
         response.end(JSON.stringify(answer));
       });
@@ -226,7 +290,8 @@
     const prefix = url.searchParams.get('prefix') ?? '';
     const timer = setTimeout(() => respond(true), waitMs);
     const respond = (isTimedOut: boolean): void => {
-      if (after < this.compactedRevision) return end(410, {});
+      const isKept = after >= this.compactedRevision && after <= this.revision;
+      if (!isKept) return end(410, {});
       const events = this.events.filter(
         event => event.revision > after && event.key.startsWith(prefix),
       );
@@ -259,7 +324,7 @@
     for (const write of transaction.writes) {
       this.write(write.key, write.value, write.lease_id);
     }
-    for (const key of transaction.remove) this.remove(key);
+    for (const key of transaction.remove) this.delete(key);
     this.notifyWatchers();
     answer(200, {revision: this.revision});
   }
@@ -269,9 +334,14 @@
     answer: (status: number, body: object) => void,
   ): void {
     const id = ++this.leaseCount;
+    this.addLease(id, ttlMs);
+    this.recordCopy();
+    answer(200, {lease_id: id, ttl_ms: ttlMs});
+  }
+
+  private addLease(id: number, ttlMs: number): void {
     const timer = setTimeout(() => this.endLease(id), ttlMs);
     this.leases.set(id, {ttlMs, timer});
-    answer(200, {lease_id: id, ttl_ms: ttlMs});
   }
 
   private renewLease(
@@ -289,8 +359,9 @@
     if (!lease) return;
     clearTimeout(lease.timer);
     this.leases.delete(id);
+    this.recordCopy();
     for (const item of [...this.items.values()]) {
-      if (item.lease_id === id) this.remove(item.key);
+      if (item.lease_id === id) this.delete(item.key);
     }
   }
 
