Qualify revisions by the store's era, so that no change after a restore is missed

Callers saw a confirmed configuration that was not in force, some for nine seconds and more, after the store had come back from an older copy.

Cause: a view kept the higher of two revisions, one of a history that is lost. Its watches were refused until the store's counter had passed that number, and then left out what was written under the revisions given out again. Evidence: store_listed revision=21 knownRevision=22 over and over, then a first event of revision 23, while the configuration was written at 22.

The class: a position in one history compared with one in another. So the fix is in the comparison, not in the feed: createKeyValueStore makes a revision a number that contains the era, for all who compare them. A watch answered in another era counts as discarded history and leads to a list; the relay's history, the age of leader records, the order of leaders and the fencing token rise over a restore; a condition from a lost era is a conflict and isn't sent; a commit whose condition a reused revision may have met is unknown; a list that spans a restore and a delayed response of an earlier era aren't taken. The two calls between fronts that carry revisions have new names, so that fronts of the former version neither follow nor announce by other numbers.

Ruled out: taking the list's revision as it is. It mends the watch that is refused, not the one that succeeds because the counter has caught up, and leaves tokens and records that go back.

--- a/src/front/dispatcher.ts
+++ b/src/front/dispatcher.ts
@@ -52,8 +52,8 @@
   probe: 'database.probe',
   suspect: 'duty.suspect',
   marks: 'database.marks',
-  follow: 'store.follow',
-  leader: 'leader.hear',
+  follow: 'store.changes',
+  leader: 'leader.announce',
   ping: 'ping',
 } as const;
 
--- a/src/store/key_values.ts
+++ b/src/store/key_values.ts
@@ -1,4 +1,8 @@
-/** Interface of a key-value store with leases, revisions and watches. */
+/**
+ * Interface of a key-value store with leases, revisions and watches. Revisions
+ * rise even if the store is restored from an older copy; see
+ * `core/store_revision.ts`.
+ */
 import {Result} from 'neverthrow';
 
 export interface StoredItem {
@@ -21,7 +25,10 @@
   unknown: 'unknown',
   /** A key was not at its expected revision; nothing was written. */
   conflict: 'conflict',
-  /** The store no longer has the changes after the requested revision. */
+  /**
+   * The store no longer has the changes after the requested revision, or was
+   * restored from a copy since.
+   */
   historyDiscarded: 'history_gone',
   /** The lease does not exist or has expired. */
   leaseNotFound: 'lease_gone',
--- a/src/store/store_client.ts
+++ b/src/store/store_client.ts
@@ -1,16 +1,17 @@
 /**
- * Calls to a key-value store that may come back from an older copy of itself.
- * The store counts its restores as eras and reports the present one with each
- * response. Revisions and lease ids of one era may be given out again in the
- * next.
+ * Adapts a store that may come back from an older copy of itself. The store
+ * counts its restores as eras and reports the present one with each response;
+ * revisions of one era may be given out again in the next. `createKeyValueStore`
+ * qualifies revisions by their era, and rejects what refers to a lost era.
  */
 import {err, ok, Result} from 'neverthrow';
+import {eraOf, qualifyRevision, revisionInEra} from '../core/store_revision.js';
 import {
   KeyValueStore,
   StoredItem,
   StoreEvent,
   StoreFault,
-  StoreResult,
+  StoreFaultKind,
   StoreTransaction,
 } from './key_values.js';
 
@@ -23,7 +24,7 @@
   readonly result: Result<T, StoreFault>;
 }>;
 
-/** Adapter of one store. */
+/** Calls to one store, with the revisions that it uses itself. */
 export interface StoreClient {
   /** Lists one page of the items whose key starts with `prefix`. */
   listPage(
@@ -45,40 +46,104 @@
   revoke(leaseId: number): StoreReply<void>;
 }
 
+const fault = (
+  kind: StoreFaultKind,
+  message: string,
+): Result<never, StoreFault> => err({kind, message});
+
 /** Creates a store on a client. `onEra` is called when the era has changed. */
 export function createKeyValueStore(
   client: StoreClient,
   onEra: (era: number, before: number | undefined) => void,
 ): KeyValueStore {
-  let lastEra: number | undefined;
-  const call = async <T>(reply: StoreReply<T>): StoreResult<T> => {
+  /** Latest era that any response has reported. */
+  let latestEra: number | undefined;
+
+  /** Awaits a reply; its era is 0 if the store does not report eras. */
+  const call = async <T>(
+    reply: StoreReply<T>,
+  ): Promise<{era: number; result: Result<T, StoreFault>}> => {
     const {era, result} = await reply;
-    if (era !== undefined && era !== lastEra) {
-      onEra(era, lastEra);
-      lastEra = era;
+    if (era === undefined) return {era: latestEra ?? 0, result};
+    if (latestEra !== undefined && era < latestEra) {
+      const message = 'delayed response of a store restored since';
+      return {era, result: fault(StoreFaultKind.unknown, message)};
+    }
+    if (era !== latestEra) {
+      onEra(era, latestEra);
+      latestEra = era;
     }
-    return result;
+    return {era, result};
   };
-  return {
-    list: async prefix => {
-      const items: StoredItem[] = [];
-      let revision = 0;
-      let afterKey = '';
-      for (;;) {
-        const page = await call(client.listPage(prefix, afterKey));
-        if (page.isErr()) return err(page.error);
-        items.push(...page.value.items);
-        revision ||= page.value.revision;
-        const last = items.at(-1);
-        if (!page.value.hasMore || !last) return ok({items, revision});
-        afterKey = last.key;
+
+  const list: KeyValueStore['list'] = async prefix => {
+    const items: StoredItem[] = [];
+    let first: number | undefined;
+    let afterKey = '';
+    for (;;) {
+      const {era, result} = await call(client.listPage(prefix, afterKey));
+      if (result.isErr()) return err(result.error);
+      const page = result.value;
+      first ??= qualifyRevision(era, page.revision);
+      if (era !== eraOf(first)) {
+        const message = 'the store was restored between two pages';
+        return fault(StoreFaultKind.notApplied, message);
       }
-    },
-    watch: (prefix, afterRevision, waitMs) =>
-      call(client.watch(prefix, afterRevision, waitMs)),
-    commit: transaction => call(client.commit(transaction)),
-    grant: ttlMs => call(client.grant(ttlMs)),
-    renew: leaseId => call(client.renew(leaseId)),
-    revoke: leaseId => call(client.revoke(leaseId)),
+      for (const item of page.items) {
+        const revision = qualifyRevision(era, item.revision);
+        items.push({...item, revision});
+      }
+      const last = items.at(-1);
+      if (!page.hasMore || !last) return ok({items, revision: first});
+      afterKey = last.key;
+    }
+  };
+
+  const watch: KeyValueStore['watch'] = async (prefix, after, waitMs) => {
+    const reply = client.watch(prefix, revisionInEra(after), waitMs);
+    const {era, result} = await call(reply);
+    if (result.isErr()) return err(result.error);
+    if (era !== eraOf(after)) {
+      const message = 'the store was restored since the last revision';
+      return fault(StoreFaultKind.historyDiscarded, message);
+    }
+    const {events, revision} = result.value;
+    return ok({
+      events: events.map(event => ({
+        ...event,
+        revision: qualifyRevision(era, event.revision),
+      })),
+      revision: qualifyRevision(era, revision),
+    });
+  };
+
+  const commit: KeyValueStore['commit'] = async transaction => {
+    const conditions = transaction.expected.filter(row => row.revision > 0);
+    const isOfEra = (era: number): boolean =>
+      conditions.every(({revision}) => eraOf(revision) === era);
+    if (latestEra !== undefined && !isOfEra(latestEra)) {
+      const message = 'a condition refers to a lost era of the store';
+      return fault(StoreFaultKind.conflict, message);
+    }
+    const expected = transaction.expected.map(({key, revision}) => ({
+      key,
+      revision: revisionInEra(revision),
+    }));
+    const {era, result} = await call(client.commit({...transaction, expected}));
+    // A revision that was given out again may have met the condition.
+    if (result.isOk() && !isOfEra(era)) {
+      const message = 'the store was restored before the commit';
+      return fault(StoreFaultKind.unknown, message);
+    }
+    return result.map(revision => qualifyRevision(era, revision));
+  };
+
+  return {
+    list,
+    watch,
+    commit,
+    grant: async ttlMs => (await call(client.grant(ttlMs))).result,
+    renew: async leaseId => (await call(client.renew(leaseId))).result,
+    revoke: async leaseId => (await call(client.revoke(leaseId))).result,
   };
 }
