Do not let a copy's entries replace what databases have said since

After a restore the directory could take a database's entry from before it was leaving, or before it lost the lead, as its newest word, and a database that had left as a new one; and it gave up databases whose entries the copy lacks. Callers would be sent to a former primary or a leaving database until each had written again.

A database counts its own entries (seq, from its start on), so that order holds whatever the store gives out. For four heartbeats after a restore, an entry is passed over if a newer one of the same database is known, also of one that has left; then the store is listed once more and believed. A database missing from that list is presumed alive, as after an outage.

The directory's upkeep moves from store_feed.ts into directory_tracker.ts.

--- a/src/core/directory.ts
+++ b/src/core/directory.ts
@@ -19,6 +19,23 @@
   readonly isLeader: boolean;
   /** Unix time of the start; distinguishes restarts under the same id. */
   readonly startedAtUnixMs: number | undefined;
+  /** Rises with each entry that the database writes from its start on. */
+  readonly sequence: number | undefined;
+}
+
+/**
+ * Whether a database wrote `entry` after `other`; false if that is unknown. A
+ * database counts its own entries, whatever revisions the store gives them.
+ */
+export function isNewerEntry(
+  entry: DatabaseEntry,
+  other: DatabaseEntry,
+): boolean {
+  const startedAtMs = entry.startedAtUnixMs ?? 0;
+  const otherStartedAtMs = other.startedAtUnixMs ?? 0;
+  return startedAtMs === otherStartedAtMs
+    ? (entry.sequence ?? 0) > (other.sequence ?? 0)
+    : startedAtMs > otherStartedAtMs;
 }
 
 /** An entry and what follows from its history in the store. */
--- a/src/front/front.ts
+++ b/src/front/front.ts
@@ -56,6 +56,11 @@
  * Heartbeat intervals after which a database missing from the store is dropped.
  */
 const MISSED_HEARTBEATS_UNTIL_REMOVAL = 2;
+/**
+ * Heartbeat intervals after which databases have repeated their entries in a
+ * restored store, and the entries of others have expired.
+ */
+const HEARTBEATS_UNTIL_REWRITTEN = 4;
 /** Fronts that vote on whether a primary is reachable, this one included. */
 const MAX_VOTERS = 5;
 const VOTE_TIMEOUT_MS = 700;
@@ -121,6 +126,7 @@
       maxConfigAgeMs: maxConfigAgeMs(settings.keyRevocationMs),
       missingEntryGraceMs:
         MISSED_HEARTBEATS_UNTIL_REMOVAL * settings.heartbeatIntervalMs,
+      rewriteGraceMs: HEARTBEATS_UNTIL_REWRITTEN * settings.heartbeatIntervalMs,
       log,
     });
     this.registration = Registration.create({
--- a/src/front/store_feed.ts
+++ b/src/front/store_feed.ts
@@ -3,16 +3,9 @@
  * configuration, the databases and the other fronts, and dates how fresh the
  * view is. Changes come from the store or from a front that relays them.
  */
-import {BehaviorSubject} from 'rxjs';
+import {BehaviorSubject, Observable} from 'rxjs';
 import {Result} from 'neverthrow';
-import {
-  DatabaseEntry,
-  Directory,
-  dropMissing,
-  KnownDatabase,
-  putEntry,
-  removeEntry,
-} from '../core/directory.js';
+import {DatabaseEntry, Directory} from '../core/directory.js';
 import {
   ClockReading,
   isFresh,
@@ -20,6 +13,7 @@
   newerFreshness,
 } from '../core/freshness.js';
 import {FrontConfig} from '../core/front_config.js';
+import {eraOf} from '../core/store_revision.js';
 import {asOfOnLocalClock, RelayedEvent, unpackValue} from '../core/relay.js';
 import {
   KeyValueStore,
@@ -28,6 +22,7 @@
   StoreFaultKind,
 } from '../store/key_values.js';
 import {ChangeRelay, FollowRequest, RelayedChanges} from './change_relay.js';
+import {DirectoryTracker} from './directory_tracker.js';
 import {JsonLog} from './json_log.js';
 import {withTimeout} from './timeout.js';
 
@@ -69,7 +64,11 @@
   readonly maxConfigAgeMs: number;
   /** How long a database without an entry stays in the directory. */
   readonly missingEntryGraceMs: number;
+  /** How long databases may take to repeat their entries after a restore. */
+  readonly rewriteGraceMs: number;
   readonly log: JsonLog;
+  /** `readClocks` by default. */
+  readonly clocks?: () => ClockReading;
 }
 
 /**
@@ -97,9 +96,8 @@
 const MAX_RETRY_PAUSE_MS = 600;
 
 const MAX_LOGGED_KEYS = 10;
-
-/** How long after a store failure a removed database is presumed alive. */
-const OUTAGE_GRACE_MS = 1_500;
+/** Below every version of a configuration. */
+const NO_VERSION = -1;
 
 /** Reads both clocks on which ages are measured. */
 export const readClocks = (): ClockReading => ({
@@ -110,28 +108,9 @@
 const pause = (ms: number): Promise<void> =>
   new Promise(resolve => setTimeout(resolve, ms));
 
-/** A database as dumps show it. The field names of dumps must not change. */
-const dumpDatabase = (entry: KnownDatabase): object => ({
-  id: entry.id,
-  service: entry.service,
-  host: entry.host,
-  port: entry.port,
-  zone: entry.zone,
-  slots: entry.slots,
-  leaving: entry.leaving,
-  coldLeftMs: entry.remainingWarmUpMs,
-  isLeader: entry.isLeader,
-  bornMs: entry.startedAtUnixMs,
-  place: entry.place,
-  leadsSince: entry.leaderSinceRevision,
-  missingSinceMs: entry.missingSinceMs,
-  isDoubtful: entry.isPresumedAlive,
-});
-
 /** This front's view of the store. */
 export class StoreFeed {
   readonly config$ = new BehaviorSubject<FrontConfig | undefined>(undefined);
-  readonly directory$ = new BehaviorSubject<Directory>(new Map());
   /** Items under `fleetPrefix`, by key. */
   readonly fleetItems$ = new BehaviorSubject<ReadonlyMap<string, StoredItem>>(
     new Map(),
@@ -141,9 +120,9 @@
   private freshness: ConfigFreshness | undefined;
   private revision = 0;
   private failures = 0;
-  private failedAtMs = -Infinity;
   private isStopped = false;
-  private readonly changeRelay = ChangeRelay.create(readClocks);
+  private readonly clocks: () => ClockReading;
+  private readonly changeRelay: ChangeRelay;
   /** Steady time until which each failed relay is not used, by VM. */
   private readonly avoidedRelays = new Map<string, number>();
   /** VM that changes come from; undefined when it is the store. */
@@ -153,7 +132,20 @@
    */
   private hasRelayFailed = false;
 
-  private constructor(private readonly options: StoreFeedOptions) {}
+  private readonly databases: DirectoryTracker;
+
+  private constructor(private readonly options: StoreFeedOptions) {
+    this.clocks = options.clocks ?? readClocks;
+    this.changeRelay = ChangeRelay.create(this.clocks);
+    this.databases = DirectoryTracker.create({
+      prefix: options.layout.databasePrefix,
+      decode: options.layout.decodeDatabase,
+      regionOfZone: options.regionOfZone,
+      missingEntryGraceMs: options.missingEntryGraceMs,
+      rewriteGraceMs: options.rewriteGraceMs,
+      log: options.log,
+    });
+  }
 
   static create(options: StoreFeedOptions): StoreFeed {
     return new StoreFeed(options);
@@ -164,7 +156,11 @@
   }
 
   get directory(): Directory {
-    return this.directory$.value;
+    return this.databases.directory;
+  }
+
+  get directory$(): Observable<Directory> {
+    return this.databases.directory$;
   }
 
   /** Revision up to which this view is complete. */
@@ -174,7 +170,7 @@
 
   /** Whether the view is recent enough to serve requests that need a key. */
   get isFresh(): boolean {
-    return isFresh(this.freshness, readClocks(), this.options.maxConfigAgeMs);
+    return isFresh(this.freshness, this.clocks(), this.options.maxConfigAgeMs);
   }
 
   /** Whether the last call to the store failed. */
@@ -219,11 +215,12 @@
       fresh: this.isFresh,
       failures: this.failures,
       source: this.source ?? 'store',
-      databases: [...this.directory.values()].map(dumpDatabase),
+      databases: this.databases.dump(),
     };
   }
 
   private nextChanges(): Promise<'ok' | 'failed' | 'list'> {
+    if (this.databases.isListDue) return this.listAll();
     const nowMs = performance.now();
     const relay = this.hasRelayFailed
       ? undefined
@@ -243,7 +240,7 @@
    * store.
    */
   private async followOnce(relay: Relay): Promise<'ok' | 'failed' | 'list'> {
-    const sentAt = readClocks();
+    const sentAt = this.clocks();
     try {
       const call = relay.follow({after: this.revision});
       const changes = await withTimeout(call, FOLLOW_TIMEOUT_MS);
@@ -253,7 +250,7 @@
       const events = await this.resolveEvents(changes.events);
       this.applyEvents(events, changes.revision, changes.events);
       const {offsetMs} = changes;
-      const asOf = asOfOnLocalClock(sentAt, offsetMs, readClocks());
+      const asOf = asOfOnLocalClock(sentAt, offsetMs, this.clocks());
       this.recordSuccess(changes.revision, asOf);
     } catch (error) {
       const text = (error as Error).message;
@@ -296,13 +293,16 @@
   }
 
   private async listAll(): Promise<'ok' | 'failed' | 'list'> {
-    const asOf = readClocks();
+    const asOf = this.clocks();
     const listed = await this.options.store.list('');
     if (listed.isErr()) return this.recordFailure('list', listed.error.message);
     const {items, revision} = listed.value;
     this.logListed(items, revision);
     const keys = new Set(items.map(item => item.key));
     const isFirst = this.revision === 0;
+    if (!isFirst && eraOf(revision) > eraOf(this.revision))
+      this.databases.recordRestore();
+    this.databases.beginList();
     this.applyEvents(
       items.map(item => ({kind: 'put', ...item})),
       revision,
@@ -337,7 +337,7 @@
   }
 
   private async watchOnce(): Promise<'ok' | 'failed' | 'list'> {
-    const asOf = readClocks();
+    const asOf = this.clocks();
     const {store} = this.options;
     const waitMs = this.hasRelayFailed ? 0 : WATCH_WAIT_MS;
     const reply = await store.watch('', this.revision, waitMs);
@@ -365,9 +365,9 @@
   private recordFailure(call: string, text: string): 'failed' {
     this.failures++;
     this.changeRelay.suspend();
-    this.failedAtMs = performance.now();
+    this.databases.recordStoreFailure();
     if (this.failures === 1) this.options.log('store_lost', {call, text});
-    this.expireMissing();
+    this.databases.expireMissing();
     return 'failed';
   }
 
@@ -381,7 +381,7 @@
     if (version !== undefined) {
       this.freshness = newerFreshness(this.freshness, {version, asOf});
     }
-    this.expireMissing();
+    this.databases.expireMissing();
   }
 
   /**
@@ -394,7 +394,7 @@
     relayed: readonly RelayedEvent[] = events,
   ): void {
     const {layout} = this.options;
-    let directory = this.directory;
+    const databaseEvents: StoreEvent[] = [];
     const fleetItems = this.fleetItems$.value;
     let fleetItemsDraft: Map<string, StoredItem> | undefined;
     for (const event of events) {
@@ -402,7 +402,7 @@
       if (key === layout.configKey) {
         if (event.kind === 'put') this.applyConfig(event);
       } else if (key.startsWith(layout.databasePrefix)) {
-        directory = this.applyDatabaseEvent(directory, event);
+        databaseEvents.push(event);
       } else if (key.startsWith(layout.fleetPrefix)) {
         fleetItemsDraft ??= new Map(fleetItems);
         if (event.kind === 'put') fleetItemsDraft.set(key, event);
@@ -411,7 +411,7 @@
     }
     this.changeRelay.record(relayed);
     this.revision = Math.max(this.revision, revision);
-    if (directory !== this.directory) this.directory$.next(directory);
+    this.databases.apply(databaseEvents);
     if (fleetItemsDraft) this.fleetItems$.next(fleetItemsDraft);
   }
 
@@ -421,7 +421,7 @@
       return this.options.log('config_rejected', {text: decoded.error});
     }
     const config = decoded.value;
-    const knownVersion = this.config?.version ?? -1;
+    const knownVersion = this.config?.version ?? NO_VERSION;
     if (config.version < knownVersion) {
       const {version} = config;
       this.options.log('config_older', {version, knownVersion, revision});
@@ -435,75 +435,14 @@
     this.config$.next(config);
   }
 
-  private applyDatabaseEvent(
-    directory: Directory,
-    event: StoreEvent,
-  ): Directory {
-    const {layout, regionOfZone, log} = this.options;
-    const id = event.key.slice(layout.databasePrefix.length);
-    const known = directory.get(id);
-    if (event.kind === 'removed') {
-      if (known)
-        log('database_unlisted', {database: id, service: known.service});
-      return this.removeDatabase(directory, id);
-    }
-    const entry = layout.decodeDatabase(id, event.value);
-    if (!entry) {
-      log('database_entry_invalid', {database: id});
-      return removeEntry(directory, id, performance.now());
-    }
-    const region = regionOfZone.get(entry.zone) ?? '';
-    const place = {zone: entry.zone, region};
-    const hasChanged =
-      known?.leaving !== entry.leaving || known.isLeader !== entry.isLeader;
-    if (hasChanged) {
-      log('database_listed', {
-        database: id,
-        service: entry.service,
-        zone: entry.zone,
-        leads: entry.isLeader,
-        leaving: entry.leaving,
-        revision: event.revision,
-      });
-    }
-    return putEntry(directory, entry, place, event.revision);
-  }
-
-  /**
-   * Removes a database. An entry that disappears around an outage of the store
-   * may belong to a running database, so the database is presumed alive.
-   */
-  private removeDatabase(directory: Directory, id: string): Directory {
-    const nowMs = performance.now();
-    const isPresumedAlive = nowMs - this.failedAtMs < OUTAGE_GRACE_MS;
-    return removeEntry(directory, id, nowMs, isPresumedAlive);
-  }
-
   /**
    * Removes the databases and fronts' items that a complete list did not
    * contain.
    */
   private removeUnlisted(keys: ReadonlySet<string>): void {
-    const {databasePrefix} = this.options.layout;
-    let directory = this.directory;
-    for (const id of directory.keys()) {
-      if (!keys.has(databasePrefix + id)) {
-        directory = this.removeDatabase(directory, id);
-      }
-    }
-    if (directory !== this.directory) this.directory$.next(directory);
+    this.databases.removeUnlisted(keys);
     const fleetItems = this.fleetItems$.value;
     const kept = [...fleetItems].filter(([key]) => keys.has(key));
     if (kept.length < fleetItems.size) this.fleetItems$.next(new Map(kept));
   }
-
-  private expireMissing(): void {
-    const {missingEntryGraceMs} = this.options;
-    const next = dropMissing(
-      this.directory,
-      performance.now(),
-      missingEntryGraceMs,
-    );
-    if (next !== this.directory) this.directory$.next(next);
-  }
 }
--- a/test/front/decisions.test.ts
+++ b/test/front/decisions.test.ts
@@ -60,6 +60,7 @@
   remainingWarmUpMs: 0,
   isLeader: false,
   startedAtUnixMs: 1,
+  sequence: 1,
   ...changes,
 });
 const PLACE = {zone: 'z1', region: 'r1'};
--- a/test/platform/worker.test.ts
+++ b/test/platform/worker.test.ts
@@ -50,6 +50,7 @@
     remainingWarmUpMs: 0,
     isLeader: true,
     startedAtUnixMs: 1,
+    sequence: 1,
   };
   const place = {zone: 'z', region: 'r'};
   const known = putEntry(new Map(), entry, place, 1).get('d');
