Do not count a view as fresh while the store holds an older configuration

Just after a restore the store may hold a configuration from before the newest one; a front that lists it then dated its own, newer version as current. A key that a still newer version had withdrawn, unseen by this front, would have been accepted past revoke_ms.

The freshness is renewed only by an answer of a store that holds the version in force, or a newer one. Until the operator has written again, the view ages as in an outage. The test fails with the condition off.

--- a/src/front/store_feed.ts
+++ b/src/front/store_feed.ts
@@ -117,6 +117,8 @@
   );
   /** Items under `fleetPrefix` when the store was first listed. */
   fleetItemsAtStart: ReadonlyMap<string, StoredItem> = new Map();
+  /** Version of the configuration that the store holds, as far as known. */
+  private storedVersion = NO_VERSION;
   private freshness: ConfigFreshness | undefined;
   private revision = 0;
   private failures = 0;
@@ -303,6 +305,7 @@
     if (!isFirst && eraOf(revision) > eraOf(this.revision))
       this.databases.recordRestore();
     this.databases.beginList();
+    this.storedVersion = NO_VERSION;
     this.applyEvents(
       items.map(item => ({kind: 'put', ...item})),
       revision,
@@ -378,7 +381,9 @@
       this.failures = 0;
     }
     const version = this.config?.version;
-    if (version !== undefined) {
+    // A restored store may hold an older version until the operator has written
+    // the newer ones again, among them versions that this front has not seen.
+    if (version !== undefined && this.storedVersion >= version) {
       this.freshness = newerFreshness(this.freshness, {version, asOf});
     }
     this.databases.expireMissing();
@@ -418,9 +423,11 @@
   private applyConfig({value, revision}: StoredItem): void {
     const decoded = this.options.layout.decodeConfig(value);
     if (decoded.isErr()) {
+      this.storedVersion = this.config?.version ?? NO_VERSION;
       return this.options.log('config_rejected', {text: decoded.error});
     }
     const config = decoded.value;
+    this.storedVersion = config.version;
     const knownVersion = this.config?.version ?? NO_VERSION;
     if (config.version < knownVersion) {
       const {version} = config;
--- /dev/null
+++ b/test/front/store_feed.test.ts
@@ -0,0 +1,91 @@
+/** A front's view of a store that returns from an older copy. */
+import {mock} from 'node:test';
+import test from 'ava';
+import {ok} from 'neverthrow';
+import {FrontConfig} from '../../src/core/front_config.js';
+import {qualifyRevision} from '../../src/core/store_revision.js';
+import {StoreFeed} from '../../src/front/store_feed.js';
+import {KeyValueStore, StoredItem} from '../../src/store/key_values.js';
+
+const CONFIG_KEY = 'config';
+const MAX_AGE_MS = 4_800;
+
+const settle = async (): Promise<void> => {
+  for (let n = 0; n < 30; n++) await Promise.resolve();
+};
+
+async function advance(ms: number): Promise<void> {
+  for (let n = 0; n < ms; n += 50) {
+    mock.timers.tick(50);
+    await settle();
+  }
+}
+
+/** A store of one configuration; each call lists or watches `state`. */
+function createFeed() {
+  const state = {era: 1, revision: 10, version: 3};
+  const items = (): StoredItem[] => [
+    {
+      key: CONFIG_KEY,
+      revision: qualifyRevision(state.era, state.revision),
+      value: Buffer.from(String(state.version)),
+    },
+  ];
+  const revision = (): number => qualifyRevision(state.era, state.revision);
+  const store = {
+    list: () => Promise.resolve(ok({items: items(), revision: revision()})),
+    watch: (_prefix: string, after: number) =>
+      Promise.resolve(
+        ok({
+          events: after < revision() ? items().map(asPut) : [],
+          revision: revision(),
+        }),
+      ),
+  } as unknown as KeyValueStore;
+  const feed = StoreFeed.create({
+    chooseRelay: () => undefined,
+    store,
+    layout: {
+      configKey: CONFIG_KEY,
+      databasePrefix: 'db/',
+      fleetPrefix: 'own/',
+      decodeConfig: bytes =>
+        ok({version: Number(bytes.toString())} as FrontConfig),
+      decodeDatabase: () => undefined,
+    },
+    regionOfZone: new Map(),
+    maxConfigAgeMs: MAX_AGE_MS,
+    missingEntryGraceMs: 2_000,
+    rewriteGraceMs: 4_000,
+    log: () => undefined,
+    clocks: () => ({steadyMs: Date.now(), wallMs: Date.now()}),
+  });
+  return {state, feed};
+}
+
+const asPut = (item: StoredItem) => ({kind: 'put', ...item}) as const;
+
+test.beforeEach(() => mock.timers.enable({apis: ['setTimeout', 'Date']}));
+test.afterEach.always(() => mock.timers.reset());
+
+// Guards against accepting a withdrawn key: a store that shows an older version
+// than the one in force does not prove that the latter is the newest.
+test.serial(
+  'a store with an older configuration does not renew the freshness',
+  async t => {
+    const {state, feed} = createFeed();
+    t.teardown(() => feed.stop());
+    void feed.run();
+    await advance(500);
+    t.true(feed.isFresh);
+    Object.assign(state, {era: 2, revision: 7, version: 2});
+    await advance(MAX_AGE_MS - 1_000);
+    t.true(feed.isFresh);
+    t.is(feed.config?.version, 3);
+    await advance(2_000);
+    t.false(feed.isFresh);
+    Object.assign(state, {revision: 8, version: 3});
+    await advance(500);
+    t.true(feed.isFresh);
+  },
+);
