Keep fronts that a restored store has lost until they register again

A front that had registered after the copy was taken vanished from the others' lists when the store came back: they took over its shares of the customers' rates while it still accrued them, it left rotation until it had registered again, and if the copy was older than the fleet the first front to notice wrote a new secret, with which fronts refuse one another.

Cause, of the same class: an entry missing from a list was an entry that had ended. After a restore it is an entry that the store has forgotten. The list of fronts keeps those that were known before the restore for 6.5 s, longer than their leases run, or until each is listed again; the secret is kept in memory and written again as it was. A complete list is applied as one change, removals included: in two steps the lost entries counted as listed for a moment.

--- a/src/front/front.ts
+++ b/src/front/front.ts
@@ -517,7 +517,7 @@
   }
 
   private subscribeToChanges(): Subscription {
-    const {directory$, fleetItems$, config$} = this.feed;
+    const {directory$, fleetItems$, config$, restored$} = this.feed;
     const changes$ = merge(
       directory$.pipe(map(() => undefined)),
       fleetItems$.pipe(map(() => undefined)),
@@ -527,6 +527,12 @@
     subscription.add(
       fleetItems$.subscribe(() => this.leadership.applyStoredRecords()),
     );
+    subscription.add(
+      restored$.subscribe(() => {
+        this.fronts();
+        this.frontList.retain();
+      }),
+    );
     return subscription;
   }
 
--- a/src/front/front_list.ts
+++ b/src/front/front_list.ts
@@ -29,53 +29,91 @@
   }
 }
 
+/**
+ * How long fronts that were known before a restore of the store are kept
+ * without an entry. Longer than their leases run, so that a front is dropped
+ * only once it knows that it is no longer registered.
+ */
+const RETENTION_MS = 6_500;
+
 /**
  * The registered fronts; each entry is decoded once. The same map is returned
  * as long as no entry has changed, so that callers can cache what they derive
  * from it.
  */
 export class FrontList {
-  private entries = new Map<string, DecodedEntry>();
+  /** Decoded entries, listed and retained, by key. */
+  private entries: ReadonlyMap<string, DecodedEntry> = new Map();
+  /** Keys of entries that are kept though they may be missing. */
+  private readonly retainedKeys = new Set<string>();
+  private retainedUntilMs = -Infinity;
   private items: ReadonlyMap<string, StoredItem> | undefined;
   private fronts: Fronts = new Map();
 
   private constructor(
     private readonly prefix: string,
     private readonly log: JsonLog,
+    private readonly nowMs: () => number,
   ) {}
 
-  static create(prefix: string, log: JsonLog): FrontList {
-    return new FrontList(prefix, log);
+  static create(
+    prefix: string,
+    log: JsonLog,
+    nowMs: () => number = () => performance.now(),
+  ): FrontList {
+    return new FrontList(prefix, log, nowMs);
   }
 
-  /** Returns the fronts among the items under the fronts' prefix. */
+  /**
+   * Returns the fronts among the items under the fronts' prefix, and those that
+   * are retained.
+   */
   decodeFronts(items: ReadonlyMap<string, StoredItem>): Fronts {
-    if (items !== this.items) this.decodeItems(items);
+    const hasExpired =
+      this.retainedKeys.size > 0 && this.nowMs() >= this.retainedUntilMs;
+    if (hasExpired) this.retainedKeys.clear();
+    if (items !== this.items || hasExpired) this.decodeItems(items);
     return this.fronts;
   }
 
+  /**
+   * Keeps the fronts that are known now for a while, until each is listed
+   * again: a restore of the store may have lost the entries of running fronts.
+   */
+  retain(): void {
+    this.retainedUntilMs = this.nowMs() + RETENTION_MS;
+    for (const key of this.entries.keys()) this.retainedKeys.add(key);
+  }
+
   private decodeItems(items: ReadonlyMap<string, StoredItem>): void {
+    this.items = items;
     const entries = new Map<string, DecodedEntry>();
-    let hasChanged = false;
     for (const [key, item] of items) {
       if (!key.startsWith(frontEntryKey(this.prefix, ''))) continue;
+      const entry = this.decodeEntry(key, item);
+      if (entry) entries.set(key, entry);
+    }
+    for (const key of this.retainedKeys) {
       const known = this.entries.get(key);
-      const text = item.value.toString('utf8');
-      if (known?.text === text) {
-        entries.set(key, known);
-        continue;
-      }
-      const member = decodeMember(text);
-      if (member) {
-        entries.set(key, {text, member});
-        hasChanged = true;
-      } else this.log('front_entry_invalid', {key});
+      if (entries.has(key) || !known) this.retainedKeys.delete(key);
+      else entries.set(key, known);
     }
-    this.items = items;
-    if (!hasChanged && entries.size === this.entries.size) return;
+    const isSame =
+      entries.size === this.entries.size &&
+      [...entries].every(([key, entry]) => this.entries.get(key) === entry);
+    if (isSame) return;
     this.entries = entries;
     this.fronts = new Map(
       [...entries.values()].map(({member}) => [member.vm, member]),
     );
   }
+
+  private decodeEntry(key: string, item: StoredItem): DecodedEntry | undefined {
+    const known = this.entries.get(key);
+    const text = item.value.toString('utf8');
+    if (known?.text === text) return known;
+    const member = decodeMember(text);
+    if (!member) this.log('front_entry_invalid', {key});
+    return member && {text, member};
+  }
 }
--- a/src/front/registration.ts
+++ b/src/front/registration.ts
@@ -44,6 +44,7 @@
   private isRegistering = false;
   private isStopped = false;
   private isLeaving = false;
+  private lastSecret = '';
   /** Revision of the entry as last written; 0 when it must be written. */
   private writtenRevision = 0;
   /**
@@ -53,16 +54,22 @@
   private leaseRunsFrom: ClockReading | undefined;
   private readonly timers: NodeJS.Timeout[] = [];
   private retryTimer: NodeJS.Timeout | undefined;
-  private readonly configSubscription: Subscription;
+  private readonly subscription: Subscription;
 
   private constructor(private readonly options: RegistrationOptions) {
     this.timers.push(
       setInterval(() => void this.renew(), RENEW_INTERVAL_MS),
       setInterval(() => void this.ensureRegistered(), CHECK_INTERVAL_MS),
     );
-    this.configSubscription = options.feed.config$.subscribe(
+    this.subscription = options.feed.config$.subscribe(
       () => void this.ensureRegistered(),
     );
+    this.subscription.add(
+      options.feed.fleetItems$.subscribe(items => {
+        const item = items.get(secretKey(options.prefix));
+        if (item) this.lastSecret = item.value.toString('utf8');
+      }),
+    );
   }
 
   static create(options: RegistrationOptions): Registration {
@@ -85,11 +92,12 @@
     );
   }
 
-  /** Secret that all fronts share; empty until it is known. */
+  /**
+   * Secret that all fronts share; empty until it is known. Kept while a
+   * restored store does not hold it.
+   */
   get secret(): string {
-    const {feed, prefix} = this.options;
-    const item = feed.fleetItems$.value.get(secretKey(prefix));
-    return item?.value.toString('utf8') ?? '';
+    return this.lastSecret;
   }
 
   /**
@@ -107,7 +115,7 @@
     this.isStopped = true;
     this.timers.forEach(timer => clearInterval(timer));
     clearTimeout(this.retryTimer);
-    this.configSubscription.unsubscribe();
+    this.subscription.unsubscribe();
     const {leaseId} = this;
     this.leaseId = 0;
     if (leaseId !== 0) await this.options.store.revoke(leaseId);
@@ -151,8 +159,8 @@
       leaseId: this.leaseId,
     };
     const hasSecret = feed.fleetItems$.value.has(secretKey(prefix));
-    const newSecret = randomBytes(SECRET_BYTES).toString('hex');
-    const secret = {key: secretKey(prefix), value: newSecret, leaseId: 0};
+    const secretText = this.secret || randomBytes(SECRET_BYTES).toString('hex');
+    const secret = {key: secretKey(prefix), value: secretText, leaseId: 0};
     const result = await store.commit({
       expected: hasSecret ? [] : [{key: secretKey(prefix), revision: 0}],
       // The entry comes last, because the store returns the revision of the
--- a/src/front/store_feed.ts
+++ b/src/front/store_feed.ts
@@ -3,7 +3,7 @@
  * configuration, the databases and the other fronts, and dates how fresh the
  * view is. Changes come from the store or from a front that relays them.
  */
-import {BehaviorSubject, Observable} from 'rxjs';
+import {BehaviorSubject, Observable, Subject} from 'rxjs';
 import {Result} from 'neverthrow';
 import {DatabaseEntry, Directory} from '../core/directory.js';
 import {
@@ -115,6 +115,11 @@
   readonly fleetItems$ = new BehaviorSubject<ReadonlyMap<string, StoredItem>>(
     new Map(),
   );
+  /**
+   * Emits when the store was found to be restored from a copy, before what it
+   * holds now is applied.
+   */
+  readonly restored$ = new Subject<void>();
   /** Items under `fleetPrefix` when the store was first listed. */
   fleetItemsAtStart: ReadonlyMap<string, StoredItem> = new Map();
   /** Version of the configuration that the store holds, as far as known. */
@@ -301,17 +306,20 @@
     const {items, revision} = listed.value;
     this.logListed(items, revision);
     const keys = new Set(items.map(item => item.key));
+    const puts = items.map((item): StoreEvent => ({kind: 'put', ...item}));
+    const removals = [...this.fleetItems$.value.keys()]
+      .filter(key => !keys.has(key))
+      .map((key): StoreEvent => ({kind: 'removed', key, revision}));
     const isFirst = this.revision === 0;
-    if (!isFirst && eraOf(revision) > eraOf(this.revision))
+    if (!isFirst && eraOf(revision) > eraOf(this.revision)) {
       this.databases.recordRestore();
+      this.restored$.next();
+    }
     this.databases.beginList();
     this.storedVersion = NO_VERSION;
-    this.applyEvents(
-      items.map(item => ({kind: 'put', ...item})),
-      revision,
-    );
+    this.applyEvents([...puts, ...removals], revision);
     if (isFirst) this.fleetItemsAtStart = this.fleetItems$.value;
-    this.removeUnlisted(keys);
+    this.databases.removeUnlisted(keys);
     this.changeRelay.reset(revision);
     this.recordSuccess(revision, asOf);
     return 'ok';
@@ -441,15 +449,4 @@
     });
     this.config$.next(config);
   }
-
-  /**
-   * Removes the databases and fronts' items that a complete list did not
-   * contain.
-   */
-  private removeUnlisted(keys: ReadonlySet<string>): void {
-    this.databases.removeUnlisted(keys);
-    const fleetItems = this.fleetItems$.value;
-    const kept = [...fleetItems].filter(([key]) => keys.has(key));
-    if (kept.length < fleetItems.size) this.fleetItems$.next(new Map(kept));
-  }
 }
--- a/test/platform/restored.test.ts
+++ b/test/platform/restored.test.ts
@@ -5,6 +5,7 @@
   operatorConfig,
   RunningFront,
   startFleet,
+  startFront,
   until,
 } from './fleet_fixture.js';
 import {StandinStore, StoreFaultMode} from './standin_store.js';
@@ -41,6 +42,9 @@
   store.faultMode = StoreFaultMode.none;
 }
 
+const knownFronts = ({front}: RunningFront): readonly string[] =>
+  (front.dump() as {fronts: string[]}).fronts;
+
 async function startSettledFleet(zones: readonly string[]): Promise<Fleet> {
   const fleet = await startFleet(zones);
   await sleep(COPY_AGE_MS + OUTAGE_MS);
@@ -88,3 +92,47 @@
   );
   t.pass();
 });
+
+// Guards against two fronts that accrue the same share of a rate, and against
+// fronts that leave rotation, because their entries are lost.
+test('fronts whose entries the copy lacks stay known and ready', async t => {
+  const fleet = await startSettledFleet(['norte', 'puerto']);
+  const {store} = fleet;
+  const copyMs = performance.now();
+  const joined = await startFront('front-3', 'parque', store);
+  t.teardown(async () => {
+    await joined.front.stop();
+    await fleet.stop();
+  });
+  const fronts = [...fleet.fronts, joined];
+  await until(() => fronts.every(front => knownFronts(front).length === 3));
+  await restoreAfterOutage(store, performance.now() - copyMs);
+  t.is(store.get('mustardpass/fronts/front-3'), undefined);
+  const untilMs = performance.now() + CONFIG_BOUND_MS;
+  while (performance.now() < untilMs) {
+    t.deepEqual(
+      fronts.map(knownFronts).filter(known => known.length < 3),
+      [],
+    );
+    t.deepEqual(
+      fronts.filter(({front}) => !front.isReady).map(({front}) => front.dump()),
+      [],
+    );
+    await sleep(50);
+  }
+  t.truthy(store.get('mustardpass/fronts/front-3'));
+});
+
+// Guards against a second secret, with which fronts refuse each other.
+test('a secret that the copy lacks is written again', async t => {
+  const fleet = await startSettledFleet(['norte', 'puerto']);
+  t.teardown(() => fleet.stop());
+  const {store} = fleet;
+  const secret = (): string | undefined =>
+    store.get('mustardpass/secret')?.value;
+  const before = secret();
+  await restoreAfterOutage(store, performance.now());
+  t.is(secret(), undefined);
+  await until(() => secret() !== undefined, CONFIG_BOUND_MS);
+  t.is(secret(), before);
+});
--- a/test/platform/standin_store.ts
+++ b/test/platform/standin_store.ts
@@ -20,7 +20,6 @@
   readonly events: readonly ItemEvent[];
   /** Durations of the leases by id. */
   readonly leaseTtlsMs: ReadonlyMap<number, number>;
-  readonly leaseCount: number;
 }
 
 interface Transaction {
@@ -125,7 +124,6 @@
     this.leases.clear();
     this.era++;
     this.revision = state.revision;
-    this.leaseCount = state.leaseCount;
     this.items.clear();
     for (const [key, item] of state.items) this.items.set(key, item);
     this.events = [...state.events];
@@ -193,16 +191,14 @@
   }
 
   private recordCopy(): void {
-    const {revision, leaseCount} = this;
     const leaseTtlsMs = new Map(
       [...this.leases].map(([id, {ttlMs}]) => [id, ttlMs] as const),
     );
     this.copies.record({
-      revision,
+      revision: this.revision,
       items: new Map(this.items),
       events: [...this.events],
       leaseTtlsMs,
-      leaseCount,
     });
   }
 
