Hold the coordinator lease, or give it up, as a restored store has it

Where the copy did include the key, the holder took its own write for another's and gave up, and nobody held the lease until it ran out. A process that started just after a restore took the store's list for all that there is: a fleet without fronts whose shares it may accrue, and a lease that nobody holds.

Cause, of the same class: memory of one history applied to another. A holder now compares the key with its write: the same write, listed in the new era, keeps lease and token; a missing or different key ends it at once.

--- a/src/front/coordinator_lease.ts
+++ b/src/front/coordinator_lease.ts
@@ -4,7 +4,12 @@
  * is the fencing token; rewriting the key gives a higher one.
  */
 import {Subscription} from 'rxjs';
-import {KeyValueStore, StoreFaultKind} from '../store/key_values.js';
+import {
+  KeyValueStore,
+  StoredItem,
+  StoreFaultKind,
+} from '../store/key_values.js';
+import {eraOf, isSameWrite} from '../core/store_revision.js';
 import {ageMs, ClockReading} from '../core/freshness.js';
 import {readClocks, StoreFeed} from './store_feed.js';
 import {JsonLog} from './json_log.js';
@@ -36,9 +41,14 @@
 export class CoordinatorLease {
   private leaseId = 0;
   /**
-   * Revision of the key as this front wrote it; 0 when the lease is not held.
+   * Revision at which this front wrote the key; 0 when the lease is not held.
    */
   private fencingToken = 0;
+  /**
+   * Revision of that write in the store's present era; differs from the token
+   * after a restore.
+   */
+  private keyRevision = 0;
   /**
    * When the last successful grant or renewal was sent; the lease runs at least
    * from then.
@@ -96,12 +106,13 @@
     if (!this.isHeld) return undefined;
     const {key, store, self} = this.options;
     const result = await store.commit({
-      expected: [{key, revision: this.fencingToken}],
+      expected: [{key, revision: this.keyRevision}],
       writes: [{key, value: self, leaseId: this.leaseId}],
       removals: [],
     });
     if (result.isOk()) {
       this.fencingToken = result.value;
+      this.keyRevision = result.value;
       this.options.log('fence_raised', {fence: this.fencingToken});
       return this.fencingToken;
     }
@@ -117,7 +128,7 @@
   async write(key: string, value: string): Promise<number | undefined> {
     while (this.isHeld) {
       const result = await this.options.store.commit({
-        expected: [{key: this.options.key, revision: this.fencingToken}],
+        expected: [{key: this.options.key, revision: this.keyRevision}],
         writes: [{key, value, leaseId: 0}],
         removals: [],
       });
@@ -148,11 +159,10 @@
   private checkKey(): void {
     const {feed, key, rank} = this.options;
     const item = feed.fleetItems$.value.get(key);
+    if (this.fencingToken > 0) this.checkOwnKey(item);
     if (item) {
       clearTimeout(this.retryTimer);
       this.retryTimer = undefined;
-      if (this.fencingToken > 0 && item.revision > this.fencingToken)
-        this.markLost('superseded');
       return;
     }
     if (this.fencingToken > 0 && this.isHeld) return;
@@ -163,6 +173,21 @@
     }, rank() * RANK_DELAY_MS);
   }
 
+  /** Gives up the lease if the key is not as this front wrote it. */
+  private checkOwnKey(item: StoredItem | undefined): void {
+    const {feed, self} = this.options;
+    // The view may not include the write yet.
+    if (feed.knownRevision < this.keyRevision) return;
+    if (!item) return this.markLost('key removed');
+    if (item.revision <= this.keyRevision) return;
+    const isOwnWrite =
+      isSameWrite(item.revision, this.keyRevision) &&
+      item.value.toString('utf8') === self;
+    // The store was restored from a copy that includes this front's lease.
+    if (isOwnWrite) this.keyRevision = item.revision;
+    else this.markLost('superseded');
+  }
+
   private async acquire(): Promise<void> {
     const {feed, key, store, self, minLeaseMs} = this.options;
     const isTaken = feed.fleetItems$.value.has(key) || this.isHeld;
@@ -184,15 +209,19 @@
         writes: [{key, value: self, leaseId}],
         removals: [],
       });
-      if (result.isOk()) {
+      if (result.isOk() && eraOf(result.value) === feed.era) {
         this.leaseId = leaseId;
         this.ttlMs = ttlMs;
         this.fencingToken = result.value;
+        this.keyRevision = result.value;
         this.renewedAt = startedAt;
         this.acquiredAtMs = startedAt.steadyMs;
         this.options.log('duty_taken', {fence: this.fencingToken, ttlMs});
       } else {
-        this.options.log('duty_missed', {text: result.error.message});
+        const text = result.isErr()
+          ? result.error.message
+          : 'the store was restored meanwhile';
+        this.options.log('duty_missed', {text});
         void store.revoke(leaseId);
       }
     }
@@ -216,6 +245,7 @@
     if (this.fencingToken > 0)
       this.options.log('duty_lost', {fence: this.fencingToken, reason});
     this.fencingToken = 0;
+    this.keyRevision = 0;
     this.leaseId = 0;
     this.renewedAt = undefined;
   }
--- a/src/front/front.ts
+++ b/src/front/front.ts
@@ -33,6 +33,7 @@
 import {RateShares} from './rate_shares.js';
 import {Registration} from './registration.js';
 import {Router} from './router.js';
+import {StoreEra} from './store_era.js';
 import {Relay, StoreFeed, StoreLayout} from './store_feed.js';
 import {TakeoverRunner} from './takeover_runner.js';
 import {withTimeout} from './timeout.js';
@@ -100,6 +101,7 @@
   private readonly router: Router;
   private readonly rateLimiter: RateLimiter;
   private readonly coordinatorLease: CoordinatorLease;
+  private readonly storeEra: StoreEra;
   private readonly takeoverRunner: TakeoverRunner;
   private readonly metrics = FrontMetrics.create();
   private readonly sessionHost: SessionHost;
@@ -156,6 +158,7 @@
     });
     this.rateLimiter = this.createRateLimiter();
     this.coordinatorLease = this.createCoordinatorLease();
+    this.storeEra = this.createStoreEra();
     this.takeoverRunner = this.createTakeoverRunner();
     this.sessionHost = this.createSessionHost();
   }
@@ -330,17 +333,21 @@
    */
   private accrualStartMs(): number {
     const nowMs = performance.now();
-    const isRestart = this.feed.fleetItemsAtStart.has(
-      this.registration.entryKey,
-    );
+    const isRestart =
+      this.storeEra.wasSettledAtStart &&
+      this.feed.fleetItemsAtStart.has(this.registration.entryKey);
     return isRestart && nowMs < JOIN_WAIT_MS ? PROCESS_START_MS : nowMs;
   }
 
-  /** Whether this front joined a running fleet within `JOIN_WAIT_MS`. */
+  /**
+   * Whether this front joined a running fleet within `JOIN_WAIT_MS`, or may have
+   * joined one whose entries the store has lost.
+   */
   private get hasJoinedRecently(): boolean {
     const ageMs = performance.now() - this.startedAtMs;
     if (ageMs >= JOIN_WAIT_MS) return false;
     const {fleetItemsAtStart} = this.feed;
+    if (!this.storeEra.wasSettledAtStart) return true;
     const memberPrefix = frontEntryKey(this.ports.layout.fleetPrefix, '');
     const wasRunning = [...fleetItemsAtStart.keys()].some(key =>
       key.startsWith(memberPrefix),
@@ -374,11 +381,22 @@
         const names = [...this.fronts().keys()].sort();
         return Math.max(0, names.indexOf(settings.vm));
       },
-      mayHold: () => this.isReady,
+      mayHold: () => this.isReady && this.storeEra.isFormerLeaseOver,
       log: ports.log,
     });
   }
 
+  private createStoreEra(): StoreEra {
+    const {settings, ports, coordinatorLease} = this;
+    return StoreEra.create({
+      source: this.feed,
+      key: `${ports.layout.fleetPrefix}era`,
+      isFirstStart: settings.isFirstStart,
+      write: (key, value) => coordinatorLease.write(key, value),
+      isLeaseHeld: () => coordinatorLease.isHeld,
+    });
+  }
+
   private createTakeoverRunner(): TakeoverRunner {
     const {settings, ports} = this;
     return TakeoverRunner.create({
@@ -508,6 +526,7 @@
     lifecycle.own(this.dispatcher, dispatcher => dispatcher.close());
     lifecycle.own(this.rateLimiter, rates => rates.close());
     lifecycle.own(this.takeoverRunner, takeover => takeover.close());
+    lifecycle.own(this.storeEra, era => era.close());
     lifecycle.own(this.registration, registration => registration.close());
     log('started', {
       zone: settings.place.zone,
--- a/src/front/front_settings.ts
+++ b/src/front/front_settings.ts
@@ -34,4 +34,6 @@
    * Whether the platform rejects outdated orders and fences outdated primaries.
    */
   readonly isFenced: boolean;
+  /** Whether no front of the fleet has run before this start. */
+  readonly isFirstStart: boolean;
 }
--- a/src/front/store_feed.ts
+++ b/src/front/store_feed.ts
@@ -125,6 +125,10 @@
   /** Version of the configuration that the store holds, as far as known. */
   private storedVersion = NO_VERSION;
   private freshness: ConfigFreshness | undefined;
+  /** Steady time of the first list of this era; undefined before it. */
+  eraSeenAtMs: number | undefined;
+  /** Era of the first list; 0 before it. */
+  eraAtStart = 0;
   private revision = 0;
   private failures = 0;
   private isStopped = false;
@@ -175,6 +179,11 @@
     return this.revision;
   }
 
+  /** Present era of the store; 0 if the store does not report eras. */
+  get era(): number {
+    return eraOf(this.revision);
+  }
+
   /** Whether the view is recent enough to serve requests that need a key. */
   get isFresh(): boolean {
     return isFresh(this.freshness, this.clocks(), this.options.maxConfigAgeMs);
@@ -311,10 +320,7 @@
       .filter(key => !keys.has(key))
       .map((key): StoreEvent => ({kind: 'removed', key, revision}));
     const isFirst = this.revision === 0;
-    if (!isFirst && eraOf(revision) > eraOf(this.revision)) {
-      this.databases.recordRestore();
-      this.restored$.next();
-    }
+    this.recordEra(eraOf(revision), isFirst);
     this.databases.beginList();
     this.storedVersion = NO_VERSION;
     this.applyEvents([...puts, ...removals], revision);
@@ -325,6 +331,17 @@
     return 'ok';
   }
 
+  private recordEra(era: number, isFirst: boolean): void {
+    if (!isFirst && era <= this.era) return;
+    this.eraSeenAtMs = this.clocks().steadyMs;
+    if (isFirst) {
+      this.eraAtStart = era;
+      return;
+    }
+    this.databases.recordRestore();
+    this.restored$.next();
+  }
+
   /**
    * Logs what a complete list shows beside what this front knew before, which
    * tells whether the store lost anything.
--- /dev/null
+++ b/test/front/coordinator_lease.test.ts
@@ -0,0 +1,133 @@
+/** The coordinator lease when the store returns from an older copy. */
+import {mock} from 'node:test';
+import test from 'ava';
+import {err, ok} from 'neverthrow';
+import {BehaviorSubject} from 'rxjs';
+import {eraOf, qualifyRevision} from '../../src/core/store_revision.js';
+import {CoordinatorLease} from '../../src/front/coordinator_lease.js';
+import {StoreFeed} from '../../src/front/store_feed.js';
+import {
+  KeyValueStore,
+  StoredItem,
+  StoreFaultKind,
+  StoreTransaction,
+} from '../../src/store/key_values.js';
+
+const KEY = 'own/duty';
+const SELF = 'front-1';
+const WRITTEN_REVISION = 40;
+
+const settle = async (): Promise<void> => {
+  for (let n = 0; n < 30; n++) await Promise.resolve();
+};
+
+/** A front that has acquired the lease at `WRITTEN_REVISION` of era 1. */
+async function createHolder(t: {teardown: (end: () => void) => void}) {
+  mock.timers.enable({apis: ['setTimeout', 'setInterval']});
+  const state = {era: 1, revision: WRITTEN_REVISION, mayHold: true};
+  const fleetItems$ = new BehaviorSubject<ReadonlyMap<string, StoredItem>>(
+    new Map(),
+  );
+  const commits: StoreTransaction[] = [];
+  const revoked: number[] = [];
+  const qualified = (): number => qualifyRevision(state.era, state.revision);
+  const store = {
+    grant: async (ttlMs: number) => ok({leaseId: 5, ttlMs}),
+    renew: async () => ok(2_500),
+    revoke: async (id: number) => ok(revoked.push(id)),
+    commit: async (transaction: StoreTransaction) => {
+      commits.push(transaction);
+      const [{key, revision}] = transaction.expected;
+      const present = fleetItems$.value.get(key)?.revision ?? 0;
+      if (revision !== present)
+        return err({kind: StoreFaultKind.conflict, message: 'conflict'});
+      if (commits.length > 1) state.revision++;
+      return ok(qualified());
+    },
+  } as unknown as KeyValueStore;
+  const feed = {
+    config: {},
+    fleetItems$,
+    get knownRevision() {
+      return qualified();
+    },
+    get era() {
+      return state.era;
+    },
+  } as unknown as StoreFeed;
+  const lease = CoordinatorLease.create({
+    self: SELF,
+    key: KEY,
+    store,
+    feed,
+    minLeaseMs: 500,
+    rank: () => 0,
+    mayHold: () => state.mayHold,
+    log: () => undefined,
+  });
+  t.teardown(async () => {
+    await lease.release();
+    mock.timers.reset();
+  });
+  const show = (holder: string | undefined, revision = 0): void => {
+    const item = {
+      key: KEY,
+      value: Buffer.from(holder ?? ''),
+      revision: qualifyRevision(state.era, revision),
+    };
+    fleetItems$.next(new Map(holder === undefined ? [] : [[KEY, item]]));
+  };
+  mock.timers.tick(1);
+  await settle();
+  show(SELF, WRITTEN_REVISION);
+  t.teardown(() => undefined);
+  return {state, lease, show, commits, revoked};
+}
+
+// Guards against seconds without a holder, though the store still has its lease.
+test.serial(
+  'a holder whose key the copy includes keeps the lease and its token',
+  async t => {
+    const {state, lease, show} = await createHolder(t);
+    const token = lease.currentFencingToken;
+    t.is(token, qualifyRevision(1, WRITTEN_REVISION));
+    Object.assign(state, {era: 2, revision: WRITTEN_REVISION + 2});
+    show(SELF, WRITTEN_REVISION);
+    t.true(lease.isHeld);
+    t.is(lease.currentFencingToken, token);
+    const raised = await lease.raiseFencingToken();
+    t.is(raised && eraOf(raised), 2);
+    t.true(lease.isHeld);
+  },
+);
+
+// Guards against orders of a holder whose lease the store has lost.
+test.serial('a holder whose key the copy lacks gives up the lease', async t => {
+  const {state, lease, show} = await createHolder(t);
+  Object.assign(state, {era: 2, revision: 30, mayHold: false});
+  show(undefined);
+  t.false(lease.isHeld);
+  t.is(lease.currentFencingToken, undefined);
+});
+
+// Guards against two holders, as the copy names one of before.
+test.serial(
+  'a holder gives up the lease when the copy names another one',
+  async t => {
+    const {state, lease, show} = await createHolder(t);
+    Object.assign(state, {era: 2, revision: 30});
+    show('front-2', WRITTEN_REVISION - 10);
+    t.false(lease.isHeld);
+  },
+);
+
+// Guards against orders with a token that the platform has seen already.
+test.serial('a token of a later era is higher than all before', async t => {
+  const {state, lease, show} = await createHolder(t);
+  const token = lease.currentFencingToken ?? 0;
+  Object.assign(state, {era: 2, revision: 12});
+  show(undefined);
+  mock.timers.tick(1);
+  await settle();
+  t.true((lease.currentFencingToken ?? 0) > token);
+});
--- a/test/platform/fleet_fixture.ts
+++ b/test/platform/fleet_fixture.ts
@@ -121,6 +121,7 @@
     keyRevocationMs: 5_000,
     shutdownGraceMs: 3_000,
     isFenced: true,
+    isFirstStart: true,
     ...overrides,
   };
   const output = new PassThrough();
