Keep leader records over a restore where the platform does not fence

Where a former primary goes on until it is told, fronts refuse it by records in the store. A restore could bring back the record of the former primary, or lose the one of its successor: fronts that read the store took the copy's record for the newest, and a process that started then knew no other. Reads at the former primary are stale, writes there are lost.

Cause, of the same class: the age of a record was the revision that the store gives it now. A record now carries the era of its write, and the one that a front knows stays the newest. Fronts whose view was fresh until the restore have seen every record that an order relied on; the holder of the lease writes those again and marks them as complete, and other fronts use no primary before. If the holder does not know them either, it asks the databases for their terms. A holder that waits out fronts without an answer writes the record once more before it orders, as their views may be fresh from a restored store.

--- a/src/core/leader_record.ts
+++ b/src/core/leader_record.ts
@@ -2,8 +2,11 @@
  * Records of the database that may act as primary of each service, for
  * platforms that do not fence a former primary. The holder of the coordinator
  * lease writes a record before it orders a promotion; a front uses a database
- * as primary only if the newest record permits it.
+ * as primary only if the newest record permits it. A record contains the era of
+ * the store in which it was written, so that its age is known even if the store
+ * was restored from a copy since.
  */
+import {qualifyRevision, revisionInEra} from './store_revision.js';
 
 /** The database that may lead a service. */
 export interface LeaderRecord {
@@ -13,26 +16,39 @@
   readonly settled: boolean;
 }
 
-/** A record with the store revision at which it was written. */
+/** A record with the qualified store revision at which it was written. */
 export interface StoredLeaderRecord extends LeaderRecord {
   readonly revision: number;
 }
 
-export const encodeLeaderRecord = (record: LeaderRecord): string =>
-  JSON.stringify(record);
+/** Encodes a record that is written in an era. */
+export const encodeLeaderRecord = (
+  {service, database, settled}: LeaderRecord,
+  era: number,
+): string => JSON.stringify({service, database, settled, era});
 
-/** Parses a record; undefined if the text is not a valid record. */
+/**
+ * Parses a record that is stored at `revision`; undefined if the text is not a
+ * valid record. One without an era counts as written before all others.
+ */
 export function decodeLeaderRecord(
   text: string,
   revision: number,
 ): StoredLeaderRecord | undefined {
   try {
-    const parsed = JSON.parse(text) as Partial<LeaderRecord> | null;
-    const {service, database, settled} = parsed ?? {};
+    const parsed = JSON.parse(text) as
+      (Partial<LeaderRecord> & {readonly era?: unknown}) | null;
+    const {service, database, settled, era} = parsed ?? {};
     const isRecord =
       typeof service === 'string' && typeof database === 'string';
     if (!isRecord) return undefined;
-    return {service, database, settled: settled === true, revision};
+    const writtenInEra = typeof era === 'number' ? era : 0;
+    return {
+      service,
+      database,
+      settled: settled === true,
+      revision: qualifyRevision(writtenInEra, revisionInEra(revision)),
+    };
   } catch {
     // An invalid record permits and forbids nothing; the caller logs it.
     return undefined;
--- a/src/front/front.ts
+++ b/src/front/front.ts
@@ -9,6 +9,7 @@
 } from 'node:http';
 import {createServer, Server, Socket} from 'node:net';
 import {map, merge, Subscription} from 'rxjs';
+import {databasesOf} from '../core/directory.js';
 import {FrontConfig} from '../core/front_config.js';
 import {Fronts} from '../core/fronts.js';
 import {maxConfigAgeMs} from '../core/freshness.js';
@@ -21,9 +22,11 @@
 import {KeyValueStore} from '../store/key_values.js';
 import {CallerSession, SessionHost} from './caller_session.js';
 import {FollowRequest, RelayedChanges} from './change_relay.js';
+import {runControlStatement} from './control_link.js';
 import {Dispatcher, PeerMethodName} from './dispatcher.js';
 import {CoordinatorLease} from './coordinator_lease.js';
 import {frontEntryKey, FrontList} from './front_list.js';
+import {LeaderRecovery} from './leader_recovery.js';
 import {Leadership} from './leadership.js';
 import {FrontMetrics} from './front_metrics.js';
 import {Address, FrontSettings} from './front_settings.js';
@@ -102,6 +105,7 @@
   private readonly rateLimiter: RateLimiter;
   private readonly coordinatorLease: CoordinatorLease;
   private readonly storeEra: StoreEra;
+  private readonly leaderRecovery: LeaderRecovery;
   private readonly takeoverRunner: TakeoverRunner;
   private readonly metrics = FrontMetrics.create();
   private readonly sessionHost: SessionHost;
@@ -159,6 +163,7 @@
     this.rateLimiter = this.createRateLimiter();
     this.coordinatorLease = this.createCoordinatorLease();
     this.storeEra = this.createStoreEra();
+    this.leaderRecovery = this.createLeaderRecovery();
     this.takeoverRunner = this.createTakeoverRunner();
     this.sessionHost = this.createSessionHost();
   }
@@ -281,6 +286,8 @@
       fronts: () => this.fronts(),
       isFreshAndRegistered: () =>
         feed.isFresh && this.registration.isLeaseValid && this.isRegistered,
+      areRecordsComplete: () => this.leaderRecovery.isComplete,
+      era: () => feed.era,
       maxConfigAgeMs: maxConfigAgeMs(settings.keyRevocationMs),
       coordinatorLease: () => this.coordinatorLease,
       codec: ports.databaseCodec,
@@ -381,7 +388,7 @@
         const names = [...this.fronts().keys()].sort();
         return Math.max(0, names.indexOf(settings.vm));
       },
-      mayHold: () => this.isReady && this.storeEra.isFormerLeaseOver,
+      mayHold: () => this.mayHoldLease,
       log: ports.log,
     });
   }
@@ -397,6 +404,36 @@
     });
   }
 
+  /**
+   * Whether this front may acquire the coordinator lease now. One that lacks
+   * leader records leaves it to others for as long as a restore may concern.
+   */
+  private get mayHoldLease(): boolean {
+    const {storeEra, leaderRecovery} = this;
+    if (!this.isReady || !storeEra.isFormerLeaseOver) return false;
+    return leaderRecovery.isComplete || storeEra.isSettled;
+  }
+
+  private createLeaderRecovery(): LeaderRecovery {
+    const {settings, ports, coordinatorLease, leadership, feed} = this;
+    return LeaderRecovery.create({
+      isEnabled: leadership.isEnabled,
+      source: feed,
+      markKey: `${ports.layout.fleetPrefix}leaders-era`,
+      isFirstStart: settings.isFirstStart,
+      isLeaseHeld: () => coordinatorLease.isHeld,
+      serviceNames: () => [...(feed.config?.services.keys() ?? [])],
+      databasesOf: service => databasesOf(feed.directory, service),
+      queryStatus: entry =>
+        runControlStatement(entry, ports.databaseCodec, {kind: 'status'}),
+      latestRecord: service => leadership.latestRecord(service),
+      storedRecord: service => leadership.storedRecord(service),
+      writeRecord: record => leadership.writeRecord(record),
+      write: (key, value) => coordinatorLease.write(key, value),
+      log: ports.log,
+    });
+  }
+
   private createTakeoverRunner(): TakeoverRunner {
     const {settings, ports} = this;
     return TakeoverRunner.create({
@@ -527,6 +564,7 @@
     lifecycle.own(this.rateLimiter, rates => rates.close());
     lifecycle.own(this.takeoverRunner, takeover => takeover.close());
     lifecycle.own(this.storeEra, era => era.close());
+    lifecycle.own(this.leaderRecovery, recovery => recovery.close());
     lifecycle.own(this.registration, registration => registration.close());
     log('started', {
       zone: settings.place.zone,
@@ -550,6 +588,7 @@
       restored$.subscribe(() => {
         this.fronts();
         this.frontList.retain();
+        this.leaderRecovery.recordRestore(this.feed.isFresh);
       }),
     );
     return subscription;
--- a/src/front/leadership.ts
+++ b/src/front/leadership.ts
@@ -15,6 +15,7 @@
   newerLeaderRecord,
   LeaderRecord,
 } from '../core/leader_record.js';
+import {eraOf} from '../core/store_revision.js';
 import {StoredItem} from '../store/key_values.js';
 import {runControlStatement} from './control_link.js';
 import {CoordinatorLease} from './coordinator_lease.js';
@@ -36,6 +37,10 @@
    * registered.
    */
   readonly isFreshAndRegistered: () => boolean;
+  /** Whether this front knows all records; see `LeaderRecovery`. */
+  readonly areRecordsComplete: () => boolean;
+  /** Present era of the store. */
+  readonly era: () => number;
   /** Age beyond which a view of the store no longer allows using a primary. */
   readonly maxConfigAgeMs: number;
   readonly coordinatorLease: () => CoordinatorLease;
@@ -111,11 +116,23 @@
 
   /**
    * Whether this front may use a database as primary now. Without fencing, that
-   * also requires a fresh view and a valid registration.
+   * also requires a fresh view, a valid registration and all records.
    */
   canServeAsPrimary(entry: KnownDatabase): boolean {
     if (!this.isEnabled) return true;
-    return this.options.isFreshAndRegistered() && this.mayLead(entry);
+    const {isFreshAndRegistered, areRecordsComplete} = this.options;
+    return (
+      isFreshAndRegistered() && areRecordsComplete() && this.mayLead(entry)
+    );
+  }
+
+  /** Record of a service in the store, as this front's view shows it. */
+  storedRecord(service: string): StoredLeaderRecord | undefined {
+    const {prefix, storedItems} = this.options;
+    const item = storedItems().get(`${prefix}leaders/${service}`);
+    return (
+      item && decodeLeaderRecord(item.value.toString('utf8'), item.revision)
+    );
   }
 
   /**
@@ -146,11 +163,11 @@
   async writeRecord(
     record: LeaderRecord,
   ): Promise<StoredLeaderRecord | undefined> {
-    const {prefix, coordinatorLease, log} = this.options;
+    const {prefix, coordinatorLease, era, log} = this.options;
     const key = `${prefix}leaders/${record.service}`;
     const revision = await coordinatorLease().write(
       key,
-      encodeLeaderRecord(record),
+      encodeLeaderRecord(record, era()),
     );
     if (revision === undefined) return undefined;
     const written = {...record, revision};
@@ -237,12 +254,29 @@
           unanswered: [...unanswered],
           tookMs: Math.round(this.nowMs() - startedMs),
         });
-        return done && coordinatorLease().isHeld;
+        const isRetired = done && coordinatorLease().isHeld;
+        return unanswered.size === 0 || confirmedByDatabase || !isRetired
+          ? isRetired
+          : this.isEraUnchanged(record);
       }
       await pause(POLL_INTERVAL_MS);
     }
   }
 
+  /**
+   * Resolves to whether the store was not restored until now, by writing the
+   * record again. After a restore, a front that has not answered may have a
+   * fresh view without the record.
+   */
+  private async isEraUnchanged(record: StoredLeaderRecord): Promise<boolean> {
+    const {service, database, settled} = record;
+    const written = await this.writeRecord({service, database, settled});
+    return (
+      written !== undefined &&
+      eraOf(written.revision) === eraOf(record.revision)
+    );
+  }
+
   private async announceTo(
     vm: string,
     record: StoredLeaderRecord,
@@ -269,12 +303,14 @@
     for (const [key, {value, revision}] of items) {
       if (!key.startsWith(`${prefix}leaders/`)) continue;
       const service = key.slice(`${prefix}leaders/`.length);
-      if (this.stored.get(service)?.revision === revision) continue;
+      const known = this.stored.get(service);
       const record = decodeLeaderRecord(value.toString('utf8'), revision);
       if (!record) {
         log('leader_record_invalid', {key, revision});
         continue;
       }
+      // A restored store may hold a record that a lost one had replaced.
+      if (newerLeaderRecord(known, record) !== record) continue;
       this.stored.set(service, record);
       changed.push(record);
     }
--- a/src/front/store_era.ts
+++ b/src/front/store_era.ts
@@ -41,7 +41,8 @@
 const SETTLING_MS = 6_000;
 const CHECK_INTERVAL_MS = 1_000;
 
-const isMarked = (
+/** Whether an item marks an era; the value of a mark is the era's number. */
+export const isMarked = (
   items: ReadonlyMap<string, StoredItem>,
   key: string,
   era: number,
@@ -75,11 +76,16 @@
 
   /** Whether no front can still rely on a coordinator lease that is lost. */
   get isFormerLeaseOver(): boolean {
-    const {era, eraAtStart} = this.options.source;
-    if (era === eraAtStart && this.wasSettledAtStart) return true;
     // A process without memory does not know the fronts whose entries are lost.
-    const waitMs = this.wasSettledAtStart ? FORMER_LEASE_MS : SETTLING_MS;
-    return this.seenForMs >= waitMs;
+    const isKnown = this.wasSettledAtStart;
+    return this.isSettled || (isKnown && this.seenForMs >= FORMER_LEASE_MS);
+  }
+
+  /** Whether no front can still rely on a registration that is lost. */
+  get isSettled(): boolean {
+    const {era, eraAtStart} = this.options.source;
+    const isSinceStart = era === eraAtStart && this.wasSettledAtStart;
+    return isSinceStart || this.seenForMs >= SETTLING_MS;
   }
 
   close(): void {
--- a/test/front/leadership.test.ts
+++ b/test/front/leadership.test.ts
@@ -8,10 +8,13 @@
 import {Fronts} from '../../src/core/fronts.js';
 import {
   decodeLeaderRecord,
+  encodeLeaderRecord,
   isPromotionAllowed,
 } from '../../src/core/leader_record.js';
+import {qualifyRevision} from '../../src/core/store_revision.js';
 import {CoordinatorLease} from '../../src/front/coordinator_lease.js';
 import {Leadership} from '../../src/front/leadership.js';
+import {StoredItem} from '../../src/store/key_values.js';
 import {DatabaseCodec} from '../../src/front/wire_types.js';
 
 const MAX_CONFIG_AGE_MS = 4_800;
@@ -32,7 +35,11 @@
  * that announce a leader to `unresponsive` fronts fail with `error`.
  */
 function createHolder(unresponsive: readonly string[], error = 'no answer') {
-  const lease = {isHeld: true, write: () => Promise.resolve(10)};
+  const lease = {
+    isHeld: true,
+    write: (): Promise<number | undefined> => Promise.resolve(10),
+  };
+  const items$ = {value: new Map<string, StoredItem>()};
   const vms = ['a', 'b', 'c'];
   const fronts: Fronts = new Map(
     vms.map(vm => [
@@ -49,10 +56,12 @@
   const leadership = Leadership.create({
     isFenced: false,
     prefix: 'own/',
-    storedItems: () => new Map(),
+    storedItems: () => items$.value,
     knownRevision: () => 10,
     fronts: () => fronts,
     isFreshAndRegistered: () => true,
+    areRecordsComplete: () => true,
+    era: () => 0,
     maxConfigAgeMs: MAX_CONFIG_AGE_MS,
     coordinatorLease: () => lease as unknown as CoordinatorLease,
     codec: {} as DatabaseCodec,
@@ -64,7 +73,7 @@
     log: () => undefined,
     nowMs: () => Date.now(),
   });
-  return {leadership, lease};
+  return {leadership, lease, items$};
 }
 
 test.beforeEach(() =>
@@ -138,3 +147,42 @@
   t.is(decodeLeaderRecord('null', 1), undefined);
   t.is(decodeLeaderRecord('{"service":1,"database":"x"}', 1), undefined);
 });
+
+/** Items with the record of `orders` as written in an era. */
+function itemsWith(
+  database: string,
+  era: number,
+  revision: number,
+): Map<string, StoredItem> {
+  const key = 'own/leaders/orders';
+  const record = {service: 'orders', database, settled: true};
+  const value = Buffer.from(encodeLeaderRecord(record, era));
+  return new Map([[key, {key, value, revision}]]);
+}
+
+// Guards against two primaries: a copy of the store names the former one.
+test.serial('a record from a copy does not replace a newer one', t => {
+  const {leadership, items$} = createHolder([]);
+  items$.value = itemsWith('db-2', 1, qualifyRevision(1, 40));
+  t.is(leadership.latestRecord('orders')?.database, 'db-2');
+  items$.value = itemsWith('db-1', 1, qualifyRevision(2, 30));
+  t.is(leadership.latestRecord('orders')?.database, 'db-2');
+  t.is(leadership.storedRecord('orders')?.database, 'db-1');
+  items$.value = itemsWith('db-3', 2, qualifyRevision(2, 35));
+  t.is(leadership.latestRecord('orders')?.database, 'db-3');
+});
+
+// Guards against two primaries: a front that gave no answer has listed a
+// restored store, so that its view is fresh and lacks the record.
+test.serial(
+  'views of before a restore do not retire the former primary by their age',
+  async t => {
+    const {leadership, lease} = createHolder(['b']);
+    const former = undefined;
+    const appointed = leadership.appoint('orders', 'db-2', former, 2);
+    await advance(MAX_CONFIG_AGE_MS - 100);
+    lease.write = () => Promise.resolve(undefined);
+    await advance(1_000);
+    t.false(await appointed);
+  },
+);
