Write configuration and roster again that a restored platform has lost

On the product's own interface the VMs write the operators' changes themselves. After the platform was restored from an older copy, a change that had been confirmed stayed in force but was missing in the platform; the next plan was made against the older document and got a version that VMs hold already, so they passed it over: confirmed, and in force nowhere. VMs that started then took the older one. The roster, by which rates are shared, went back likewise.

Cause, of the same class: versions count changes of one history. A VM that sees an older version than its own reads the platform once more, and writes its own back by compare-and-swap; a plan or confirm on a VM that holds a newer version does so first. The roster is written with its lost members and those that have joined since, under a higher version.

The stand-in of the platform (src/standin/platform.ts) can be restored; both new tests of operators failed before (the next change got version 3 instead of 5; the platform never got the newest again).

--- a/src/core/roster.ts
+++ b/src/core/roster.ts
@@ -42,6 +42,27 @@
   return {version: roster.version + 1, members};
 }
 
+/**
+ * Returns the roster to write to a platform that was restored from an older
+ * copy, given the roster that a VM held before and the platform's own; undefined
+ * if the platform's roster is newer or the same. Members that have joined since
+ * the restore are added again.
+ */
+export function restoredRoster(
+  held: Roster,
+  stored: Roster,
+): Roster | undefined {
+  const isSame =
+    stored.version === held.version &&
+    JSON.stringify(stored.members) === JSON.stringify(held.members);
+  if (stored.version > held.version || isSame) return undefined;
+  const version = held.version + 1;
+  const joined = stored.members
+    .filter(({vm}) => !held.members.some(member => member.vm === vm))
+    .map(({vm}) => ({vm, joinedVersion: version}));
+  return {version, members: [...held.members, ...joined]};
+}
+
 /**
  * Returns the fraction of each rate that a VM accrues. `appliedVersions` holds
  * the roster version that each other VM last reported as applied.
--- a/src/proxy/config_feed.ts
+++ b/src/proxy/config_feed.ts
@@ -5,11 +5,9 @@
 import {
   BehaviorSubject,
   defer,
-  EMPTY,
   Observable,
   retry,
   Subscription,
-  switchMap,
   timer,
 } from 'rxjs';
 import {
@@ -18,7 +16,12 @@
   EMPTY_CONFIG,
   newerConfig,
 } from '../core/config.js';
-import {EMPTY_ROSTER, newerRoster, Roster} from '../core/roster.js';
+import {
+  EMPTY_ROSTER,
+  newerRoster,
+  restoredRoster,
+  Roster,
+} from '../core/roster.js';
 import {Store, StoreKey, VersionedValue} from '../store/store.js';
 import {Log} from './log.js';
 
@@ -125,25 +128,74 @@
     return subscription;
   }
 
-  /** Watches a key, restarting after failures; emits no empty values. */
+  /** Watches a key, restarting after failures. */
   private watchKey(key: string): Observable<VersionedValue> {
     return defer(() => this.options.store.watch(key)).pipe(
       retry({delay: () => timer(WATCH_RETRY_DELAY_MS)}),
-      switchMap(value => (value.value === '' ? EMPTY : [value])),
     );
   }
 
-  private applyStoredConfig(versioned: VersionedValue): void {
-    if (versioned.value !== '') this.applyConfig(parseJson(versioned.value));
+  private applyStoredConfig({value}: VersionedValue): void {
+    if (value !== '') this.applyConfig(parseJson(value));
+    if (storedVersionOf(value) < this.config.version) void this.restoreConfig();
+  }
+
+  private applyStoredRoster({value}: VersionedValue): void {
+    if (value !== '') this.applyRoster(parseJson(value) as Roster);
+    if (storedVersionOf(value) < this.roster.version) void this.restoreRoster();
   }
 
-  private applyStoredRoster(versioned: VersionedValue): void {
-    if (versioned.value !== '') {
-      this.applyRoster(parseJson(versioned.value) as Roster);
+  /**
+   * Writes the configuration again if the platform has lost it in a restore. An
+   * older version that the watch emits may also be one that was replaced since.
+   */
+  private async restoreConfig(): Promise<void> {
+    const read = await this.options.store.read(StoreKey.config);
+    if (read.isErr()) return;
+    const {value, revision} = read.value;
+    const storedVersion = storedVersionOf(value);
+    const {config} = this;
+    if (storedVersion >= config.version) return;
+    const {version} = config;
+    this.options.log('config_restored', {version, storedVersion});
+    await this.writeBack(StoreKey.config, revision, config);
+  }
+
+  /** Writes the roster again if the platform has lost it in a restore. */
+  private async restoreRoster(): Promise<void> {
+    const read = await this.options.store.read(StoreKey.roster);
+    if (read.isErr()) return;
+    const {value, revision} = read.value;
+    const stored = value === '' ? EMPTY_ROSTER : (parseJson(value) as Roster);
+    const restored = restoredRoster(this.roster, stored);
+    if (!restored) return;
+    const {version} = restored;
+    const storedVersion = stored.version;
+    this.options.log('roster_restored', {version, storedVersion});
+    await this.writeBack(StoreKey.roster, revision, restored);
+  }
+
+  /** After a conflict the watch emits what was written instead. */
+  private async writeBack(
+    key: string,
+    revision: number,
+    document: object,
+  ): Promise<void> {
+    const text = JSON.stringify(document);
+    const written = await this.options.store.compareAndSet(key, revision, text);
+    if (written.isErr()) {
+      const {message} = written.error;
+      this.options.log('write_back_failed', {key, message});
     }
   }
 }
 
+/** Version of a stored document; 0 if there is none. */
+function storedVersionOf(text: string): number {
+  const parsed = parseJson(text) as {readonly version?: unknown} | undefined;
+  return typeof parsed?.version === 'number' ? parsed.version : 0;
+}
+
 function parseJson(text: string): unknown {
   try {
     return JSON.parse(text);
--- a/src/proxy/intents.ts
+++ b/src/proxy/intents.ts
@@ -61,10 +61,14 @@
 
 /** Plans and confirms changes in one store. */
 export class Intents {
-  private constructor(private readonly store: Store) {}
+  private constructor(
+    private readonly store: Store,
+    private readonly heldConfig: () => Config,
+  ) {}
 
-  static create(store: Store): Intents {
-    return new Intents(store);
+  /** `heldConfig` returns the newest configuration that this VM has. */
+  static create(store: Store, heldConfig: () => Config): Intents {
+    return new Intents(store, heldConfig);
   }
 
   /** Computes the plan of an intent and stores it for confirmation. */
@@ -152,7 +156,29 @@
     const {value, revision} = read.value;
     const config =
       value === '' ? EMPTY_CONFIG : configSchema.parse(JSON.parse(value));
-    return ok({config, revision});
+    const held = this.heldConfig();
+    return config.version < held.version
+      ? this.writeBack(held, revision)
+      : ok({config, revision});
+  }
+
+  /**
+   * Writes a configuration again that the platform has lost in a restore, since
+   * a change of the older one would not be newer than what VMs have.
+   */
+  private async writeBack(
+    config: Config,
+    revision: number,
+  ): Promise<Result<StoredConfig, IntentError>> {
+    const text = JSON.stringify(config);
+    const written = await this.store.compareAndSet(
+      StoreKey.config,
+      revision,
+      text,
+    );
+    return written
+      .map(next => ({config, revision: next}))
+      .mapErr(platformUnavailable);
   }
 
   private async readPlan(planId: string): Promise<Result<Plan, IntentError>> {
--- a/src/proxy/membership_feed.ts
+++ b/src/proxy/membership_feed.ts
@@ -7,6 +7,7 @@
 import {ListedVm} from '../core/membership.js';
 import {
   EMPTY_ROSTER,
+  restoredRoster,
   Roster,
   rateShareOf,
   withMember,
@@ -180,8 +181,9 @@
       const {value, revision} = read.value;
       const current =
         value === '' ? EMPTY_ROSTER : (JSON.parse(value) as Roster);
-      feed.applyRoster(current);
-      const next = change(current);
+      const restored = restoredRoster(feed.roster, current);
+      if (!restored) feed.applyRoster(current);
+      const next = change(restored ?? current) ?? restored;
       if (!next) return;
       const written = await store.compareAndSet(
         StoreKey.roster,
--- a/src/proxy/proxy.ts
+++ b/src/proxy/proxy.ts
@@ -303,7 +303,7 @@
       host: settings.host,
       port: settings.operatorPort,
       operatorKeys: settings.operatorKeys,
-      intents: Intents.create(this.store),
+      intents: Intents.create(this.store, () => this.feed.config),
       isHealthy: () => this.ready && !this.isDraining,
       show: () => this.feed.config,
       dump: () => this.dump(),
--- a/src/standin/copies.ts
+++ b/src/standin/copies.ts
@@ -23,7 +23,10 @@
   readonly repeated: ReadonlyMap<string, Value | undefined>;
 }
 
-/** Keeps all states of one store; meant for short runs. */
+/** Copies that are kept; the oldest ones are dropped. */
+const MAX_COPIES = 2_000;
+
+/** Keeps the last states of one store. */
 export class Copies<State, Value> {
   private readonly copies: Array<Copy<State>> = [];
   private readonly lastWrites = new Map<string, RepeatedWrite<Value>>();
@@ -39,6 +42,7 @@
   /** Keeps a state, which must not be changed afterwards. */
   record(state: State): void {
     this.copies.push({atMs: this.nowMs(), state});
+    if (this.copies.length > MAX_COPIES) this.copies.shift();
   }
 
   /** Notes a write that its author repeats after a restore. */
--- a/src/standin/platform.ts
+++ b/src/standin/platform.ts
@@ -1,15 +1,22 @@
 /**
  * A stand-in for the platform's key-value store: the subset of etcd v3's
- * HTTP/JSON gateway that the proxies use, with outages, delays and lost
- * responses that tests switch on.
+ * HTTP/JSON gateway that the proxies use, with outages, delays, lost responses
+ * and restores from a copy that tests switch on.
  */
 import {createServer, IncomingMessage, Server, ServerResponse} from 'node:http';
+import {Copies} from './copies.js';
 
 interface Entry {
   value: string;
   modRevision: number;
 }
 
+/** Everything that a restore from a copy brings back. */
+interface PlatformState {
+  readonly revision: number;
+  readonly entries: ReadonlyMap<string, Entry>;
+}
+
 /** Faults that tests switch on and off while the platform runs. */
 export interface PlatformFaults {
   /** Destroys the connection of every request. */
@@ -35,6 +42,7 @@
   /** The watched key of each open watch response. */
   private readonly watchedKeys = new Map<ServerResponse, string>();
   private revision = 1;
+  private readonly copies = Copies.create<PlatformState, string>();
 
   private constructor(private readonly server: Server) {
     server.on('request', (req, res) => void this.handleRequest(req, res));
@@ -66,9 +74,8 @@
 
   /** Writes a key without a request, as the platform does for its VM list. */
   put(key: string, value: string): void {
-    this.revision++;
-    this.entries.set(key, {value, modRevision: this.revision});
-    this.notify(key);
+    this.copies.recordRepeated(key, value);
+    this.write(key, value);
   }
 
   get(key: string): string | undefined {
@@ -82,11 +89,36 @@
     for (const watcher of this.watchedKeys.keys()) watcher.destroy();
   }
 
+  /**
+   * Replaces the state by that of `ageMs` ago, as a restore from a snapshot
+   * does: revisions are given out again, and all watches are closed. Keys that
+   * were written without a request are written again.
+   */
+  restore(ageMs: number): void {
+    const {state, repeated} = this.copies.restore(ageMs);
+    for (const watcher of this.watchedKeys.keys()) watcher.destroy();
+    this.revision = state.revision;
+    this.entries.clear();
+    for (const [key, entry] of state.entries) this.entries.set(key, entry);
+    for (const [key, value] of repeated) {
+      if (value !== undefined && this.get(key) !== value)
+        this.write(key, value);
+    }
+  }
+
   async close(): Promise<void> {
     this.server.closeAllConnections();
     await new Promise(resolve => this.server.close(resolve));
   }
 
+  private write(key: string, value: string): void {
+    this.revision++;
+    this.entries.set(key, {value, modRevision: this.revision});
+    const entries = new Map(this.entries);
+    this.copies.record({revision: this.revision, entries});
+    this.notify(key);
+  }
+
   private async handleRequest(
     req: IncomingMessage,
     res: ServerResponse,
@@ -146,7 +178,7 @@
     );
     if (succeeded) {
       for (const {request_put: put} of body.success ?? []) {
-        this.put(decode(put.key), decode(put.value));
+        this.write(decode(put.key), decode(put.value));
       }
     }
     return {succeeded};
--- a/test/operators.test.ts
+++ b/test/operators.test.ts
@@ -1,8 +1,10 @@
 import test from 'ava';
 import {main} from '../src/cli/main.js';
-import {EMPTY_CONFIG} from '../src/core/config.js';
+import {Config, EMPTY_CONFIG} from '../src/core/config.js';
 import {makePlan, parseIntent} from '../src/core/plan.js';
+import {Roster} from '../src/core/roster.js';
 import {resolveSettings} from '../src/proxy/settings.js';
+import {StoreKey} from '../src/store/store.js';
 import {
   LocalFleet,
   LOCAL_FLEET_OPERATOR_KEY,
@@ -160,3 +162,55 @@
   t.is(await main(['plan']), 2);
   t.is(await main(['dump', '--url', 'http://127.0.0.1:1']), 4);
 });
+
+const storedVersion = (fleet: LocalFleet): number =>
+  (JSON.parse(fleet.platform.get(StoreKey.config) ?? '{}') as Config).version;
+
+const pause = (ms: number): Promise<void> =>
+  new Promise(resolve => setTimeout(resolve, ms));
+
+// Guards against a confirmed change that the platform has lost, and against the
+// next one getting a version that VMs pass over as old.
+test.serial(
+  'confirmed changes survive a restore of the platform, and the next one is in force',
+  async t => {
+    await withFleet(async fleet => {
+      await fleet.applyActions(0, [rateAction(5)]);
+      await pause(300);
+      const copyMs = performance.now();
+      await pause(50);
+      await fleet.applyActions(1, [rateAction(6)]);
+      await fleet.applyActions(2, [rateAction(7)]);
+      await waitUntil(() =>
+        [0, 1, 2, 3, 4].every(i => versionOf(fleet, i) === 4),
+      );
+      fleet.platform.restore(performance.now() - copyMs);
+      t.is(storedVersion(fleet), 2);
+      const version = await fleet.applyActions(3, [rateAction(8)]);
+      t.is(version, 5);
+      await waitUntil(() =>
+        [0, 1, 2, 3, 4].every(i => versionOf(fleet, i) === 5),
+      );
+    });
+  },
+);
+
+// Guards against a VM that starts after a restore and takes the older
+// configuration for the newest.
+test.serial(
+  'a restored platform gets the newest configuration and roster again',
+  async t => {
+    await withFleet(async fleet => {
+      const rosterOf = (): Roster =>
+        JSON.parse(fleet.platform.get(StoreKey.roster) ?? '{}') as Roster;
+      await waitUntil(() => rosterOf().members?.length === 5);
+      const roster = rosterOf();
+      await fleet.applyActions(0, [rateAction(5)]);
+      fleet.platform.restore(performance.now());
+      t.not(rosterOf().members?.length, 5);
+      await waitUntil(() => storedVersion(fleet) === 2, 5_000);
+      await waitUntil(() => rosterOf().members?.length === 5, 5_000);
+      t.true(rosterOf().version >= roster.version);
+    });
+  },
+);
