Model a restored store: lost versions and fencing tokens that go back

The first draft broke appliedIsInForce: an operator learned from a read that its swap had taken effect while no VM held it yet. The code is right there (the VM applies what it confirms), so the model does the same.

--- a/model/check.ts
+++ b/model/check.ts
@@ -13,7 +13,11 @@
   Position,
 } from '../src/core/position.js';
 import {addLentTokens} from '../src/core/rates.js';
-import {configModel, SAFE_CONFIG_RULES} from './config_model.js';
+import {
+  configModel,
+  RESTORABLE_CONFIG_RULES,
+  SAFE_CONFIG_RULES,
+} from './config_model.js';
 import {Bounds, explore, Exploration, Model} from './explore.js';
 import {
   failoverModel,
@@ -111,6 +115,7 @@
   }),
   rates('rate shares'),
   config('configuration'),
+  config('configuration, restored platform', RESTORABLE_CONFIG_RULES),
   takeover('takeover on a platform'),
   takeover('takeover without fencing', UNFENCED_TAKEOVER_RULES),
 ];
@@ -225,6 +230,10 @@
     selectConfig: (_applied, received) => received,
   }),
   config('a swap without comparison', {canSwap: () => true}),
+  config('a lost version is not written back after a restore', {
+    ...RESTORABLE_CONFIG_RULES,
+    writesBack: false,
+  }),
   takeover('one stopped log suffices', {
     takeover: {...SAFE_TAKEOVER, logsNeeded: () => 1},
   }),
@@ -240,6 +249,9 @@
   takeover('orders of earlier lease holders are ignored', {
     expectsEarlierOrders: false,
   }),
+  takeover('fencing tokens go back with a restored store', {
+    tokensRiseOverRestores: false,
+  }),
   takeover('fencing tokens are relied on but not checked', {
     checksFencingTokens: false,
   }),
--- a/model/config_model.ts
+++ b/model/config_model.ts
@@ -1,7 +1,8 @@
 /**
  * Model of configuration changes. Two operators each confirm a plan through the
  * platform's compare-and-swap, whose answers may be lost. Two VMs receive the
- * configurations late and out of order.
+ * configurations late and out of order. The platform may once be restored from
+ * an older copy; calls in progress are lost then.
  */
 import {Config, EMPTY_CONFIG, newerConfig} from '../src/core/config.js';
 import {appliedVersion, applyPlan, makePlan, Plan} from '../src/core/plan.js';
@@ -24,6 +25,7 @@
    * changed since the plan was made.
    */
   readonly outcomes: readonly ('unknown' | 'applied' | 'moved')[];
+  readonly restores: number;
 }
 
 /** A transition of the model. `operator` and `vm` are indexes. */
@@ -32,7 +34,8 @@
       readonly type: 'read' | 'swap' | 'swapUnanswered';
       readonly operator: number;
     }
-  | {readonly type: 'receive'; readonly vm: number; readonly version: number};
+  | {readonly type: 'receive'; readonly vm: number; readonly version: number}
+  | {readonly type: 'restore'; readonly version: number};
 
 /** The rules of the VMs and the platform; each mutant replaces one. */
 export interface ConfigRules {
@@ -43,11 +46,26 @@
    * the configuration `platform`.
    */
   readonly canSwap: (platform: Config, expected: Config) => boolean;
+  /** Whether the platform may be restored from an older copy. */
+  readonly isRestorable: boolean;
+  /**
+   * Whether the newest configuration that a VM holds is written back before an
+   * operator reads an older one from the platform.
+   */
+  readonly writesBack: boolean;
 }
 
 export const SAFE_CONFIG_RULES: ConfigRules = {
   selectConfig: newerConfig,
   canSwap: (platform, expected) => platform.version === expected.version,
+  isRestorable: false,
+  writesBack: true,
+};
+
+/** The rules where the platform may be restored. */
+export const RESTORABLE_CONFIG_RULES: ConfigRules = {
+  ...SAFE_CONFIG_RULES,
+  isRestorable: true,
 };
 
 const PLANS: readonly Plan[] = [10, 20].map((ratePerS, index) =>
@@ -85,8 +103,9 @@
       highestVersions: [0, 0],
       expected: [undefined, undefined],
       outcomes: ['unknown', 'unknown'],
+      restores: 0,
     },
-    enabled: enabledEvents,
+    enabled: system => enabledEvents(system, rules),
     step: (system, event) => stepSystem(system, event, rules),
     invariants: {
       configurationNeverReverts: system =>
@@ -99,14 +118,24 @@
         system.outcomes.every(
           (outcome, operator) =>
             outcome !== 'applied' ||
-            appliedVersion(system.platform, PLANS[operator].id) !== undefined,
+            appliedVersion(inForce(system, rules), PLANS[operator].id) !==
+              undefined,
         ),
     },
     fingerprint: system => JSON.stringify(system),
   };
 }
 
-function enabledEvents(system: ConfigSystem): ConfigEvent[] {
+/** The configuration that counts: the newest one, if restores may happen. */
+const inForce = (system: ConfigSystem, rules: ConfigRules): Config =>
+  rules.isRestorable
+    ? system.vms.reduce(newerConfig, system.platform)
+    : system.platform;
+
+function enabledEvents(
+  system: ConfigSystem,
+  rules: ConfigRules,
+): ConfigEvent[] {
   const events: ConfigEvent[] = [];
   PLANS.forEach((_, operator) => {
     if (system.outcomes[operator] !== 'unknown') return;
@@ -120,6 +149,11 @@
       events.push({type: 'receive', vm, version});
     }
   });
+  if (rules.isRestorable && system.restores === 0) {
+    for (const {version} of system.published) {
+      events.push({type: 'restore', version});
+    }
+  }
   return events;
 }
 
@@ -130,29 +164,65 @@
 ): ConfigSystem {
   switch (event.type) {
     case 'read':
-      return readConfig(system, event.operator);
+      return readConfig(writeBack(system, rules), event.operator, rules);
     case 'swap':
     case 'swapUnanswered':
       return swap(system, event.operator, event.type === 'swap', rules);
     case 'receive':
       return receive(system, event.vm, event.version, rules);
+    case 'restore':
+      return {
+        ...system,
+        platform: documentOf(system, event.version),
+        expected: [undefined, undefined],
+        restores: system.restores + 1,
+      };
   }
 }
 
+const documentOf = (system: ConfigSystem, version: number): Config =>
+  system.published.find(entry => entry.version === version) ?? EMPTY_CONFIG;
+
+/** Writes the newest configuration of a VM back if the platform has lost it. */
+const writeBack = (system: ConfigSystem, rules: ConfigRules): ConfigSystem =>
+  rules.isRestorable && rules.writesBack
+    ? {...system, platform: inForce(system, rules)}
+    : system;
+
 /**
  * An operator reads the configuration. If it contains the id of the operator's
  * plan, a swap whose answer was lost has applied the plan.
  */
-function readConfig(system: ConfigSystem, operator: number): ConfigSystem {
+function readConfig(
+  system: ConfigSystem,
+  operator: number,
+  rules: ConfigRules,
+): ConfigSystem {
   const applied = appliedVersion(system.platform, PLANS[operator].id);
-  return {
+  const read = {
     ...system,
     expected: system.expected.with(operator, system.platform),
-    outcomes:
-      applied === undefined
-        ? system.outcomes
-        : system.outcomes.with(operator, 'applied'),
   };
+  return applied === undefined
+    ? read
+    : confirm(read, operator, system.platform.version, rules);
+}
+
+/** Tells an operator that its plan is applied. */
+function confirm(
+  system: ConfigSystem,
+  operator: number,
+  version: number,
+  rules: ConfigRules,
+): ConfigSystem {
+  const confirmed = {
+    ...system,
+    outcomes: system.outcomes.with(operator, 'applied'),
+  };
+  // The VM that the operator calls applies what it confirms.
+  return rules.isRestorable
+    ? receive(confirmed, operator, version, rules)
+    : confirmed;
 }
 
 function swap(
@@ -171,14 +241,14 @@
     return {...cleared, outcomes: system.outcomes.with(operator, 'moved')};
   }
   if (!rules.canSwap(system.platform, expected)) return cleared;
-  return {
+  const swapped = {
     ...cleared,
     platform: next.value,
     published: [...system.published, next.value],
-    outcomes: isAnswered
-      ? system.outcomes.with(operator, 'applied')
-      : system.outcomes,
   };
+  return isAnswered
+    ? confirm(swapped, operator, next.value.version, rules)
+    : swapped;
 }
 
 function receive(
@@ -187,8 +257,8 @@
   version: number,
   rules: ConfigRules,
 ): ConfigSystem {
-  const document = system.published.find(entry => entry.version === version);
-  const applied = rules.selectConfig(system.vms[vm], document ?? EMPTY_CONFIG);
+  const document = documentOf(system, version);
+  const applied = rules.selectConfig(system.vms[vm], document);
   return {
     ...system,
     vms: system.vms.with(vm, applied),
--- a/model/takeover_model.ts
+++ b/model/takeover_model.ts
@@ -89,6 +89,11 @@
    * platform does not check fencing tokens.
    */
   readonly waitsForOrders: boolean;
+  /**
+   * Whether a new lease holder's fencing token is above all earlier ones, also
+   * if the store that gives it out was restored from an older copy meanwhile.
+   */
+  readonly tokensRiseOverRestores: boolean;
 }
 
 export const SAFE_TAKEOVER_RULES: TakeoverModelRules = {
@@ -98,6 +103,7 @@
   expectsEarlierOrders: true,
   checksFencingTokens: true,
   waitsForOrders: false,
+  tokensRiseOverRestores: true,
 };
 
 /** The rules where the platform does not check fencing tokens. */
@@ -275,7 +281,9 @@
     case 'changeHolder':
       return {
         ...system,
-        fencingToken: system.fencingToken + 1,
+        fencingToken: rules.tokensRiseOverRestores
+          ? system.fencingToken + 1
+          : system.fencingToken - 1,
         stoppedLengths: NO_STOPPED_LOGS,
         knownPrimary: system.primary,
         hasUnconfirmedOrder: rules.expectsEarlierOrders,
