Let the demo restore its platform between two changes

The demo changes two customers' rates with a restore of the stand-in platform from before the first change in between, and fails if either is lost.

--- a/src/demo/demo.ts
+++ b/src/demo/demo.ts
@@ -1,10 +1,14 @@
 /**
  * A demo that checks the consistency guarantees: callers write through one of
- * three proxies and read through another. It fails on a stale read, a lost or
- * doubled write, mixed transactions, or a login with a wrong key.
+ * three proxies and read through another, and operators change the configuration
+ * of a platform that is then restored from an older copy. It fails on a stale
+ * read, a lost or doubled write, mixed transactions, a lost change, or a login
+ * with a wrong key.
  */
 import pg from 'pg';
 import {RouteRead, routeToReplicas} from '../core/routing.js';
+import {Config, findCustomer} from '../core/config.js';
+import {StoreKey} from '../store/store.js';
 import {LocalFleet} from '../standin/local_fleet.js';
 
 export interface DemoOptions {
@@ -28,6 +32,8 @@
   readonly mixed_transactions: number;
   readonly lost_writes: number;
   readonly doubled_writes: number;
+  /** Confirmed changes that a restore of the platform has undone. */
+  readonly lost_changes: number;
   /** Rejected logins with a wrong key; 1 is expected. */
   readonly refused_strangers: number;
 }
@@ -40,6 +46,7 @@
 
 const SERVICE = 'order-books-1';
 const PROXY_COUNT = 3;
+const CHANGED_RATE_PER_S = 500_000;
 const CUSTOMERS = ['supermaxi', 'tia', 'coral'] as const;
 
 /** Counts that all sessions of the demo add to. */
@@ -93,9 +100,11 @@
     reportProgress(
       `${options.sessions} sessions wrote through one proxy and read through another`,
     );
+    const lostChanges = await changeAroundRestore(fleet);
+    reportProgress('the platform was restored between two changes');
     const rejectedLogins = await connectWithWrongKey(fleet);
     reportProgress('a login with a wrong key was tried');
-    return createReport(fleet, options, counts, rejectedLogins);
+    return createReport(fleet, options, counts, lostChanges, rejectedLogins);
   } finally {
     await fleet.close();
   }
@@ -203,6 +212,31 @@
   if (seen.rows[0]?.owner !== owner) counts.mixedTransactions++;
 }
 
+/**
+ * Changes the rates of two customers, with a restore of the platform to before
+ * the first change in between. Returns how many of the changes are lost.
+ */
+async function changeAroundRestore(fleet: LocalFleet): Promise<number> {
+  const startedMs = performance.now();
+  const changed = CUSTOMERS.slice(0, 2);
+  for (const [proxy, customer] of changed.entries()) {
+    const action = {
+      do: 'set_rate',
+      customer,
+      ratePerS: CHANGED_RATE_PER_S,
+      burst: CHANGED_RATE_PER_S,
+    };
+    await fleet.applyActions(proxy, [action]);
+    const ageMs = performance.now() - startedMs;
+    if (proxy === 0) fleet.platform.restore(ageMs);
+  }
+  const text = fleet.platform.get(StoreKey.config) ?? '{}';
+  const config = JSON.parse(text) as Config;
+  return changed.filter(
+    name => findCustomer(config, name)?.ratePerS !== CHANGED_RATE_PER_S,
+  ).length;
+}
+
 /** Returns the number of rejected logins: 1, or 0 if the wrong key works. */
 async function connectWithWrongKey(fleet: LocalFleet): Promise<number> {
   const client = fleet.createClient(0, CUSTOMERS[0], SERVICE, {
@@ -221,6 +255,7 @@
   fleet: LocalFleet,
   options: DemoOptions,
   counts: DemoCounts,
+  lostChanges: number,
   rejectedLogins: number,
 ): DemoReport {
   const ids = fleet.group(SERVICE).committedIds('bookings');
@@ -235,6 +270,7 @@
     counts.mixedTransactions === 0 &&
     lost === 0 &&
     doubled === 0 &&
+    lostChanges === 0 &&
     rejectedLogins === 1;
   return {
     demo: hasPassed ? 'ok' : 'failed',
@@ -246,6 +282,7 @@
     mixed_transactions: counts.mixedTransactions,
     lost_writes: lost,
     doubled_writes: doubled,
+    lost_changes: lostChanges,
     refused_strangers: rejectedLogins,
   };
 }
--- a/test/demo.test.ts
+++ b/test/demo.test.ts
@@ -7,6 +7,7 @@
   t.is(report.demo, 'ok');
   t.is(report.stale_reads, 0);
   t.is(report.mixed_transactions, 0);
+  t.is(report.lost_changes, 0);
   t.true(report.replica_read_share > 0);
 });
 
