Separate when a front accrues its rates from front.ts, and test it

The rule that a front which starts in an era without a mark accrues nothing for 5.5 s stood in the composition root, without a test of its own. Moved as it was to accrual.ts; with the rule off the new test of a start soon after a restore fails.

--- a/src/front/front.ts
+++ b/src/front/front.ts
@@ -20,6 +20,7 @@
 import {Lifecycle} from '../proxy/lifecycle.js';
 import {LendRequest, RateLimiter} from '../proxy/rate_limiter.js';
 import {KeyValueStore} from '../store/key_values.js';
+import {Accrual} from './accrual.js';
 import {CallerSession, SessionHost} from './caller_session.js';
 import {FollowRequest, RelayedChanges} from './change_relay.js';
 import {runControlStatement} from './control_link.js';
@@ -82,13 +83,6 @@
  * that they are refused.
  */
 const RATE_WAIT_MS = 250;
-/** Value of the monotonic clock at process start. */
-const PROCESS_START_MS = 0;
-/**
- * Time after which every other front knows a new one or has stopped serving:
- * longer than a configuration may be used without confirmation.
- */
-const JOIN_WAIT_MS = 5_500;
 /** Interval at which leaders are sampled for replica reads. */
 const SAMPLE_INTERVAL_MS = 600;
 const STOP_POLL_MS = 25;
@@ -111,13 +105,13 @@
   private readonly sessionHost: SessionHost;
   private isStopping = false;
   private readonly frontList: FrontList;
+  private readonly accrual: Accrual;
   private readonly shares: RateShares;
   private readonly leadership: Leadership;
   private cachedRates: {
     readonly config?: FrontConfig;
     readonly rates: ReadonlyMap<string, Rate>;
   } = {rates: new Map()};
-  private readonly startedAtMs = performance.now();
 
   private constructor(
     private readonly settings: FrontSettings,
@@ -145,12 +139,13 @@
     this.leadership = this.createLeadership();
     this.dispatcher = this.createDispatcher();
     this.frontList = FrontList.create(layout.fleetPrefix, log);
+    this.accrual = this.createAccrual();
     this.shares = RateShares.create({
       self: settings.vm,
       place: settings.place,
       fronts: () => this.fronts(),
       config: () => this.feed.config,
-      mayAccrue: () => this.mayAccrue,
+      mayAccrue: () => this.accrual.isAllowed,
     });
     this.router = Router.create({
       self: settings.vm,
@@ -309,7 +304,7 @@
       lendersPerRound: MAX_LENDERS_PER_ROUND,
       lendersInFirstRound: 1,
       maxWaitMs: RATE_WAIT_MS,
-      accrualStartMs: () => this.accrualStartMs(),
+      accrualStartMs: () => this.accrual.startMs(),
       requestTokens: async (peer, request) => {
         const link = this.dispatcher.link(peer);
         if (!link) return [];
@@ -333,47 +328,15 @@
     return this.cachedRates.rates;
   }
 
-  /**
-   * Returns the time from which rate shares accrue. A front that was registered
-   * before it restarted kept its shares, which accrue from the start of the
-   * process.
-   */
-  private accrualStartMs(): number {
-    const nowMs = performance.now();
-    const isRestart =
-      this.storeEra.wasSettledAtStart &&
-      this.feed.fleetItemsAtStart.has(this.registration.entryKey);
-    return isRestart && nowMs < JOIN_WAIT_MS ? PROCESS_START_MS : nowMs;
-  }
-
-  /**
-   * Whether this front joined a running fleet within `JOIN_WAIT_MS`, or may have
-   * joined one whose entries the store has lost.
-   */
-  private get hasJoinedRecently(): boolean {
-    const ageMs = performance.now() - this.startedAtMs;
-    if (ageMs >= JOIN_WAIT_MS) return false;
-    const {fleetItemsAtStart} = this.feed;
-    if (!this.storeEra.wasSettledAtStart) return true;
-    const memberPrefix = frontEntryKey(this.ports.layout.fleetPrefix, '');
-    const wasRunning = [...fleetItemsAtStart.keys()].some(key =>
-      key.startsWith(memberPrefix),
-    );
-    return wasRunning && !fleetItemsAtStart.has(this.registration.entryKey);
-  }
-
-  /**
-   * Whether this front accrues its rate shares. It does not while its
-   * configuration is stale or others may consider it unregistered, nor until
-   * the fronts whose shares it takes over are sure to have seen its
-   * registration.
-   */
-  private get mayAccrue(): boolean {
-    return (
-      this.feed.isFresh &&
-      !this.hasJoinedRecently &&
-      this.registration.isLeaseValid
-    );
+  private createAccrual(): Accrual {
+    const {feed, registration, ports} = this;
+    return Accrual.create({
+      view: feed,
+      entryPrefix: frontEntryKey(ports.layout.fleetPrefix, ''),
+      entryKey: registration.entryKey,
+      wasSettledAtStart: () => this.storeEra.wasSettledAtStart,
+      isLeaseValid: () => registration.isLeaseValid,
+    });
   }
 
   private createCoordinatorLease(): CoordinatorLease {
