--- a/src/front/leader_recovery.ts
+++ b/src/front/leader_recovery.ts
@@ -77,6 +77,8 @@
   /** Whether this front has known all records since an earlier era. */
   private hasAllRecords: boolean;
   private isRunning = false;
+  /** Last era whose mark this front has written; its view may lag. */
+  private markedEra = 0;
   private readonly timer: NodeJS.Timeout;
 
   private constructor(private readonly options: LeaderRecoveryOptions) {
@@ -117,11 +119,16 @@
   private async run(): Promise<void> {
     const {isEnabled, source, isLeaseHeld, markKey, write} = this.options;
     const isDue = isEnabled && source.era > 0 && isLeaseHeld();
-    if (!isDue || this.isRunning || this.isMarked) return;
-    this.isRunning = true;
     const {era} = source;
+    if (!isDue || this.isRunning || this.isMarked || this.markedEra === era) {
+      return;
+    }
+    this.isRunning = true;
     const isDone = await this.completeRecords();
-    if (isDone && era === source.era) await write(markKey, String(era));
+    if (isDone && era === source.era) {
+      const revision = await write(markKey, String(era));
+      if (revision !== undefined) this.markedEra = era;
+    }
     this.isRunning = false;
   }
 
--- a/src/front/store_feed.ts
+++ b/src/front/store_feed.ts
@@ -313,12 +313,17 @@
     const listed = await this.options.store.list('');
     if (listed.isErr()) return this.recordFailure('list', listed.error.message);
     const {items, revision} = listed.value;
-    this.logListed(items, revision);
     const keys = new Set(items.map(item => item.key));
+    const missingKeys = [...this.fleetItems$.value.keys()].filter(
+      key => !keys.has(key),
+    );
+    this.logListed(items, revision, missingKeys);
     const puts = items.map((item): StoreEvent => ({kind: 'put', ...item}));
-    const removals = [...this.fleetItems$.value.keys()]
-      .filter(key => !keys.has(key))
-      .map((key): StoreEvent => ({kind: 'removed', key, revision}));
+    const removals = missingKeys.map((key): StoreEvent => ({
+      kind: 'removed',
+      key,
+      revision,
+    }));
     const isFirst = this.revision === 0;
     this.recordEra(eraOf(revision), isFirst);
     this.databases.beginList();
@@ -346,21 +351,21 @@
    * Logs what a complete list shows beside what this front knew before, which
    * tells whether the store lost anything.
    */
-  private logListed(items: readonly StoredItem[], revision: number): void {
+  private logListed(
+    items: readonly StoredItem[],
+    revision: number,
+    missingKeys: readonly string[],
+  ): void {
     const {layout, log} = this.options;
-    const keys = new Set(items.map(({key}) => key));
     const config = items.find(({key}) => key === layout.configKey);
     const decoded = config && layout.decodeConfig(config.value);
-    const missing = [...this.fleetItems$.value.keys()].filter(
-      key => !keys.has(key),
-    );
     log('store_listed', {
       revision,
       knownRevision: this.revision,
       version: decoded?.isOk() ? decoded.value.version : undefined,
       knownVersion: this.config?.version,
-      missing: missing.length,
-      missingKeys: missing.slice(0, MAX_LOGGED_KEYS),
+      missing: missingKeys.length,
+      missingKeys: missingKeys.slice(0, MAX_LOGGED_KEYS),
     });
   }
 
--- a/test/front/coordinator_lease.test.ts
+++ b/test/front/coordinator_lease.test.ts
@@ -12,15 +12,12 @@
   StoreFaultKind,
   StoreTransaction,
 } from '../../src/store/key_values.js';
+import {settle} from '../fixtures/virtual_time.js';
 
 const KEY = 'own/duty';
 const SELF = 'front-1';
 const WRITTEN_REVISION = 40;
 
-const settle = async (): Promise<void> => {
-  for (let n = 0; n < 30; n++) await Promise.resolve();
-};
-
 /** A front that has acquired the lease at `WRITTEN_REVISION` of era 1. */
 async function createHolder(t: {teardown: (end: () => void) => void}) {
   mock.timers.enable({apis: ['setTimeout', 'setInterval']});
--- a/test/front/leader_recovery.test.ts
+++ b/test/front/leader_recovery.test.ts
@@ -10,6 +10,7 @@
 } from '../../src/front/leader_recovery.js';
 import {DatabaseReport} from '../../src/front/wire_types.js';
 import {StoredItem} from '../../src/store/key_values.js';
+import {settle} from '../fixtures/virtual_time.js';
 
 const MARK_KEY = 'own/leaders-era';
 
@@ -73,7 +74,7 @@
 
 async function runOnce(): Promise<void> {
   mock.timers.tick(250);
-  for (let n = 0; n < 30; n++) await Promise.resolve();
+  await settle();
 }
 
 // Guards against a former primary that a restarted front accepts, because the
--- a/test/front/leadership.test.ts
+++ b/test/front/leadership.test.ts
@@ -16,19 +16,12 @@
 import {Leadership} from '../../src/front/leadership.js';
 import {StoredItem} from '../../src/store/key_values.js';
 import {DatabaseCodec} from '../../src/front/wire_types.js';
+import {advance as advanceInSteps} from '../fixtures/virtual_time.js';
 
 const MAX_CONFIG_AGE_MS = 4_800;
+const STEP_MS = 10;
 
-const settle = async (): Promise<void> => {
-  for (let n = 0; n < 30; n++) await Promise.resolve();
-};
-
-async function advance(ms: number): Promise<void> {
-  for (let n = 0; n < ms; n += 10) {
-    mock.timers.tick(10);
-    await settle();
-  }
-}
+const advance = (ms: number): Promise<void> => advanceInSteps(ms, STEP_MS);
 
 /**
  * Creates the leadership of the front that holds the coordinator lease; calls
--- a/test/front/registration.test.ts
+++ b/test/front/registration.test.ts
@@ -14,17 +14,7 @@
   StoreFaultKind,
   StoreResult,
 } from '../../src/store/key_values.js';
-
-const settle = async (): Promise<void> => {
-  for (let n = 0; n < 30; n++) await Promise.resolve();
-};
-
-async function advance(ms: number): Promise<void> {
-  for (let n = 0; n < ms; n += 50) {
-    mock.timers.tick(50);
-    await settle();
-  }
-}
+import {advance, settle} from '../fixtures/virtual_time.js';
 
 test.serial(
   'a late reply about an expired lease does not end the next one',
--- a/test/front/store_era.test.ts
+++ b/test/front/store_era.test.ts
@@ -3,6 +3,7 @@
 import test from 'ava';
 import {StoreEra, StoreEraOptions} from '../../src/front/store_era.js';
 import {StoredItem} from '../../src/store/key_values.js';
+import {advance} from '../fixtures/virtual_time.js';
 
 const KEY = 'own/era';
 
@@ -46,14 +47,6 @@
   return {source, storeEra, written};
 }
 
-async function advance(ms: number): Promise<void> {
-  for (let n = 0; n < ms; n += 100) {
-    mock.timers.tick(100);
-    await Promise.resolve();
-    await Promise.resolve();
-  }
-}
-
 // Guards against two holders of the coordinator lease: one relies on a lease
 // that the store has lost, while the other acquires it.
 test.serial(
--- a/test/front/store_feed.test.ts
+++ b/test/front/store_feed.test.ts
@@ -6,21 +6,11 @@
 import {qualifyRevision} from '../../src/core/store_revision.js';
 import {StoreFeed} from '../../src/front/store_feed.js';
 import {KeyValueStore, StoredItem} from '../../src/store/key_values.js';
+import {advance} from '../fixtures/virtual_time.js';
 
 const CONFIG_KEY = 'config';
 const MAX_AGE_MS = 4_800;
 
-const settle = async (): Promise<void> => {
-  for (let n = 0; n < 30; n++) await Promise.resolve();
-};
-
-async function advance(ms: number): Promise<void> {
-  for (let n = 0; n < ms; n += 50) {
-    mock.timers.tick(50);
-    await settle();
-  }
-}
-
 /** A store of one configuration; each call lists or watches `state`. */
 function createFeed() {
   const state = {era: 1, revision: 10, version: 3};
--- a/test/platform/restored.test.ts
+++ b/test/platform/restored.test.ts
@@ -45,6 +45,16 @@
 const knownFronts = ({front}: RunningFront): readonly string[] =>
   (front.dump() as {fronts: string[]}).fronts;
 
+/**
+ * Raises the store's revision, then changes the configuration; resolves when it
+ * is in force.
+ */
+async function changeToVersion2({store, fronts}: Fleet): Promise<void> {
+  writeUnrelated(store, 10);
+  store.put('op/config', operatorConfig('orders', {version: 2}));
+  await until(() => fronts.every(front => versionOf(front) === 2));
+}
+
 async function startSettledFleet(zones: readonly string[]): Promise<Fleet> {
   const fleet = await startFleet(zones);
   await sleep(COPY_AGE_MS + OUTAGE_MS);
@@ -57,9 +67,7 @@
   const fleet = await startSettledFleet(['norte', 'norte', 'puerto']);
   t.teardown(() => fleet.stop());
   const {store, fronts} = fleet;
-  writeUnrelated(store, 10);
-  store.put('op/config', operatorConfig('orders', {version: 2}));
-  await until(() => fronts.every(front => versionOf(front) === 2));
+  await changeToVersion2(fleet);
   await restoreAfterOutage(store);
   await until(() => fronts.every(isInEra(2)));
   store.put('op/config', operatorConfig('orders', {version: 9}));
@@ -77,9 +85,7 @@
   const fleet = await startSettledFleet(['norte', 'norte', 'puerto']);
   t.teardown(() => fleet.stop());
   const {store, fronts} = fleet;
-  writeUnrelated(store, 10);
-  store.put('op/config', operatorConfig('orders', {version: 2}));
-  await until(() => fronts.every(front => versionOf(front) === 2));
+  await changeToVersion2(fleet);
   store.faultMode = StoreFaultMode.busy;
   await sleep(OUTAGE_MS);
   store.restore(COPY_AGE_MS + OUTAGE_MS);
