--- a/src/front/front.ts
+++ b/src/front/front.ts
@@ -549,6 +549,7 @@
     );
     subscription.add(
       restored$.subscribe(() => {
+        // Decodes the last view before the restore, whose fronts are retained.
         this.fronts();
         this.frontList.retain();
         this.leaderRecovery.recordRestore(this.feed.isFresh);
@@ -592,6 +593,7 @@
       ready: this.isReady ? 1 : 0,
       duty_held: this.coordinatorLease.isHeld ? 1 : 0,
       config_version: this.feed.config?.version ?? 0,
+      store_era: this.feed.era,
       store_revision: this.feed.knownRevision,
       resident_bytes: process.memoryUsage.rss(),
     };
--- a/src/front/store_feed.ts
+++ b/src/front/store_feed.ts
@@ -34,7 +34,7 @@
   readonly databasePrefix: string;
   /**
    * Prefix of the items that fronts write: their entries, the shared secret,
-   * the coordinator lease and the leader records.
+   * the coordinator lease, the leader records and the marks of eras.
    */
   readonly fleetPrefix: string;
   readonly decodeConfig: (bytes: Buffer) => Result<FrontConfig, string>;
