Log a transaction at each front that takes part in it, and which process it is

Each transaction has an id now, which its statements carry to the front that holds the connection. lane_opened, lane_ended and lane_refused tell that front's view with the connection and its local port; peer_statement tells a statement that it ran for another front. A process has a random id, shown when it starts and told to the other side of a connection between fronts (peer_connected, peer_accepted). A process of an earlier version ignores the new fields; its own are taken as empty.

What decides is unchanged: lanes and keys of work are named as before.

--- a/src/core/work.ts
+++ b/src/core/work.ts
@@ -61,6 +61,8 @@
   readonly access: Access;
   readonly mode: ExecutionMode;
   readonly lane?: string;
+  /** Id of the caller's transaction that the statement belongs to, if any. */
+  readonly transaction?: string;
   readonly session: RequiredSessionState;
   /** Minimum log position of the database. */
   readonly after?: Position;
--- a/src/front/caller_session.ts
+++ b/src/front/caller_session.ts
@@ -30,6 +30,7 @@
   TransactionState,
   Work,
 } from '../core/work.js';
+import {IdSource} from '../core/process_ids.js';
 import {JsonLog} from './json_log.js';
 import {Router} from './router.js';
 import {
@@ -44,6 +45,7 @@
   readonly codec: CallerCodec;
   readonly router: Router;
   readonly log: JsonLog;
+  readonly newId: IdSource;
   /** Returns the current configuration; undefined before the first arrives. */
   readonly config: () => FrontConfig | undefined;
   /** Whether the configuration is recent enough for checking keys. */
@@ -66,6 +68,8 @@
 }
 
 interface Transaction {
+  /** Identifies the transaction in logs of all fronts. */
+  readonly id: string;
   readonly readOnly: boolean;
   readonly route: RouteConfig;
   /** Arrival of its BEGIN, from which the freshness of its reads counts. */
@@ -156,8 +160,7 @@
   /** Rolls back an open transaction unless one of its statements is running. */
   abortTransaction(reason: string): void {
     if (!this.transaction || this.isBusy) return;
-    this.host.log('transaction_ended', {database: this.database, reason});
-    this.rollBack();
+    this.rollBack(reason);
     this.hasFailed = true;
   }
 
@@ -274,7 +277,7 @@
       case 'begin':
         return this.beginTransaction(statement.readOnly, arrivedAtMs);
       case 'rollback':
-        this.rollBack();
+        this.rollBack('rolled back by the caller');
         this.hasFailed = false;
         return this.sendDone();
       case 'commit':
@@ -304,6 +307,7 @@
     const route = this.host.config()?.routes.get(this.database);
     if (!route) return this.sendError('service_unknown', this.database);
     this.transaction = {
+      id: this.host.newId(),
       readOnly,
       route,
       startedAtMs: arrivedAtMs,
@@ -318,7 +322,7 @@
   private async commit(query: Query, arrivedAtMs: number): Promise<void> {
     if (this.hasFailed) {
       this.hasFailed = false;
-      this.rollBack();
+      this.rollBack('has failed before');
       return this.sendError('transaction_lost', 'rolled back');
     }
     if (!this.transaction) {
@@ -339,6 +343,7 @@
     if (rejection || !route || !config) {
       this.host.log('request_refused', {
         request: query.id,
+        transaction: this.transaction?.id,
         database: this.database,
         error: rejection,
         version: config?.version,
@@ -353,7 +358,11 @@
     const {transaction} = this;
     const isFirst = transaction?.lane === undefined;
     if (isFirst && !(await this.isWithinRate(customer))) {
-      this.host.log('rate_refused', {request: query.id, customer});
+      this.host.log('rate_refused', {
+        request: query.id,
+        transaction: transaction?.id,
+        customer,
+      });
       return this.sendError(
         'rate_exceeded',
         this.retryDelayText(RATE_RETRY_AFTER_MS),
@@ -442,6 +451,7 @@
       access,
       opens,
       session: requiredStateFor(this.state, prepared),
+      transaction: transaction?.id,
       freshAsOfMs: transaction?.startedAtMs ?? arrivedAtMs,
       deadlineMs,
       lastCommit: this.lastCommit,
@@ -465,7 +475,7 @@
   ): Promise<Reply> {
     const {transaction} = this;
     if (!transaction) throw new Error('no transaction');
-    const {route, database, lane, isReadWrite, hasWritten} = transaction;
+    const {id, route, database, lane, isReadWrite, hasWritten} = transaction;
     const provesLeader =
       isReadWrite && (access !== Access.commit || hasWritten);
     return this.host.router.runInLane(
@@ -477,6 +487,7 @@
         text: query.text,
         access,
         lane,
+        transaction: id,
         session: requiredStateFor(this.state, prepared),
         priority: route.priority,
         budgetMs: Math.max(1, Math.floor(deadlineMs - performance.now())),
@@ -510,7 +521,7 @@
     if (transaction) {
       transaction.lane = reply.lane ?? transaction.lane;
       if (reply.lane === undefined) transaction.lane = undefined;
-      this.rollBack();
+      this.rollBack(reply.fault);
       this.hasFailed = access !== Access.commit;
     }
     this.enqueue(this.faultAnswer(reply, access, hasWritten));
@@ -542,10 +553,17 @@
     return {kind: 'fault', fault, text: reply.text};
   }
 
-  private rollBack(): void {
+  private rollBack(reason: string): void {
     const {transaction} = this;
     this.transaction = undefined;
-    if (transaction?.lane === undefined) return;
+    if (!transaction) return;
+    this.host.log('transaction_ended', {
+      transaction: transaction.id,
+      lane: transaction.lane,
+      database: this.database,
+      reason,
+    });
+    if (transaction.lane === undefined) return;
     this.host.endLane(transaction.database, transaction.lane);
   }
 
@@ -556,7 +574,7 @@
   /** Answers with an error, which also fails an open transaction. */
   private sendError(error: ErrorKind, text: string): void {
     if (this.transaction) {
-      this.rollBack();
+      this.rollBack(error);
       this.hasFailed = true;
     }
     this.host.onAnswered(error, 0);
@@ -600,7 +618,7 @@
     this.hasLeft = true;
     clearTimeout(this.idleTimer);
     if (this.runningWork) this.host.cancel(this.runningWork);
-    if (!this.isBusy) this.rollBack();
+    if (!this.isBusy) this.rollBack('caller disconnected');
     this.host.onEnded(this);
   }
 }
--- a/src/front/database_link.ts
+++ b/src/front/database_link.ts
@@ -104,6 +104,11 @@
     return link;
   }
 
+  /** Local port of the connection, by which the database's logs name it. */
+  get localPort(): number | undefined {
+    return this.socket.localPort;
+  }
+
   /** Number of sent statements that the database has yet to answer. */
   get unansweredSteps(): number {
     return this.steps.length;
--- a/src/front/database_worker.ts
+++ b/src/front/database_worker.ts
@@ -12,6 +12,7 @@
 import {chooseConnection} from '../core/connection_choice.js';
 import {KnownDatabase} from '../core/directory.js';
 import {addPositionSample, PositionSamples} from '../core/position_samples.js';
+import {IdSource, ProcessIdentity} from '../core/process_ids.js';
 import {PositionSample} from '../core/routing.js';
 import {
   Access,
@@ -39,6 +40,7 @@
   readonly entry: KnownDatabase;
   readonly codec: DatabaseCodec;
   readonly log: JsonLog;
+  readonly newId: IdSource;
   /** Maximum number of connections that this VM may hold to the database. */
   readonly connectionLimit: () => number;
   /** Whether this VM may currently use the database as primary. */
@@ -76,6 +78,8 @@
 const INITIAL_SERVICE_MS = 15;
 
 interface Connection {
+  /** Id of the connection in logs. */
+  readonly id: string;
   readonly customer: string;
   use: 'idle' | 'busy' | 'pinned';
   isOpening: boolean;
@@ -90,8 +94,11 @@
 interface Lane {
   readonly id: string;
   readonly connection: Connection;
-  /** Name of the VM whose caller opened the transaction. */
-  readonly origin: string;
+  /** Process whose caller opened the transaction. */
+  readonly origin: ProcessIdentity;
+  /** Id of the transaction; undefined if its caller's front tells none. */
+  readonly transaction: string | undefined;
+  readonly openedAtMs: number;
   /** Whether only the primary may run the transaction. */
   readonly isPrimaryOnly: boolean;
   timer?: NodeJS.Timeout;
@@ -99,8 +106,8 @@
 
 interface Job {
   readonly work: Work;
-  /** Name of the VM that sent the work. */
-  readonly origin: string;
+  /** Process that sent the work. */
+  readonly origin: ProcessIdentity;
   readonly resolve: (reply: Reply) => void;
   timer: NodeJS.Timeout;
   /** When its newest statement was sent; 0 before. */
@@ -203,8 +210,8 @@
     return this.queue.waitMs(entry, this.capacity(), this.inFlight);
   }
 
-  /** Runs work that the VM `origin` sent; never rejects. */
-  run(work: Work, origin: string): Promise<Reply> {
+  /** Runs work that the process `origin` sent; never rejects. */
+  run(work: Work, origin: ProcessIdentity): Promise<Reply> {
     if (this.isClosed) {
       return Promise.resolve(faultReply(Fault.unreachable, 'front is closing'));
     }
@@ -236,13 +243,13 @@
   /** Rolls back the transaction of the lane `id`. */
   endLane(id: string): void {
     const lane = this.lanes.get(id);
-    if (lane) this.releaseLane(lane);
+    if (lane) this.releaseLane(lane, 'ended by its caller');
   }
 
   /** Rolls back all transactions that a VM opened. */
-  endLanesFrom(origin: string): void {
+  endLanesFrom(vm: string): void {
     for (const lane of [...this.lanes.values()]) {
-      if (lane.origin === origin) this.releaseLane(lane);
+      if (lane.origin.vm === vm) this.releaseLane(lane, 'front disconnected');
     }
   }
 
@@ -432,6 +439,7 @@
   private openConnection(job: Job): void {
     this.counts.opened++;
     const connection: Connection = {
+      id: this.options.newId(),
       customer: job.work.customer,
       use: 'busy',
       isOpening: true,
@@ -630,7 +638,7 @@
     if (job.work.mode === ExecutionMode.open)
       this.recordSample(job.sentAtMs, begun);
     const isPrimaryOnly = job.work.mode === ExecutionMode.open;
-    const lane = this.pin(connection, job.origin, isPrimaryOnly);
+    const lane = this.pin(connection, job, isPrimaryOnly);
     job.sentAtMs = performance.now();
     connection.link.run([statement], (_, answer) => {
       this.recordAnswerUnlessLost(answer);
@@ -657,6 +665,7 @@
   private runInLane(job: Job): void {
     const lane = this.lanes.get(job.work.lane ?? '');
     if (!lane) {
+      this.logRefusedLane(job);
       return this.finish(job, {
         ...faultReply(Fault.aborted, 'transaction no longer exists'),
         state: TransactionState.failed,
@@ -672,7 +681,7 @@
       });
     }
     if (job.work.access === Access.rollback) {
-      this.releaseLane(lane);
+      this.releaseLane(lane, 'rolled back');
       return this.finish(job, {
         ok: true,
         rows: [],
@@ -726,37 +735,75 @@
     const result =
       isLost && !isCommit ? {...answer, fault: Fault.aborted} : answer;
     this.finish(job, this.replyOf(result as StepAnswer, {state}));
-    this.unpin(lane);
+    this.unpin(lane, answer.ok && isCommit ? 'committed' : 'failed');
     if (!isLost) this.release(lane.connection, answer.state);
   }
 
-  private pin(
-    connection: Connection,
-    origin: string,
-    isPrimaryOnly: boolean,
-  ): Lane {
-    const id = `${this.entry.id}/${++this.laneCount}`;
-    const lane: Lane = {id, connection, origin, isPrimaryOnly};
+  private pin(connection: Connection, job: Job, isPrimaryOnly: boolean): Lane {
+    const {work, origin} = job;
+    const {transaction} = work;
+    const lane: Lane = {
+      id: `${this.entry.id}/${++this.laneCount}`,
+      connection,
+      origin,
+      transaction,
+      openedAtMs: performance.now(),
+      isPrimaryOnly,
+    };
     connection.use = 'pinned';
     connection.lane = lane;
-    this.lanes.set(id, lane);
+    this.lanes.set(lane.id, lane);
+    this.options.log('lane_opened', {
+      request: work.requestId,
+      transaction,
+      lane: lane.id,
+      database: this.entry.id,
+      customer: work.customer,
+      connection: connection.id,
+      port: connection.link.localPort,
+      origin: origin.vm,
+      originProcess: origin.process,
+    });
     return lane;
   }
 
   private startLaneTimer(lane: Lane): void {
     clearTimeout(lane.timer);
     const idleMs = this.options.laneIdleMs();
-    lane.timer = setTimeout(() => this.releaseLane(lane), idleMs);
+    lane.timer = setTimeout(
+      () => this.releaseLane(lane, 'idle for too long'),
+      idleMs,
+    );
   }
 
-  private unpin(lane: Lane): void {
+  private unpin(lane: Lane, reason: string): void {
     clearTimeout(lane.timer);
     this.lanes.delete(lane.id);
     lane.connection.lane = undefined;
+    this.options.log('lane_ended', {
+      transaction: lane.transaction,
+      lane: lane.id,
+      database: this.entry.id,
+      connection: lane.connection.id,
+      reason,
+      tookMs: Math.round(performance.now() - lane.openedAtMs),
+    });
+  }
+
+  /** Logs a statement for a transaction that is not open here. */
+  private logRefusedLane({work, origin}: Job): void {
+    this.options.log('lane_refused', {
+      request: work.requestId,
+      transaction: work.transaction,
+      lane: work.lane,
+      database: this.entry.id,
+      origin: origin.vm,
+      originProcess: origin.process,
+    });
   }
 
-  private releaseLane(lane: Lane): void {
-    this.unpin(lane);
+  private releaseLane(lane: Lane, reason: string): void {
+    this.unpin(lane, reason);
     const {connection} = lane;
     if (connection.link.unansweredSteps > 0)
       connection.link.close('transaction ended');
@@ -804,7 +851,7 @@
 
   private onClosed(connection: Connection): void {
     this.connections = this.connections.filter(c => c !== connection);
-    if (connection.lane) this.unpin(connection.lane);
+    if (connection.lane) this.unpin(connection.lane, 'connection closed');
     connection.job = undefined;
     setImmediate(() => this.startQueuedJobs());
   }
--- a/src/front/dispatcher.ts
+++ b/src/front/dispatcher.ts
@@ -23,13 +23,15 @@
   SampleByAge,
   toSamplesByAge,
 } from '../core/position_samples.js';
+import {IdSource, ProcessIdentity} from '../core/process_ids.js';
 import {JsonLog} from './json_log.js';
 import {PeerLink, PeerUnavailableError} from './peer_link.js';
 import {DatabaseCodec} from './wire_types.js';
 
 export interface DispatcherOptions {
-  /** Name of this VM. */
-  readonly self: string;
+  /** This process. */
+  readonly self: ProcessIdentity;
+  readonly newId: IdSource;
   readonly zone: string;
   readonly codec: DatabaseCodec;
   readonly log: JsonLog;
@@ -120,18 +122,39 @@
   }
 
   /** Runs work of this or another front on a connection of this front. */
-  async runLocally(work: Work, origin: string): Promise<Reply> {
+  async runLocally(work: Work, origin: ProcessIdentity): Promise<Reply> {
     const worker = this.worker(work.database);
     if (!worker) return faultReply(Fault.unreachable, 'database is not listed');
     return worker.run(work, origin);
   }
 
+  /** Runs another front's work; logs the statements of transactions. */
+  async runForPeer(work: Work, origin: ProcessIdentity): Promise<Reply> {
+    const startedAtMs = performance.now();
+    const reply = await this.runLocally(work, origin);
+    if (work.transaction === undefined) return reply;
+    this.options.log('peer_statement', {
+      request: work.requestId,
+      transaction: work.transaction,
+      lane: reply.lane ?? work.lane,
+      access: work.access,
+      mode: work.mode,
+      database: work.database,
+      origin: origin.vm,
+      originProcess: origin.process,
+      outcome: reply.ok ? 'ok' : reply.fault,
+      text: reply.ok ? undefined : reply.text,
+      tookMs: Math.round(performance.now() - startedAtMs),
+    });
+    return reply;
+  }
+
   /** Cancels work that is still queued, here and at the holder. */
   cancel(work: Work): void {
     this.cancelLocally(work.database, work.key);
     const entry = this.options.directory().get(work.database);
     const [holder] = entry ? this.holders(entry) : [];
-    if (holder && holder.vm !== this.options.self) {
+    if (holder && holder.vm !== this.options.self.vm) {
       const params = {database: work.database, key: work.key};
       this.links.get(holder.vm)?.notify(PeerMethodName.cancel, params);
     }
@@ -147,7 +170,8 @@
    */
   endLane(database: string, name: string): void {
     const {holder, lane} = parseLaneName(name);
-    if (holder === this.options.self) return this.endLocalLane(database, lane);
+    if (holder === this.options.self.vm)
+      return this.endLocalLane(database, lane);
     const params = {database, lane};
     this.links.get(holder)?.notify(PeerMethodName.endLane, params);
   }
@@ -167,11 +191,12 @@
     if (existing) return existing;
     const entry = this.options.directory().get(database);
     if (!entry || this.isClosed) return undefined;
-    const {codec, log, zone} = this.options;
+    const {codec, log, zone, newId} = this.options;
     const worker = DatabaseWorker.create({
       entry,
       codec,
       log,
+      newId,
       isNear: entry.zone === zone,
       connectionLimit: () => this.connectionLimit(database),
       isHolder: () => this.isHolder(entry),
@@ -213,7 +238,7 @@
     const entry = this.options.directory().get(database);
     const [holder] = entry ? this.holders(entry) : [];
     if (!holder) return [];
-    if (holder.vm === this.options.self) {
+    if (holder.vm === this.options.self.vm) {
       return this.worker(database)?.positionSamples() ?? [];
     }
     const requestedAtMs = performance.now();
@@ -303,12 +328,12 @@
 
   private isHolder(entry: KnownDatabase): boolean {
     const [first] = this.holders(entry);
-    return first?.vm === this.options.self;
+    return first?.vm === this.options.self.vm;
   }
 
   private unreachable(text: string): DispatchedReply {
     const reply = faultReply(Fault.unreachable, text);
-    return {reply, holder: this.options.self};
+    return {reply, holder: this.options.self.vm};
   }
 
   /**
@@ -320,9 +345,9 @@
     work: Work,
   ): Promise<DispatchedReply | undefined> {
     const {self} = this.options;
-    if (holder.vm === self) {
+    if (holder.vm === self.vm) {
       const reply = await this.runLocally(work, self);
-      return {reply: withQualifiedLane(reply, self), holder: self};
+      return {reply: withQualifiedLane(reply, self.vm), holder: self.vm};
     }
     const link = this.link(holder.vm);
     if (!link || link.isDown) return undefined;
@@ -337,9 +362,9 @@
     const {self} = this.options;
     const {holder, lane} = parseLaneName(work.lane ?? '');
     const localWork = {...work, lane};
-    if (holder === self) {
+    if (holder === self.vm) {
       const reply = await this.runLocally(localWork, self);
-      return {reply: withQualifiedLane(reply, self), holder};
+      return {reply: withQualifiedLane(reply, self.vm), holder};
     }
     const link = this.links.get(holder);
     const reply = link ? await this.runRemotely(link, localWork) : undefined;
--- a/src/front/front.ts
+++ b/src/front/front.ts
@@ -8,12 +8,18 @@
   Server as HttpServer,
 } from 'node:http';
 import {createServer, Server, Socket} from 'node:net';
+import {randomBytes} from 'node:crypto';
 import {map, merge, Subscription} from 'rxjs';
 import {databasesOf} from '../core/directory.js';
 import {FrontConfig} from '../core/front_config.js';
 import {Fronts} from '../core/fronts.js';
 import {maxConfigAgeMs} from '../core/freshness.js';
 import {StoredLeaderRecord} from '../core/leader_record.js';
+import {
+  createIdSource,
+  IdSource,
+  ProcessIdentity,
+} from '../core/process_ids.js';
 import {LentInterval, Rate} from '../core/rates.js';
 import {Reply, Work} from '../core/work.js';
 import {relayFor} from '../core/relay.js';
@@ -86,11 +92,15 @@
 /** Interval at which leaders are sampled for replica reads. */
 const SAMPLE_INTERVAL_MS = 600;
 const STOP_POLL_MS = 25;
+/** Length of the random id of a process. */
+const PROCESS_ID_BYTES = 6;
 /** Part of the grace period that is reserved for closing. */
 const CLOSE_RESERVE_MS = 600;
 
 export class Front {
   private readonly lifecycle = Lifecycle.create();
+  private readonly self: ProcessIdentity;
+  private readonly newId: IdSource;
   private readonly sessions = new Set<CallerSession>();
   private readonly feed: StoreFeed;
   private readonly registration: Registration;
@@ -118,6 +128,9 @@
     private readonly ports: FrontPorts,
   ) {
     const {log, store, layout} = ports;
+    const process = randomBytes(PROCESS_ID_BYTES).toString('hex');
+    this.self = {vm: settings.vm, process};
+    this.newId = createIdSource(process);
     this.feed = StoreFeed.create({
       chooseRelay: isAvoided => this.chooseRelay(isAvoided),
       store,
@@ -258,7 +271,8 @@
   private createDispatcher(): Dispatcher {
     const {settings, ports} = this;
     return Dispatcher.create({
-      self: settings.vm,
+      self: this.self,
+      newId: this.newId,
       zone: settings.place.zone,
       codec: ports.databaseCodec,
       log: ports.log,
@@ -456,6 +470,7 @@
       codec: ports.callerCodec,
       router: this.router,
       log: ports.log,
+      newId: this.newId,
       config: () => this.feed.config,
       isConfigFresh: () => this.feed.isFresh,
       admitRate: customer => this.rateLimiter.admit(customer),
@@ -475,8 +490,10 @@
         this.leadership.receiveRecord(record);
         return true;
       },
-      [PeerMethodName.run]: (work: Work, from: string): Promise<Reply> =>
-        dispatcher.runLocally(work, from),
+      [PeerMethodName.run]: (
+        work: Work,
+        from: ProcessIdentity,
+      ): Promise<Reply> => dispatcher.runForPeer(work, from),
       [PeerMethodName.cancel]: (p: {database: string; key: string}) =>
         dispatcher.cancelLocally(p.database, p.key),
       [PeerMethodName.endLane]: (p: {database: string; lane: string}) =>
@@ -501,7 +518,7 @@
     lifecycle.own(this.feed, feed => feed.stop());
     void feedRun;
     const peers = await servePeers({
-      self: settings.vm,
+      self: this.self,
       address: {host: settings.host, port: settings.peerPort},
       secret: () => this.registration.secret,
       methods: this.peerMethods(),
@@ -530,6 +547,7 @@
     lifecycle.own(this.leaderRecovery, recovery => recovery.close());
     lifecycle.own(this.registration, registration => registration.close());
     log('started', {
+      process: this.self.process,
       zone: settings.place.zone,
       callers: settings.callerAddress,
       peers: settings.peerPort,
--- a/src/front/peer_link.ts
+++ b/src/front/peer_link.ts
@@ -6,7 +6,14 @@
 import {connect, Socket} from 'node:net';
 import {JSONRPCClient} from 'json-rpc-2.0';
 import {JsonLog} from './json_log.js';
-import {createProof, Hello, openChannel, PeerChannel} from './peer_protocol.js';
+import {
+  createProof,
+  Hello,
+  openChannel,
+  PeerChannel,
+  Welcome,
+} from './peer_protocol.js';
+import {ProcessIdentity} from '../core/process_ids.js';
 
 /** Name and address of another front. */
 export interface PeerTarget {
@@ -16,8 +23,8 @@
 }
 
 export interface PeerLinkOptions {
-  /** Name of this VM. */
-  readonly self: string;
+  /** This process. */
+  readonly self: ProcessIdentity;
   readonly target: PeerTarget;
   readonly secret: () => string;
   readonly log: JsonLog;
@@ -140,15 +147,17 @@
       if (nonce === undefined) {
         nonce = String((message as {nonce?: unknown}).nonce);
         const hello: Hello = {
-          from: self,
+          from: self.vm,
           to: target.vm,
-          proof: createProof(secret(), nonce, self, target.vm),
+          proof: createProof(secret(), nonce, self.vm, target.vm),
+          process: self.process,
         };
         channel.send(hello);
       } else if (this.state === 'connecting') {
         clearTimeout(connectTimer);
         this.onConnected(channel);
-        log('peer_connected', {peer: target.vm});
+        const {process} = message as Welcome;
+        log('peer_connected', {peer: target.vm, process});
       } else this.client?.receive(message as never);
     });
     socket.on('error', error => this.disconnectSocket(socket, error.message));
--- a/src/front/peer_protocol.ts
+++ b/src/front/peer_protocol.ts
@@ -15,6 +15,15 @@
   readonly from: string;
   readonly to: string;
   readonly proof: string;
+  /** Id of the sending process; absent in earlier versions. */
+  readonly process?: string;
+}
+
+/** Answer to a valid hello. */
+export interface Welcome {
+  readonly welcome: true;
+  /** Id of the sending process; absent in earlier versions. */
+  readonly process?: string;
 }
 
 /** Returns the proof of the secret for one connection. */
--- a/src/front/peer_service.ts
+++ b/src/front/peer_service.ts
@@ -3,20 +3,22 @@
 import {createServer, Server, Socket} from 'node:net';
 import {JSONRPCServer} from 'json-rpc-2.0';
 import {Address} from './front_settings.js';
+import {ProcessIdentity} from '../core/process_ids.js';
 import {JsonLog} from './json_log.js';
 import {
   createProof,
   Hello,
   isValidProof,
   openChannel,
+  Welcome,
 } from './peer_protocol.js';
 
-/** A method that peers may call; `from` is the calling VM. */
-export type PeerMethod = (params: never, from: string) => unknown;
+/** A method that peers may call; `from` is the calling process. */
+export type PeerMethod = (params: never, from: ProcessIdentity) => unknown;
 
 export interface PeerServiceOptions {
-  /** Name of this VM. */
-  readonly self: string;
+  /** This process. */
+  readonly self: ProcessIdentity;
   readonly address: Address;
   readonly secret: () => string;
   readonly methods: Readonly<Record<string, PeerMethod>>;
@@ -42,16 +44,18 @@
 function acceptPeer(socket: Socket, options: PeerServiceOptions): void {
   const {self, secret, methods, log} = options;
   const nonce = randomBytes(NONCE_BYTES).toString('hex');
-  let from: string | undefined;
+  let from: ProcessIdentity | undefined;
   let rpc: JSONRPCServer | undefined;
   const helloTimer = setTimeout(() => socket.destroy(), HELLO_TIMEOUT_MS);
   socket.setNoDelay(true);
   socket.on('error', error =>
-    log('peer_error', {peer: from, text: error.message}),
+    log('peer_error', {peer: from?.vm, text: error.message}),
   );
   socket.on('close', () => {
     clearTimeout(helloTimer);
-    if (from !== undefined) options.onDisconnect(from);
+    if (from === undefined) return;
+    log('peer_gone', {peer: from.vm, process: from.process});
+    options.onDisconnect(from.vm);
   });
   const channel = openChannel(socket, message => {
     if (rpc) {
@@ -61,27 +65,29 @@
       return;
     }
     const hello = message as Partial<Hello>;
-    const expected = createProof(secret(), nonce, String(hello.from), self);
-    if (hello.to !== self || !isValidProof(String(hello.proof), expected)) {
+    const expected = createProof(secret(), nonce, String(hello.from), self.vm);
+    if (hello.to !== self.vm || !isValidProof(String(hello.proof), expected)) {
       log('peer_refused', {peer: hello.from, to: hello.to});
       return void socket.destroy();
     }
     clearTimeout(helloTimer);
-    from = String(hello.from);
+    from = {vm: String(hello.from), process: String(hello.process ?? '')};
     rpc = createRpc(methods, from, log);
-    channel.send({welcome: true});
+    log('peer_accepted', {peer: from.vm, process: from.process});
+    const welcome: Welcome = {welcome: true, process: self.process};
+    channel.send(welcome);
   });
   channel.send({nonce});
 }
 
 function createRpc(
   methods: PeerServiceOptions['methods'],
-  from: string,
+  from: ProcessIdentity,
   log: JsonLog,
 ): JSONRPCServer {
   const rpc = new JSONRPCServer({
     errorListener: (text, error) =>
-      log('peer_method_failed', {peer: from, text, error: String(error)}),
+      log('peer_method_failed', {peer: from.vm, text, error: String(error)}),
   });
   for (const [name, method] of Object.entries(methods)) {
     rpc.addMethod(name, params => method(params as never, from));
--- a/src/front/router.ts
+++ b/src/front/router.ts
@@ -43,6 +43,8 @@
   /** Kind of transaction that the statement opens. */
   readonly opens: 'none' | 'readWrite' | 'readOnly';
   readonly session: RequiredSessionState;
+  /** Id of the transaction that the statement opens, if any. */
+  readonly transaction: string | undefined;
   /**
    * Arrival of the statement, or of the BEGIN of its transaction. The allowed
    * staleness of a read counts back from this moment.
@@ -174,6 +176,7 @@
       access: work.access,
       mode: ExecutionMode.lane,
       database: work.database,
+      transaction: work.transaction,
       lane: work.lane,
       outcome: reply.ok ? 'ok' : reply.fault,
       text: reply.ok ? undefined : reply.text,
@@ -387,6 +390,7 @@
       text: request.text,
       access: request.access,
       mode,
+      transaction: request.transaction,
       session: request.session,
       after,
       priority: request.route.priority,
@@ -404,6 +408,8 @@
       database: entry.id,
       leads: entry.isLeader,
       holder,
+      transaction: request.transaction,
+      lane: reply.lane,
       after: after && `${after.term}.${after.offset}`,
       tries,
       outcome: reply.ok ? 'ok' : reply.fault,
@@ -499,6 +505,7 @@
       customer: request.customer,
       route: request.route.name,
       access: request.access,
+      transaction: request.transaction,
       leader: this.leader(request.route.service)?.id,
     });
     return {reply, database: ''};
--- a/test/platform/worker.test.ts
+++ b/test/platform/worker.test.ts
@@ -3,6 +3,7 @@
 import test from 'ava';
 import {databaseCodec} from '../../platform/wire.js';
 import {putEntry} from '../../src/core/directory.js';
+import {createIdSource} from '../../src/core/process_ids.js';
 import {Access, ExecutionMode, Reply, Work} from '../../src/core/work.js';
 import {DatabaseWorker} from '../../src/front/database_worker.js';
 import {freePort} from './fleet_fixture.js';
@@ -23,6 +24,8 @@
   return {port, close};
 }
 
+const ORIGIN = {vm: 'f', process: 'p'};
+
 const readWork = (n: number): Work => ({
   key: `k${n}`,
   service: 's',
@@ -58,6 +61,7 @@
     entry: known!,
     codec: databaseCodec,
     log: () => undefined,
+    newId: createIdSource('p'),
     connectionLimit: () => 4,
     isHolder: () => isHolder,
     isNear: true,
@@ -85,14 +89,14 @@
     database.close();
   });
   const first = await Promise.all(
-    Array.from({length: 12}, (_, n) => timed(worker.run(readWork(n), 'f'))),
+    Array.from({length: 12}, (_, n) => timed(worker.run(readWork(n), ORIGIN))),
   );
   t.true(first.every(({reply}) => !reply.ok));
   t.true(
     first.every(({tookMs}) => tookMs < 600),
     `${Math.max(...first.map(({tookMs}) => tookMs))} ms`,
   );
-  const next = await timed(worker.run(readWork(99), 'f'));
+  const next = await timed(worker.run(readWork(99), ORIGIN));
   t.true(!next.reply.ok && next.tookMs < 50);
 });
 
@@ -104,7 +108,7 @@
     database.close();
   });
   const replies = await Promise.all(
-    Array.from({length: 12}, (_, n) => timed(worker.run(readWork(n), 'f'))),
+    Array.from({length: 12}, (_, n) => timed(worker.run(readWork(n), ORIGIN))),
   );
   t.true(
     replies.every(({reply, tookMs}) => !reply.ok && tookMs < 1_200),
