Show a statement that runs in the transaction of another caller

Fronts over a stand-in database: a front's caller holds a transaction open, the front that holds its connection is killed and started again, another caller opens a transaction there, and the next statement of the first one runs in it (outcome ok). The same without any restart, after the entry of the database has gone and returned. Two more tests of the class: a lane that another transaction opened is accepted, and the lost connection of a former process ends transactions of the present one of the same VM.

--- /dev/null
+++ b/test/platform/lanes.test.ts
@@ -0,0 +1,101 @@
+/** Tests that a statement only runs in the transaction of its own caller. */
+import test from 'ava';
+import {StandinDatabase} from './standin_database.js';
+import {
+  awaitReconnect,
+  runIn,
+  startLaneFleet,
+  TestTransaction,
+} from './lane_fixture.js';
+
+const hasRun = (database: StandinDatabase, requestId: string): boolean =>
+  database.executedStatements.some(run => run.requestId === requestId);
+
+const openTransaction = (customer: string): TestTransaction => ({
+  customer,
+  transaction: `transaction-of-${customer}`,
+});
+
+// A holder started again must not give out the lanes of its former process: a
+// statement of a transaction that ended with it ran in that of another caller.
+test('no statement runs in the transaction of another caller after the holder was started again', async t => {
+  const fleet = await startLaneFleet(['front-1', 'front-2']);
+  t.teardown(() => fleet.stop());
+  const {database} = fleet;
+  const [first, second] = [
+    await fleet.start('front-1'),
+    await fleet.start('front-2'),
+  ];
+  const former = await fleet.start(fleet.holder);
+  const ana = openTransaction('ana');
+  t.true((await runIn(first, database, ana, 'a1', 'WRITE k 1')).ok);
+  former.kill();
+  await fleet.start(fleet.holder);
+  await awaitReconnect();
+  const bea = openTransaction('bea');
+  t.true((await runIn(second, database, bea, 'b1', 'WRITE k 2')).ok);
+  const late = await runIn(first, database, ana, 'a2', 'WRITE k 3');
+  t.like(late, {ok: false, fault: 'aborted'});
+  t.false(hasRun(database, 'a2'));
+  t.true((await runIn(second, database, bea, 'b2', 'COMMIT')).ok);
+  t.deepEqual(
+    database.log.map(change => change.requestId),
+    ['b1'],
+  );
+});
+
+// An entry that lapses and returns replaces the worker of the database: a
+// statement of a transaction that ended with it ran in that of another caller.
+test('no statement runs in the transaction of another caller after the entry of the database has returned', async t => {
+  const fleet = await startLaneFleet(['front-1']);
+  t.teardown(() => fleet.stop());
+  const {database} = fleet;
+  const first = await fleet.start('front-1');
+  await fleet.start(fleet.holder);
+  const ana = openTransaction('ana');
+  t.true((await runIn(first, database, ana, 'a1', 'WRITE k 1')).ok);
+  fleet.removeEntry();
+  fleet.addEntry();
+  const bea = openTransaction('bea');
+  t.true((await runIn(first, database, bea, 'b1', 'WRITE k 2')).ok);
+  const late = await runIn(first, database, ana, 'a2', 'COMMIT');
+  t.like(late, {ok: false});
+  t.false(hasRun(database, 'a2'));
+  t.true((await runIn(first, database, bea, 'b2', 'COMMIT')).ok);
+});
+
+// A statement that names a lane of another transaction is refused, whatever
+// made its front believe in that lane.
+test('a statement is refused in a lane that was opened for another transaction', async t => {
+  const fleet = await startLaneFleet(['front-1']);
+  t.teardown(() => fleet.stop());
+  const {database} = fleet;
+  const first = await fleet.start('front-1');
+  await fleet.start(fleet.holder);
+  const bea = openTransaction('bea');
+  t.true((await runIn(first, database, bea, 'b1', 'WRITE k 2')).ok);
+  const ana = {...openTransaction('ana'), lane: bea.lane};
+  const wrong = await runIn(first, database, ana, 'a2', 'WRITE k 3');
+  t.like(wrong, {ok: false, fault: 'aborted'});
+  t.false(hasRun(database, 'a2'));
+  t.true((await runIn(first, database, bea, 'b2', 'COMMIT')).ok);
+});
+
+// The holder may notice late that the connection of a front's former process is
+// gone; this ended the transactions of the present process.
+test('a lost connection of the former process of a front ends no transaction of the present one', async t => {
+  const fleet = await startLaneFleet(['front-1']);
+  t.teardown(() => fleet.stop());
+  const {database} = fleet;
+  const holder = await fleet.start(fleet.holder);
+  const former = await fleet.start('front-1');
+  const ana = openTransaction('ana');
+  t.true((await runIn(former, database, ana, 'a1', 'WRITE k 1')).ok);
+  const present = await fleet.start('front-1');
+  const bea = openTransaction('bea');
+  t.true((await runIn(present, database, bea, 'b1', 'WRITE j 2')).ok);
+  holder.peerSockets[0].destroy();
+  await awaitReconnect();
+  t.like(await runIn(former, database, ana, 'a2', 'COMMIT'), {ok: false});
+  t.true((await runIn(present, database, bea, 'b2', 'COMMIT')).ok);
+});
