Give each transaction's lane an id that no other process or worker gives out

Cause: a lane was named by its database and a number that each worker counted from 1. The front of the caller keeps the name over the caller's pauses and adds the VM of the holder, which a process that is started again has in common with the former one. The next statement reached the new process over a new connection and named the lane of a caller there. A worker that is made anew, as when the database's entry lapses and returns, counts from 1 as well, so the same happened within one process.

Evidence: the users' record shows the holder 6 s after its start. The two tests that failed with the statement executed and outcome ok pass now, with outcome aborted and nothing executed.

Why this works: ids come from the source of the process, whose random part no other process has, and whose count all workers share. A lane of another process or worker is not found, and the statement is refused as before for a lane that has ended (ABORTED: nothing of the transaction was kept, as its connection was closed with the process or worker).

Ruled out as the cause of the record: an answer handed to another call would have shown other rows as well, and a lane released under its caller leaves no statement inside another's transaction; both are looked at apart.

--- a/src/front/database_worker.ts
+++ b/src/front/database_worker.ts
@@ -147,7 +147,6 @@
   private readonly health: DatabaseHealth;
   private pendingSample: Promise<PositionSample | undefined> | undefined;
   private isClosed = false;
-  private laneCount = 0;
   /** Set while there is work or the connection budget is reduced. */
   private checkTimer: NodeJS.Timeout | undefined;
 
@@ -743,7 +742,7 @@
     const {work, origin} = job;
     const {transaction} = work;
     const lane: Lane = {
-      id: `${this.entry.id}/${++this.laneCount}`,
+      id: this.options.newId(),
       connection,
       origin,
       transaction,
