Refuse a statement for a lane that was opened for another transaction

The holder of a lane took the lane's name for proof that a statement belongs to it. Whatever gave a caller's front a wrong name (ids that repeat, an answer handed to another call, memory of a former process) made the statement run in the transaction of another caller.

A statement carries the id of its transaction, which its caller's front makes from its own process id; the holder keeps it with the lane and refuses a statement of any other (lane_refused reason=other_transaction, ABORTED). This check does not depend on how lanes are named.

Fronts of an earlier version send no id; a lane that one of them opened accepts only statements without.

--- a/src/front/database_worker.ts
+++ b/src/front/database_worker.ts
@@ -11,6 +11,7 @@
 } from '../core/connection_budget.js';
 import {chooseConnection} from '../core/connection_choice.js';
 import {KnownDatabase} from '../core/directory.js';
+import {LaneRefusal, Lanes, OpenLane} from '../core/lanes.js';
 import {addPositionSample, PositionSamples} from '../core/position_samples.js';
 import {IdSource, ProcessIdentity} from '../core/process_ids.js';
 import {PositionSample} from '../core/routing.js';
@@ -91,13 +92,10 @@
 }
 
 /** An open transaction and the connection that it uses exclusively. */
-interface Lane {
-  readonly id: string;
+interface Lane extends OpenLane {
   readonly connection: Connection;
   /** Process whose caller opened the transaction. */
   readonly origin: ProcessIdentity;
-  /** Id of the transaction; undefined if its caller's front tells none. */
-  readonly transaction: string | undefined;
   readonly openedAtMs: number;
   /** Whether only the primary may run the transaction. */
   readonly isPrimaryOnly: boolean;
@@ -139,7 +137,7 @@
   private entry: KnownDatabase;
   private readonly queue = WorkQueue.create<Job>();
   private readonly jobs = new Map<string, Job>();
-  private readonly lanes = new Map<string, Lane>();
+  private readonly lanes = Lanes.create<Lane>();
   private connections: Connection[] = [];
   private inFlight = 0;
   private serviceMs = INITIAL_SERVICE_MS;
@@ -247,7 +245,7 @@
 
   /** Rolls back all transactions that a VM opened. */
   endLanesFrom(vm: string): void {
-    for (const lane of [...this.lanes.values()]) {
+    for (const lane of this.lanes.all) {
       if (lane.origin.vm === vm) this.releaseLane(lane, 'front disconnected');
     }
   }
@@ -256,7 +254,7 @@
   close(): void {
     this.isClosed = true;
     clearInterval(this.checkTimer);
-    for (const lane of this.lanes.values()) clearTimeout(lane.timer);
+    for (const lane of this.lanes.all) clearTimeout(lane.timer);
     for (const job of [...this.jobs.values()]) {
       if (job.sentAtMs === 0) this.reject(job, 'front is closing');
     }
@@ -662,9 +660,12 @@
   }
 
   private runInLane(job: Job): void {
-    const lane = this.lanes.get(job.work.lane ?? '');
+    const {lane, refusal} = this.lanes.find(
+      job.work.lane,
+      job.work.transaction,
+    );
     if (!lane) {
-      this.logRefusedLane(job);
+      this.logRefusedLane(job, refusal);
       return this.finish(job, {
         ...faultReply(Fault.aborted, 'transaction no longer exists'),
         state: TransactionState.failed,
@@ -726,7 +727,7 @@
         job,
         this.replyOf(answer, {state: TransactionState.open, lane: lane.id}),
       );
-      if (job.isFinished && this.lanes.has(lane.id)) this.startLaneTimer(lane);
+      if (job.isFinished && this.lanes.get(lane.id)) this.startLaneTimer(lane);
       return;
     }
     const state =
@@ -751,7 +752,7 @@
     };
     connection.use = 'pinned';
     connection.lane = lane;
-    this.lanes.set(lane.id, lane);
+    this.lanes.add(lane);
     this.options.log('lane_opened', {
       request: work.requestId,
       transaction,
@@ -777,7 +778,7 @@
 
   private unpin(lane: Lane, reason: string): void {
     clearTimeout(lane.timer);
-    this.lanes.delete(lane.id);
+    this.lanes.delete(lane);
     lane.connection.lane = undefined;
     this.options.log('lane_ended', {
       transaction: lane.transaction,
@@ -789,12 +790,13 @@
     });
   }
 
-  /** Logs a statement for a transaction that is not open here. */
-  private logRefusedLane({work, origin}: Job): void {
+  /** Logs a statement that may not run in the lane that it names. */
+  private logRefusedLane({work, origin}: Job, reason: LaneRefusal): void {
     this.options.log('lane_refused', {
       request: work.requestId,
       transaction: work.transaction,
       lane: work.lane,
+      reason,
       database: this.entry.id,
       origin: origin.vm,
       originProcess: origin.process,
