End a front's transactions by the connection they came over, not by its name

Callers saw, or could: ABORTED for transactions that were in order, or INDOUBT for a COMMIT under way, shortly after their front had been started again or had reconnected.

Cause: when a connection from another front closed, its holder rolled back all transactions of that VM. A connection that is cut one way or belongs to a process that lost power closes late, when the next process of the VM, or the same one over a new connection, has transactions there.

Why this works: an accepted connection has an id; a lane belongs to the connection over which its newest statement came, so it follows a front that reconnects, and the late end of a former connection finds no lane of a later one. peer_accepted, peer_gone and lane_opened show the id.

--- a/src/core/lanes.ts
+++ b/src/core/lanes.ts
@@ -2,6 +2,7 @@
  * The open transactions of one process that have a database connection to
  * themselves. A statement names its lane and its transaction; both must match.
  */
+import {WorkOrigin} from './process_ids.js';
 
 /** A transaction's exclusive use of a connection. */
 export interface OpenLane {
@@ -9,6 +10,8 @@
   readonly id: string;
   /** Transaction for which it was opened; undefined if its front tells none. */
   readonly transaction: string | undefined;
+  /** Where its newest statement came from. */
+  origin: WorkOrigin;
 }
 
 /** Why a statement may not run in the lane that it names. */
@@ -56,13 +59,30 @@
     return id === undefined ? undefined : this.lanes.get(id);
   }
 
-  /** Returns the lane in which a statement of a transaction may run. */
-  find(id: string | undefined, transaction: string | undefined): LaneLookup<L> {
+  /**
+   * Returns the lanes whose newest statement came over a connection between
+   * fronts. Their caller's front may have reconnected for other lanes, or
+   * another process of that VM has opened them.
+   */
+  of(connection: string): L[] {
+    return this.all.filter(lane => lane.origin.connection === connection);
+  }
+
+  /**
+   * Returns the lane in which a statement of a transaction may run, and records
+   * where the statement came from.
+   */
+  find(
+    id: string | undefined,
+    transaction: string | undefined,
+    origin: WorkOrigin,
+  ): LaneLookup<L> {
     const lane = this.get(id);
     if (!lane) return {lane, refusal: LaneRefusal.notOpen};
     if (lane.transaction !== transaction) {
       return {lane: undefined, refusal: LaneRefusal.otherTransaction};
     }
+    lane.origin = origin;
     return {lane, refusal: undefined};
   }
 }
--- a/src/core/process_ids.ts
+++ b/src/core/process_ids.ts
@@ -11,6 +11,15 @@
   readonly process: string;
 }
 
+/** Where a piece of work came from. */
+export interface WorkOrigin extends ProcessIdentity {
+  /**
+   * Id of the connection over which another front sent it; empty for work of
+   * the process itself.
+   */
+  readonly connection: string;
+}
+
 /** Returns a new id on each call. */
 export type IdSource = () => string;
 
--- a/src/front/database_worker.ts
+++ b/src/front/database_worker.ts
@@ -13,7 +13,7 @@
 import {KnownDatabase} from '../core/directory.js';
 import {LaneRefusal, Lanes, OpenLane} from '../core/lanes.js';
 import {addPositionSample, PositionSamples} from '../core/position_samples.js';
-import {IdSource, ProcessIdentity} from '../core/process_ids.js';
+import {IdSource, WorkOrigin} from '../core/process_ids.js';
 import {PositionSample} from '../core/routing.js';
 import {
   Access,
@@ -94,8 +94,6 @@
 /** An open transaction and the connection that it uses exclusively. */
 interface Lane extends OpenLane {
   readonly connection: Connection;
-  /** Process whose caller opened the transaction. */
-  readonly origin: ProcessIdentity;
   readonly openedAtMs: number;
   /** Whether only the primary may run the transaction. */
   readonly isPrimaryOnly: boolean;
@@ -104,8 +102,7 @@
 
 interface Job {
   readonly work: Work;
-  /** Process that sent the work. */
-  readonly origin: ProcessIdentity;
+  readonly origin: WorkOrigin;
   readonly resolve: (reply: Reply) => void;
   timer: NodeJS.Timeout;
   /** When its newest statement was sent; 0 before. */
@@ -207,8 +204,8 @@
     return this.queue.waitMs(entry, this.capacity(), this.inFlight);
   }
 
-  /** Runs work that the process `origin` sent; never rejects. */
-  run(work: Work, origin: ProcessIdentity): Promise<Reply> {
+  /** Runs work; never rejects. */
+  run(work: Work, origin: WorkOrigin): Promise<Reply> {
     if (this.isClosed) {
       return Promise.resolve(faultReply(Fault.unreachable, 'front is closing'));
     }
@@ -243,10 +240,10 @@
     if (lane) this.releaseLane(lane, 'ended by its caller');
   }
 
-  /** Rolls back all transactions that a VM opened. */
-  endLanesFrom(vm: string): void {
-    for (const lane of this.lanes.all) {
-      if (lane.origin.vm === vm) this.releaseLane(lane, 'front disconnected');
+  /** Rolls back the transactions that came over a connection of a front. */
+  endLanesOf(connection: string): void {
+    for (const lane of this.lanes.of(connection)) {
+      this.releaseLane(lane, 'front disconnected');
     }
   }
 
@@ -663,6 +660,7 @@
     const {lane, refusal} = this.lanes.find(
       job.work.lane,
       job.work.transaction,
+      job.origin,
     );
     if (!lane) {
       this.logRefusedLane(job, refusal);
@@ -763,6 +761,7 @@
       port: connection.link.localPort,
       origin: origin.vm,
       originProcess: origin.process,
+      originConnection: origin.connection || undefined,
     });
     return lane;
   }
@@ -800,6 +799,7 @@
       database: this.entry.id,
       origin: origin.vm,
       originProcess: origin.process,
+      originConnection: origin.connection || undefined,
     });
   }
 
--- a/src/front/dispatcher.ts
+++ b/src/front/dispatcher.ts
@@ -23,7 +23,7 @@
   SampleByAge,
   toSamplesByAge,
 } from '../core/position_samples.js';
-import {IdSource, ProcessIdentity} from '../core/process_ids.js';
+import {IdSource, ProcessIdentity, WorkOrigin} from '../core/process_ids.js';
 import {JsonLog} from './json_log.js';
 import {PeerLink, PeerUnavailableError} from './peer_link.js';
 import {DatabaseCodec} from './wire_types.js';
@@ -92,7 +92,11 @@
   private rankedFronts: Fronts | undefined;
   private isClosed = false;
 
-  private constructor(private readonly options: DispatcherOptions) {}
+  private readonly ownOrigin: WorkOrigin;
+
+  private constructor(private readonly options: DispatcherOptions) {
+    this.ownOrigin = {...options.self, connection: ''};
+  }
 
   static create(options: DispatcherOptions): Dispatcher {
     return new Dispatcher(options);
@@ -122,14 +126,14 @@
   }
 
   /** Runs work of this or another front on a connection of this front. */
-  async runLocally(work: Work, origin: ProcessIdentity): Promise<Reply> {
+  async runLocally(work: Work, origin: WorkOrigin): Promise<Reply> {
     const worker = this.worker(work.database);
     if (!worker) return faultReply(Fault.unreachable, 'database is not listed');
     return worker.run(work, origin);
   }
 
   /** Runs another front's work; logs the statements of transactions. */
-  async runForPeer(work: Work, origin: ProcessIdentity): Promise<Reply> {
+  async runForPeer(work: Work, origin: WorkOrigin): Promise<Reply> {
     const startedAtMs = performance.now();
     const reply = await this.runLocally(work, origin);
     if (work.transaction === undefined) return reply;
@@ -180,9 +184,9 @@
     this.workers.get(database)?.endLane(lane);
   }
 
-  /** Rolls back all transactions that a disconnected front opened here. */
-  endLanesFrom(vm: string): void {
-    for (const worker of this.workers.values()) worker.endLanesFrom(vm);
+  /** Rolls back the transactions that came over a lost connection of a front. */
+  endLanesOf(connection: string): void {
+    for (const worker of this.workers.values()) worker.endLanesOf(connection);
   }
 
   /** Returns the worker of a listed database, creating it on first use. */
@@ -346,7 +350,7 @@
   ): Promise<DispatchedReply | undefined> {
     const {self} = this.options;
     if (holder.vm === self.vm) {
-      const reply = await this.runLocally(work, self);
+      const reply = await this.runLocally(work, this.ownOrigin);
       return {reply: withQualifiedLane(reply, self.vm), holder: self.vm};
     }
     const link = this.link(holder.vm);
@@ -363,7 +367,7 @@
     const {holder, lane} = parseLaneName(work.lane ?? '');
     const localWork = {...work, lane};
     if (holder === self.vm) {
-      const reply = await this.runLocally(localWork, self);
+      const reply = await this.runLocally(localWork, this.ownOrigin);
       return {reply: withQualifiedLane(reply, self.vm), holder};
     }
     const link = this.links.get(holder);
--- a/src/front/front.ts
+++ b/src/front/front.ts
@@ -19,6 +19,7 @@
   createIdSource,
   IdSource,
   ProcessIdentity,
+  WorkOrigin,
 } from '../core/process_ids.js';
 import {LentInterval, Rate} from '../core/rates.js';
 import {Reply, Work} from '../core/work.js';
@@ -490,10 +491,8 @@
         this.leadership.receiveRecord(record);
         return true;
       },
-      [PeerMethodName.run]: (
-        work: Work,
-        from: ProcessIdentity,
-      ): Promise<Reply> => dispatcher.runForPeer(work, from),
+      [PeerMethodName.run]: (work: Work, from: WorkOrigin): Promise<Reply> =>
+        dispatcher.runForPeer(work, from),
       [PeerMethodName.cancel]: (p: {database: string; key: string}) =>
         dispatcher.cancelLocally(p.database, p.key),
       [PeerMethodName.endLane]: (p: {database: string; lane: string}) =>
@@ -522,7 +521,8 @@
       address: {host: settings.host, port: settings.peerPort},
       secret: () => this.registration.secret,
       methods: this.peerMethods(),
-      onDisconnect: vm => this.dispatcher.endLanesFrom(vm),
+      newId: this.newId,
+      onDisconnect: ({connection}) => this.dispatcher.endLanesOf(connection),
       log,
     });
     lifecycle.own(peers, closeServer);
--- a/src/front/peer_service.ts
+++ b/src/front/peer_service.ts
@@ -3,7 +3,7 @@
 import {createServer, Server, Socket} from 'node:net';
 import {JSONRPCServer} from 'json-rpc-2.0';
 import {Address} from './front_settings.js';
-import {ProcessIdentity} from '../core/process_ids.js';
+import {IdSource, ProcessIdentity, WorkOrigin} from '../core/process_ids.js';
 import {JsonLog} from './json_log.js';
 import {
   createProof,
@@ -13,17 +13,18 @@
   Welcome,
 } from './peer_protocol.js';
 
-/** A method that peers may call; `from` is the calling process. */
-export type PeerMethod = (params: never, from: ProcessIdentity) => unknown;
+/** A method that peers may call; `from` is the caller and its connection. */
+export type PeerMethod = (params: never, from: WorkOrigin) => unknown;
 
 export interface PeerServiceOptions {
   /** This process. */
   readonly self: ProcessIdentity;
   readonly address: Address;
+  readonly newId: IdSource;
   readonly secret: () => string;
   readonly methods: Readonly<Record<string, PeerMethod>>;
   /** Called when the connection of an authenticated peer has closed. */
-  readonly onDisconnect: (vm: string) => void;
+  readonly onDisconnect: (from: WorkOrigin) => void;
   readonly log: JsonLog;
 }
 
@@ -44,7 +45,7 @@
 function acceptPeer(socket: Socket, options: PeerServiceOptions): void {
   const {self, secret, methods, log} = options;
   const nonce = randomBytes(NONCE_BYTES).toString('hex');
-  let from: ProcessIdentity | undefined;
+  let from: WorkOrigin | undefined;
   let rpc: JSONRPCServer | undefined;
   const helloTimer = setTimeout(() => socket.destroy(), HELLO_TIMEOUT_MS);
   socket.setNoDelay(true);
@@ -54,8 +55,8 @@
   socket.on('close', () => {
     clearTimeout(helloTimer);
     if (from === undefined) return;
-    log('peer_gone', {peer: from.vm, process: from.process});
-    options.onDisconnect(from.vm);
+    log('peer_gone', logFieldsOf(from));
+    options.onDisconnect(from);
   });
   const channel = openChannel(socket, message => {
     if (rpc) {
@@ -71,18 +72,28 @@
       return void socket.destroy();
     }
     clearTimeout(helloTimer);
-    from = {vm: String(hello.from), process: String(hello.process ?? '')};
+    from = {
+      vm: String(hello.from),
+      process: String(hello.process ?? ''),
+      connection: options.newId(),
+    };
     rpc = createRpc(methods, from, log);
-    log('peer_accepted', {peer: from.vm, process: from.process});
+    log('peer_accepted', logFieldsOf(from));
     const welcome: Welcome = {welcome: true, process: self.process};
     channel.send(welcome);
   });
   channel.send({nonce});
 }
 
+const logFieldsOf = ({vm, process, connection}: WorkOrigin): object => ({
+  peer: vm,
+  process,
+  connection,
+});
+
 function createRpc(
   methods: PeerServiceOptions['methods'],
-  from: ProcessIdentity,
+  from: WorkOrigin,
   log: JsonLog,
 ): JSONRPCServer {
   const rpc = new JSONRPCServer({
--- a/test/platform/lane_fixture.ts
+++ b/test/platform/lane_fixture.ts
@@ -3,7 +3,11 @@
 import {databaseCodec} from '../../platform/wire.js';
 import {Directory, putEntry} from '../../src/core/directory.js';
 import {FrontMember} from '../../src/core/fronts.js';
-import {createIdSource, ProcessIdentity} from '../../src/core/process_ids.js';
+import {
+  createIdSource,
+  ProcessIdentity,
+  WorkOrigin,
+} from '../../src/core/process_ids.js';
 import {Access, ExecutionMode, Reply, Work} from '../../src/core/work.js';
 import {Dispatcher, PeerMethodName} from '../../src/front/dispatcher.js';
 import {servePeers} from '../../src/front/peer_service.js';
@@ -90,9 +94,10 @@
     const log = (event: string, fields: object = {}): void =>
       void events.push({event, ...fields});
     const member = members.get(vm)!;
+    const newId = createIdSource(self.process);
     const dispatcher = Dispatcher.create({
       self,
-      newId: createIdSource(self.process),
+      newId,
       zone: member.place.zone,
       codec: databaseCodec,
       log,
@@ -113,14 +118,15 @@
       server = await servePeers({
         self,
         address: {host: HOST, port: member.port},
+        newId,
         secret: () => SECRET,
         methods: {
-          [PeerMethodName.run]: (work: Work, from: ProcessIdentity) =>
+          [PeerMethodName.run]: (work: Work, from: WorkOrigin) =>
             dispatcher.runForPeer(work, from),
           [PeerMethodName.endLane]: (p: {database: string; lane: string}) =>
             dispatcher.endLocalLane(p.database, p.lane),
         },
-        onDisconnect: peer => dispatcher.endLanesFrom(peer),
+        onDisconnect: ({connection}) => dispatcher.endLanesOf(connection),
         log,
       });
       server.on('connection', socket => peerSockets.push(socket));
--- a/test/platform/worker.test.ts
+++ b/test/platform/worker.test.ts
@@ -24,7 +24,7 @@
   return {port, close};
 }
 
-const ORIGIN = {vm: 'f', process: 'p'};
+const ORIGIN = {vm: 'f', process: 'p', connection: ''};
 
 const readWork = (n: number): Work => ({
   key: `k${n}`,
