Give work between fronts keys that the next process of a front does not repeat

Callers saw, or could: BUSY for a statement that nobody had canceled; a planned stop of the holder that cut a running statement.

Cause: keys of work were the VM's name and a count from 1. The holder knows work by its key only. While work of a former process is still queued or runs, work of the present one replaces it in that list: a late cancel of the former process rejects the wrong work, and the end of the first one makes the holder believe that it is idle.

--- a/src/core/work.ts
+++ b/src/core/work.ts
@@ -48,7 +48,7 @@
 
 /** A statement to run on one database. */
 export interface Work {
-  /** Identifies the work between VMs, so that it can be canceled. */
+  /** Identifies the work in the fleet and in time, so that it can be canceled. */
   readonly key: string;
   readonly service: string;
   /** Instance id of the database. */
--- a/src/front/front.ts
+++ b/src/front/front.ts
@@ -162,7 +162,7 @@
       mayAccrue: () => this.accrual.isAllowed,
     });
     this.router = Router.create({
-      self: settings.vm,
+      newId: this.newId,
       place: settings.place,
       directory: () => this.feed.directory,
       dispatcher: this.dispatcher,
--- a/src/front/router.ts
+++ b/src/front/router.ts
@@ -18,6 +18,7 @@
 } from '../core/position_samples.js';
 import {Place} from '../core/placement.js';
 import {Position} from '../core/position.js';
+import {IdSource} from '../core/process_ids.js';
 import {DatabaseLoad, NO_LOAD, rankForRead} from '../core/read_choice.js';
 import {
   Access,
@@ -65,8 +66,7 @@
 }
 
 export interface RouterOptions {
-  /** Name of this VM. */
-  readonly self: string;
+  readonly newId: IdSource;
   readonly place: Place;
   readonly directory: () => Directory;
   readonly dispatcher: Dispatcher;
@@ -118,7 +118,6 @@
   /** Leaders that stopped answering, by service, and when this was found. */
   private readonly losses = new Map<string, {database: string; atMs: number}>();
   private readonly refreshes = new Map<string, Promise<void>>();
-  private workCount = 0;
 
   private constructor(private readonly options: RouterOptions) {}
 
@@ -165,7 +164,7 @@
     const sentAtMs = performance.now();
     const {reply} = await this.options.dispatcher.run({
       ...work,
-      key: this.nextKey(),
+      key: this.options.newId(),
       mode: ExecutionMode.lane,
     });
     if (provesLeader && reply.ok)
@@ -382,7 +381,7 @@
     const sentAtMs = performance.now();
     const {entry, mode, after} = target;
     const work: Work = {
-      key: this.nextKey(),
+      key: this.options.newId(),
       service: entry.service,
       database: entry.id,
       customer: request.customer,
@@ -510,10 +509,6 @@
     });
     return {reply, database: ''};
   }
-
-  private nextKey(): string {
-    return `${this.options.self}/${++this.workCount}`;
-  }
 }
 
 /** Doubles the pause of a database that lags again after its last pause. */
