Accrue after a restart only the rate shares that the front has kept

Callers of one customer could get more than its rate around the restart of a front: a front that was listed when it started took every share that it saw in its first 5.5 s as its own from the start of its process. That is right for shares of its former process, but not for one that it takes over meanwhile (another front leaves or is lost, or the rate is changed), since those tokens accrued at the other front as well. Nor is it right if the former process had announced that it leaves: the others have taken over its shares by then.

Only the share that the fronts listed at the start gave this one, at the rate of the first configuration, counts from the start; the rest counts from when it is seen. A former entry that is leaving counts as none.

--- a/src/core/rates.ts
+++ b/src/core/rates.ts
@@ -29,6 +29,9 @@
   readonly burst: number;
 }
 
+export const isSameRate = (a: Rate, b: Rate): boolean =>
+  a.ratePerS === b.ratePerS && a.burst === b.burst;
+
 /** One customer's tokens at one VM. Immutable. */
 export interface TokenBucket {
   readonly rate: Rate;
@@ -70,6 +73,28 @@
   nowMs: number,
 ): TokenBucket => emptyBucket(rate, share, nowMs - burstWindowMs(rate));
 
+/** A share that a VM has kept over its restart, and since when it accrues. */
+export interface KeptShare {
+  readonly share: number;
+  readonly sinceMs: number;
+}
+
+/**
+ * Returns the bucket of the first share that a VM sees. Only what it has kept
+ * accrued before `nowMs`; the rest of the share did so at another VM.
+ */
+export function firstBucket(
+  rate: Rate,
+  share: number,
+  kept: KeptShare | undefined,
+  nowMs: number,
+): TokenBucket {
+  if (!kept) return emptyBucket(rate, share, nowMs);
+  const keptShare = Math.min(share, kept.share);
+  const bucket = emptyBucket(rate, keptShare, kept.sinceMs);
+  return reconfigureBucket(bucket, rate, share, nowMs);
+}
+
 const accrualPerMs = (bucket: TokenBucket): number =>
   (bucket.rate.ratePerS * bucket.share) / MS_PER_S;
 
--- a/src/front/accrual.ts
+++ b/src/front/accrual.ts
@@ -3,21 +3,21 @@
  * of all fronts must not add up to more than a rate, so a front that joins a
  * running fleet waits until the others know of it.
  */
-import {StoredItem} from '../store/key_values.js';
+import {Fronts} from '../core/fronts.js';
 
 export interface AccrualOptions {
-  /** This front's view of the store. */
-  readonly view: {
-    readonly isFresh: boolean;
-    /** Items of fronts when the store was first listed. */
-    readonly fleetItemsAtStart: ReadonlyMap<string, StoredItem>;
-  };
-  /** Prefix of the fronts' entries. */
-  readonly entryPrefix: string;
-  readonly entryKey: string;
+  /** Name of this VM. */
+  readonly self: string;
+  /** Whether this front's view of the store is fresh. */
+  readonly isViewFresh: () => boolean;
   /**
-   * Whether the items at the start include the entries of all running fronts;
-   * false if the store may have lost some shortly before.
+   * Fronts that were registered when the store was first listed; an earlier
+   * process of this VM may be among them.
+   */
+  readonly frontsAtStart: () => Fronts;
+  /**
+   * Whether the fronts at the start include all running ones; false if the
+   * store may have lost entries shortly before.
    */
   readonly wasSettledAtStart: () => boolean;
   /** Whether the lease certainly still keeps this front's entry. */
@@ -55,21 +55,29 @@
    * registration.
    */
   get isAllowed(): boolean {
-    const {view, isLeaseValid} = this.options;
-    return view.isFresh && !this.hasJoinedRecently && isLeaseValid();
+    const {isViewFresh, isLeaseValid} = this.options;
+    return isViewFresh() && !this.hasJoinedRecently && isLeaseValid();
+  }
+
+  /**
+   * Time from which this front has accrued the shares that it held when it
+   * started: a restarted front that is still registered keeps them. Undefined if
+   * it keeps none.
+   */
+  get keptSinceMs(): number | undefined {
+    const isRestart = this.options.wasSettledAtStart() && this.wasMemberAtStart;
+    return isRestart && this.nowMs() < JOIN_WAIT_MS
+      ? PROCESS_START_MS
+      : undefined;
   }
 
   /**
-   * Returns the time from which rate shares accrue. A front that was registered
-   * before it restarted kept its shares, which accrue from the start of the
-   * process.
+   * Whether the other fronts have counted this one as a share holder without
+   * interruption. They do not if an earlier process announced that it leaves.
    */
-  startMs(): number {
-    const {view, entryKey, wasSettledAtStart} = this.options;
-    const nowMs = this.nowMs();
-    const isRestart =
-      wasSettledAtStart() && view.fleetItemsAtStart.has(entryKey);
-    return isRestart && nowMs < JOIN_WAIT_MS ? PROCESS_START_MS : nowMs;
+  private get wasMemberAtStart(): boolean {
+    const {frontsAtStart, self} = this.options;
+    return frontsAtStart().get(self)?.leaving === false;
   }
 
   /**
@@ -78,11 +86,9 @@
    */
   private get hasJoinedRecently(): boolean {
     if (this.nowMs() - this.startedAtMs >= JOIN_WAIT_MS) return false;
-    const {view, entryPrefix, entryKey, wasSettledAtStart} = this.options;
+    const {frontsAtStart, self, wasSettledAtStart} = this.options;
     if (!wasSettledAtStart()) return true;
-    const wasRunning = [...view.fleetItemsAtStart.keys()].some(key =>
-      key.startsWith(entryPrefix),
-    );
-    return wasRunning && !view.fleetItemsAtStart.has(entryKey);
+    const wasRunning = [...frontsAtStart().keys()].some(vm => vm !== self);
+    return wasRunning && !this.wasMemberAtStart;
   }
 }
--- a/src/front/front.ts
+++ b/src/front/front.ts
@@ -33,7 +33,7 @@
 import {runControlStatement} from './control_link.js';
 import {Dispatcher, PeerMethodName} from './dispatcher.js';
 import {CoordinatorLease} from './coordinator_lease.js';
-import {frontEntryKey, FrontList} from './front_list.js';
+import {FrontList} from './front_list.js';
 import {LeaderRecovery} from './leader_recovery.js';
 import {Leadership} from './leadership.js';
 import {FrontMetrics} from './front_metrics.js';
@@ -116,6 +116,7 @@
   private readonly sessionHost: SessionHost;
   private isStopping = false;
   private readonly frontList: FrontList;
+  private readonly frontListAtStart: FrontList;
   private readonly accrual: Accrual;
   private readonly shares: RateShares;
   private readonly leadership: Leadership;
@@ -153,11 +154,13 @@
     this.leadership = this.createLeadership();
     this.dispatcher = this.createDispatcher();
     this.frontList = FrontList.create(layout.fleetPrefix, log);
+    this.frontListAtStart = FrontList.create(layout.fleetPrefix, log);
     this.accrual = this.createAccrual();
     this.shares = RateShares.create({
       self: settings.vm,
       place: settings.place,
       fronts: () => this.fronts(),
+      frontsAtStart: () => this.frontsAtStart(),
       config: () => this.feed.config,
       mayAccrue: () => this.accrual.isAllowed,
     });
@@ -253,6 +256,10 @@
     return this.frontList.decodeFronts(this.feed.fleetItems$.value);
   }
 
+  private frontsAtStart(): Fronts {
+    return this.frontListAtStart.decodeFronts(this.feed.fleetItemsAtStart);
+  }
+
   /**
    * Returns the front from which this one receives the store's changes;
    * undefined if it watches the store itself.
@@ -319,7 +326,11 @@
       lendersPerRound: MAX_LENDERS_PER_ROUND,
       lendersInFirstRound: 1,
       maxWaitMs: RATE_WAIT_MS,
-      accrualStartMs: () => this.accrual.startMs(),
+      keptShare: customer => {
+        const sinceMs = this.accrual.keptSinceMs;
+        const share = this.shares.shareAtStartOf(customer);
+        return sinceMs === undefined ? undefined : {share, sinceMs};
+      },
       requestTokens: async (peer, request) => {
         const link = this.dispatcher.link(peer);
         if (!link) return [];
@@ -344,11 +355,11 @@
   }
 
   private createAccrual(): Accrual {
-    const {feed, registration, ports} = this;
+    const {feed, registration, settings} = this;
     return Accrual.create({
-      view: feed,
-      entryPrefix: frontEntryKey(ports.layout.fleetPrefix, ''),
-      entryKey: registration.entryKey,
+      self: settings.vm,
+      isViewFresh: () => feed.isFresh,
+      frontsAtStart: () => this.frontsAtStart(),
       wasSettledAtStart: () => this.storeEra.wasSettledAtStart,
       isLeaseValid: () => registration.isLeaseValid,
     });
--- a/src/front/rate_shares.ts
+++ b/src/front/rate_shares.ts
@@ -15,6 +15,8 @@
   readonly self: string;
   readonly place: Place;
   readonly fronts: () => Fronts;
+  /** Fronts that were registered when the store was first listed. */
+  readonly frontsAtStart: () => Fronts;
   readonly config: () => FrontConfig | undefined;
   /**
    * Whether this front may accrue at all: its view of the store is fresh, it is
@@ -76,6 +78,13 @@
     return this.options.mayAccrue() ? this.shareHolders(customer).share : 0;
   }
 
+  /** Fraction of a customer's rate that this front held when it started. */
+  shareAtStartOf(customer: string): number {
+    const {self, frontsAtStart} = this.options;
+    const size = this.holderCountOf(customer);
+    return shareOf(self, rateShareHoldersOf(frontsAtStart(), customer, size));
+  }
+
   /** Other share holders of a customer, those in this front's region first. */
   lendersOf(customer: string): string[] {
     const {self, place} = this.options;
@@ -94,19 +103,24 @@
   }
 
   private shareHolders(customer: string): ShareHolders {
-    const {self, config, fronts} = this.options;
+    const {self, fronts} = this.options;
     const currentFronts = fronts();
     // Reading the token discards shares computed for earlier fronts.
     if (currentFronts !== this.lastInputs?.fronts) void this.changeToken;
-    const rate = config()?.customers.get(customer)?.rate;
-    const size = rate ? rateShareHolderCount(rate) : 0;
+    const size = this.holderCountOf(customer);
     const known = this.holdersByCustomer.get(customer);
     if (known?.size === size) return known;
     const members = rateShareHoldersOf(currentFronts, customer, size);
-    const isMember = members.some(front => front.vm === self);
-    const share = isMember ? 1 / members.length : 0;
-    const holders = {size, members, share};
+    const holders = {size, members, share: shareOf(self, members)};
     this.holdersByCustomer.set(customer, holders);
     return holders;
   }
+
+  private holderCountOf(customer: string): number {
+    const rate = this.options.config()?.customers.get(customer)?.rate;
+    return rate ? rateShareHolderCount(rate) : 0;
+  }
 }
+
+const shareOf = (self: string, holders: readonly FrontMember[]): number =>
+  holders.some(front => front.vm === self) ? 1 / holders.length : 0;
--- a/src/proxy/rate_limiter.ts
+++ b/src/proxy/rate_limiter.ts
@@ -10,7 +10,10 @@
   TokenBucket,
   Demand,
   emptyBucket,
+  firstBucket,
   fullBucket,
+  isSameRate,
+  KeptShare,
   lendTokens,
   LentInterval,
   NO_DEMAND,
@@ -49,10 +52,10 @@
   /** Longest wait for a token before a request is rejected; default 250. */
   readonly maxWaitMs?: number;
   /**
-   * Monotonic time from which this VM's unused shares have accrued tokens; by
-   * default the time at which the limiter first sees a share.
+   * The share of a customer's rate that this VM has kept over its restart; none
+   * by default.
    */
-  readonly accrualStartMs?: () => number;
+  readonly keptShare?: (customer: string) => KeptShare | undefined;
   /** A monotonic clock, in milliseconds; default `performance.now`. */
   readonly nowMs?: () => number;
   /** This VM's current share of a customer's rate, 0 to 1. */
@@ -130,8 +133,8 @@
 export class RateLimiter {
   private readonly accounts = new Map<string, Account>();
   private readonly subscriptions = new Subscription();
-  /** Customers in the first configuration that the limiter received. */
-  private initialCustomers: ReadonlySet<string> | undefined;
+  /** Rates in the first configuration that the limiter received. */
+  private initialRates: ReadonlyMap<string, Rate> | undefined;
   /** Rates and change token of the last update of the accounts. */
   private applied:
     {readonly rates: object; readonly changeToken: object} | undefined;
@@ -249,7 +252,7 @@
       const share = this.options.share(customer);
       this.updateAccount(customer, rate, share, nowMs);
     }
-    this.initialCustomers ??= new Set(rates.keys());
+    this.initialRates ??= rates;
   }
 
   private updateAccount(
@@ -259,8 +262,8 @@
     nowMs: number,
   ): void {
     const isNew =
-      this.initialCustomers !== undefined &&
-      !this.initialCustomers.has(customer) &&
+      this.initialRates !== undefined &&
+      !this.initialRates.has(customer) &&
       !this.accounts.has(customer);
     const account = this.accountOf(customer);
     if (isNew) {
@@ -272,14 +275,14 @@
     const {bucket} = account;
     if (!account.hasAccrued && share > 0) {
       account.hasAccrued = true;
-      const fromMs = this.options.accrualStartMs?.() ?? nowMs;
-      account.bucket = emptyBucket(rate, share, fromMs);
+      const initialRate = this.initialRates?.get(customer) ?? rate;
+      const kept = isSameRate(initialRate, rate)
+        ? this.options.keptShare?.(customer)
+        : undefined;
+      account.bucket = firstBucket(rate, share, kept, nowMs);
       return;
     }
-    const isSame =
-      bucket.share === share &&
-      bucket.rate.ratePerS === rate.ratePerS &&
-      bucket.rate.burst === rate.burst;
+    const isSame = bucket.share === share && isSameRate(bucket.rate, rate);
     if (!isSame) account.bucket = reconfigureBucket(bucket, rate, share, nowMs);
   }
 
--- a/test/front/rate_shares.test.ts
+++ b/test/front/rate_shares.test.ts
@@ -55,6 +55,7 @@
       self: vm,
       place,
       fronts: () => fronts,
+      frontsAtStart: () => fronts,
       config: () => config,
       mayAccrue: () => true,
     }),
@@ -73,6 +74,7 @@
     self: 'front-1',
     place: member(1).place,
     fronts: () => fronts,
+    frontsAtStart: () => fronts,
     config: () => config,
     mayAccrue: () => mayAccrue,
   });
@@ -96,6 +98,7 @@
     self: 'front-0',
     place: member(0).place,
     fronts: () => fronts,
+    frontsAtStart: () => fronts,
     config: () => config,
     mayAccrue: () => true,
   });
