Tell a front's entry in the store from that of another process of its name

A front that was started again took the entry of its former process for its own: it relied on its new lease before anything was written under it, though the entry would end with the lease of the former process. Others then took over its rate shares while it accrued them, and where the platform does not fence, it could use a primary with a view older than its own registration. Besides, a write that the former process had sent, executed late, replaced the present entry (with an old address, or the announcement that it leaves) and went unnoticed for as long as the former lease ran; a process that had been replaced by a later one of its name went on beside it; and an older entry that a restored store brought back counted as written.

A lease now counts once this process has written the entry under it and nobody else has since. Each write requires the revision that the view shows, so that a late one fails, and shows whether the entry was there all along: if it was not, the front waits for its shares like any that joins, counted from that write rather than from the start of the process, since a store that turns the front away may delay it. An older entry of an earlier era is replaced.

A statement of primaries that are not fenced also requires that the view includes the front's registration, as leadership.md presumes.

--- a/src/front/accrual.ts
+++ b/src/front/accrual.ts
@@ -4,6 +4,7 @@
  * running fleet waits until the others know of it.
  */
 import {Fronts} from '../core/fronts.js';
+import {FirstWrite} from './registration.js';
 
 export interface AccrualOptions {
   /** Name of this VM. */
@@ -20,6 +21,8 @@
    * store may have lost entries shortly before.
    */
   readonly wasSettledAtStart: () => boolean;
+  /** When this process first wrote its entry; undefined before. */
+  readonly firstWrite: () => FirstWrite | undefined;
   /** Whether the lease certainly still keeps this front's entry. */
   readonly isLeaseValid: () => boolean;
   /** Steady clock in milliseconds; `performance.now` by default. */
@@ -37,11 +40,9 @@
 /** This front's right to accrue its rate shares. */
 export class Accrual {
   private readonly nowMs: () => number;
-  private readonly startedAtMs: number;
 
   private constructor(private readonly options: AccrualOptions) {
     this.nowMs = options.nowMs ?? (() => performance.now());
-    this.startedAtMs = this.nowMs();
   }
 
   static create(options: AccrualOptions): Accrual {
@@ -65,19 +66,21 @@
    * it keeps none.
    */
   get keptSinceMs(): number | undefined {
-    const isRestart = this.options.wasSettledAtStart() && this.wasMemberAtStart;
-    return isRestart && this.nowMs() < JOIN_WAIT_MS
-      ? PROCESS_START_MS
-      : undefined;
+    const isKept = this.options.wasSettledAtStart() && this.hasStayedMember;
+    return isKept && this.nowMs() < JOIN_WAIT_MS ? PROCESS_START_MS : undefined;
   }
 
   /**
    * Whether the other fronts have counted this one as a share holder without
-   * interruption. They do not if an earlier process announced that it leaves.
+   * interruption. They have not if an earlier process announced that it leaves,
+   * or if its entry had ended before this process wrote its own.
    */
-  private get wasMemberAtStart(): boolean {
-    const {frontsAtStart, self} = this.options;
-    return frontsAtStart().get(self)?.leaving === false;
+  private get hasStayedMember(): boolean {
+    const {frontsAtStart, firstWrite, self} = this.options;
+    return (
+      frontsAtStart().get(self)?.leaving === false &&
+      firstWrite()?.foundEntry === true
+    );
   }
 
   /**
@@ -85,10 +88,12 @@
    * joined one whose entries the store has lost.
    */
   private get hasJoinedRecently(): boolean {
-    if (this.nowMs() - this.startedAtMs >= JOIN_WAIT_MS) return false;
-    const {frontsAtStart, self, wasSettledAtStart} = this.options;
+    const {frontsAtStart, firstWrite, self, wasSettledAtStart} = this.options;
+    const joinedAtMs = firstWrite()?.atMs;
+    if (joinedAtMs === undefined) return true;
+    if (this.nowMs() - joinedAtMs >= JOIN_WAIT_MS) return false;
     if (!wasSettledAtStart()) return true;
     const wasRunning = [...frontsAtStart().keys()].some(vm => vm !== self);
-    return wasRunning && !this.wasMemberAtStart;
+    return wasRunning && !this.hasStayedMember;
   }
 }
--- a/src/front/front.ts
+++ b/src/front/front.ts
@@ -302,7 +302,10 @@
       knownRevision: () => feed.knownRevision,
       fronts: () => this.fronts(),
       isFreshAndRegistered: () =>
-        feed.isFresh && this.registration.isLeaseValid && this.isRegistered,
+        feed.isFresh &&
+        this.registration.isLeaseValid &&
+        this.registration.isWriteInView &&
+        this.isRegistered,
       areRecordsComplete: () => this.leaderRecovery.isComplete,
       era: () => feed.era,
       maxConfigAgeMs: maxConfigAgeMs(settings.keyRevocationMs),
@@ -361,6 +364,7 @@
       isViewFresh: () => feed.isFresh,
       frontsAtStart: () => this.frontsAtStart(),
       wasSettledAtStart: () => this.storeEra.wasSettledAtStart,
+      firstWrite: () => registration.firstWrite,
       isLeaseValid: () => registration.isLeaseValid,
     });
   }
--- a/src/front/registration.ts
+++ b/src/front/registration.ts
@@ -3,10 +3,17 @@
  * which fronts authenticate one another.
  */
 import {randomBytes} from 'node:crypto';
+import {Result} from 'neverthrow';
 import {Subscription} from 'rxjs';
 import {ageMs, ClockReading} from '../core/freshness.js';
 import {FrontMember} from '../core/fronts.js';
-import {KeyValueStore, StoreFaultKind} from '../store/key_values.js';
+import {eraOf, isSameWrite} from '../core/store_revision.js';
+import {
+  KeyValueStore,
+  StoredItem,
+  StoreFault,
+  StoreFaultKind,
+} from '../store/key_values.js';
 import {readClocks, StoreFeed} from './store_feed.js';
 import {frontEntryKey} from './front_list.js';
 import {JsonLog} from './json_log.js';
@@ -36,6 +43,27 @@
 const CHECK_INTERVAL_MS = 500;
 const SECRET_BYTES = 24;
 
+/** An entry that this process has written. */
+interface WrittenEntry {
+  readonly revision: number;
+  readonly leaseId: number;
+  readonly leaving: boolean;
+}
+
+/** The first time that a process wrote its VM's entry. */
+export interface FirstWrite {
+  /** When the store had answered, on the monotonic clock. */
+  readonly atMs: number;
+  /**
+   * Whether it replaced the entry of an earlier process, so that other fronts
+   * have known this VM all along.
+   */
+  readonly foundEntry: boolean;
+}
+
+const isConflict = (result: Result<number, StoreFault>): boolean =>
+  result.isErr() && result.error.kind === StoreFaultKind.conflict;
+
 const secretKey = (prefix: string): string => `${prefix}secret`;
 
 /** This front's entry in the store. */
@@ -45,8 +73,14 @@
   private isStopped = false;
   private isLeaving = false;
   private lastSecret = '';
-  /** Revision of the entry as last written; 0 when it must be written. */
-  private writtenRevision = 0;
+  /**
+   * The entry as last written; undefined before, once its lease has ended, and
+   * while it is not known whether a write of it was executed.
+   */
+  private written: WrittenEntry | undefined;
+  /** Whether this process has found the entry to be missing. */
+  private wasMissing = false;
+  private firstWriteOfProcess: FirstWrite | undefined;
   /**
    * When the last successful grant or renewal was sent; the lease runs at least
    * from then.
@@ -68,6 +102,8 @@
       options.feed.fleetItems$.subscribe(items => {
         const item = items.get(secretKey(options.prefix));
         if (item) this.lastSecret = item.value.toString('utf8');
+        // The last attempt may have failed because the view was too old.
+        if (!this.written) void this.ensureRegistered();
       }),
     );
   }
@@ -83,12 +119,31 @@
   }
 
   /**
-   * Whether the lease certainly still keeps the entry, whatever the feed shows.
+   * Whether the lease certainly still keeps the entry, although the feed may
+   * show it longer. An entry of an earlier process is kept by another lease.
    */
   get isLeaseValid(): boolean {
-    if (this.leaseId === 0 || !this.leaseRunsFrom) return false;
+    const {leaseId, leaseRunsFrom, written} = this;
+    if (leaseId === 0 || !leaseRunsFrom || written?.leaseId !== leaseId) {
+      return false;
+    }
+    return (
+      !this.isSuperseded &&
+      ageMs(leaseRunsFrom, readClocks()) < LEASE_TTL_MS - LEASE_MARGIN_MS
+    );
+  }
+
+  /** When this process first wrote the entry; undefined before. */
+  get firstWrite(): FirstWrite | undefined {
+    return this.firstWriteOfProcess;
+  }
+
+  /** Whether the view includes the last write of the entry. */
+  get isWriteInView(): boolean {
+    const {written} = this;
     return (
-      ageMs(this.leaseRunsFrom, readClocks()) < LEASE_TTL_MS - LEASE_MARGIN_MS
+      written !== undefined &&
+      this.options.feed.knownRevision >= written.revision
     );
   }
 
@@ -106,7 +161,6 @@
    */
   async announceLeaving(): Promise<void> {
     this.isLeaving = true;
-    this.writtenRevision = 0;
     await this.ensureRegistered();
   }
 
@@ -122,20 +176,43 @@
   }
 
   private get isEntryVisible(): boolean {
-    const {feed} = this.options;
-    const item = feed.fleetItems$.value.get(this.entryKey);
-    return item !== undefined && item.revision >= this.writtenRevision;
+    const {listed, written} = this;
+    return (
+      listed !== undefined &&
+      written !== undefined &&
+      isSameWrite(listed.revision, written.revision)
+    );
+  }
+
+  /** Entry under this front's key in the view, whoever wrote it. */
+  private get listed(): StoredItem | undefined {
+    return this.options.feed.fleetItems$.value.get(this.entryKey);
+  }
+
+  /**
+   * Whether a process that was started later under the same name has replaced
+   * the entry: writes are conditional, so that process has seen this one's.
+   */
+  private get isSuperseded(): boolean {
+    const {listed, written} = this;
+    return (
+      listed !== undefined &&
+      written !== undefined &&
+      listed.revision > written.revision &&
+      eraOf(listed.revision) === eraOf(written.revision)
+    );
   }
 
   /**
-   * Writes the entry if it is missing, as at start or after its lease expired.
+   * Writes the entry if it is missing, as at start, after its lease expired or
+   * after a restore of the store.
    */
   private async ensureRegistered(): Promise<void> {
     const {feed} = this.options;
-    // The view of the store may not include the written entry yet.
+    const {written} = this;
     const isMissing =
-      feed.knownRevision >= this.writtenRevision && !this.isEntryVisible;
-    const isDue = this.writtenRevision === 0 || isMissing;
+      this.isWriteInView && !this.isEntryVisible && !this.isSuperseded;
+    const isDue = !written || written.leaving !== this.isLeaving || isMissing;
     if (this.isRegistering || this.isStopped || feed.isStoreFailing) return;
     if (!isDue || feed.config === undefined) return;
     this.isRegistering = true;
@@ -152,47 +229,57 @@
       this.leaseRunsFrom = sentAt;
       this.leaseId = lease.value.leaseId;
     }
-    const value = JSON.stringify({...member, leaving: this.isLeaving});
-    const entry = {
-      key: this.entryKey,
-      value,
-      leaseId: this.leaseId,
-    };
+    const {isLeaving: leaving, leaseId} = this;
+    const value = JSON.stringify({...member, leaving});
+    const entry = {key: this.entryKey, value, leaseId};
+    // Fails writes of earlier processes that the store executes late.
+    const condition = {key: this.entryKey, revision: this.presentRevision};
+    this.wasMissing ||= condition.revision === 0;
     const hasSecret = feed.fleetItems$.value.has(secretKey(prefix));
-    const secretText = this.secret || randomBytes(SECRET_BYTES).toString('hex');
-    const secret = {key: secretKey(prefix), value: secretText, leaseId: 0};
-    const result = await store.commit({
-      expected: hasSecret ? [] : [{key: secretKey(prefix), revision: 0}],
+    let result: Result<number, StoreFault> | undefined;
+    if (!hasSecret) {
+      const text = this.secret || randomBytes(SECRET_BYTES).toString('hex');
+      const secret = {key: secretKey(prefix), value: text, leaseId: 0};
       // The entry comes last, because the store returns the revision of the
       // last write.
-      writes: hasSecret ? [entry] : [secret, entry],
-      removals: [],
-    });
-    if (result.isOk()) this.recordWritten(result.value);
-    else if (result.error.kind === StoreFaultKind.leaseNotFound) {
-      this.leaseId = 0;
-    } else if (result.error.kind === StoreFaultKind.conflict) {
-      // Another front has written the secret; the feed will deliver it.
-      await this.writeEntry(entry);
+      result = await store.commit({
+        expected: [{key: secret.key, revision: 0}, condition],
+        writes: [secret, entry],
+        removals: [],
+      });
+    }
+    // After a conflict another front has written the secret; the feed will
+    // deliver it.
+    if (!result || isConflict(result)) {
+      result = await store.commit({
+        expected: [condition],
+        writes: [entry],
+        removals: [],
+      });
     }
+    if (result.isOk()) {
+      return this.recordWritten({revision: result.value, leaseId, leaving});
+    }
+    const {kind} = result.error;
+    if (kind === StoreFaultKind.leaseNotFound) this.leaseId = 0;
+    if (kind === StoreFaultKind.unknown) this.written = undefined;
   }
 
-  private async writeEntry(entry: {
-    key: string;
-    value: string;
-    leaseId: number;
-  }): Promise<void> {
-    const result = await this.options.store.commit({
-      expected: [],
-      writes: [entry],
-      removals: [],
-    });
-    if (result.isOk()) this.recordWritten(result.value);
+  /** Revision of the entry in the store as far as known; 0 if it is missing. */
+  private get presentRevision(): number {
+    const {written, listed} = this;
+    return written && !this.isWriteInView
+      ? written.revision
+      : (listed?.revision ?? 0);
   }
 
-  private recordWritten(revision: number): void {
-    this.writtenRevision = revision;
-    const {isLeaving: leaving} = this;
+  private recordWritten(written: WrittenEntry): void {
+    this.written = written;
+    this.firstWriteOfProcess ??= {
+      atMs: performance.now(),
+      foundEntry: !this.wasMissing,
+    };
+    const {revision, leaving} = written;
     this.options.log('registered', {revision, leaving});
   }
 
@@ -207,7 +294,7 @@
     else if (result.error.kind === StoreFaultKind.leaseNotFound) {
       this.options.log('registration_lapsed', {leaseId});
       this.leaseId = 0;
-      this.writtenRevision = 0;
+      this.written = undefined;
     } else if (!isRetry) {
       this.retryTimer = setTimeout(
         () => void this.renew(true),
--- a/test/front/accrual.test.ts
+++ b/test/front/accrual.test.ts
@@ -1,6 +1,7 @@
 /** Whether a front that starts accrues its rate shares. */
 import test from 'ava';
 import {Accrual} from '../../src/front/accrual.js';
+import {FirstWrite} from '../../src/front/registration.js';
 import {FrontMember} from '../../src/core/fronts.js';
 
 const member = (vm: string, leaving: boolean): FrontMember => ({
@@ -16,8 +17,14 @@
   listed: readonly string[],
   wasSettled: boolean,
   leaving: readonly string[] = [],
+  write: Partial<FirstWrite> = {},
 ) {
   const clock = {nowMs: 0};
+  const firstWrite = {
+    atMs: 0,
+    foundEntry: listed.includes('a'),
+    ...write,
+  };
   const fronts = new Map(
     listed.map(vm => [vm, member(vm, leaving.includes(vm))]),
   );
@@ -26,6 +33,7 @@
     isViewFresh: () => true,
     frontsAtStart: () => fronts,
     wasSettledAtStart: () => wasSettled,
+    firstWrite: () => firstWrite,
     isLeaseValid: () => true,
     nowMs: () => clock.nowMs,
   });
@@ -63,3 +71,15 @@
   clock.nowMs = 5_500;
   t.true(accrual.isAllowed);
 });
+
+// Guards against a share that two fronts accrue: the others have taken it over
+// if the entry of the former process ended before the new one wrote its own.
+test('a front whose former entry ended meanwhile joins anew', t => {
+  const write = {atMs: 4_000, foundEntry: false};
+  const {clock, accrual} = createAccrual(['a', 'b'], true, [], write);
+  clock.nowMs = 9_400;
+  t.false(accrual.isAllowed);
+  t.is(accrual.keptSinceMs, undefined);
+  clock.nowMs = 9_500;
+  t.true(accrual.isAllowed);
+});
