Drop what a lost connection between fronts still delivers

Each connection of a peer link numbers its calls from 1, and messages of an earlier one were handed to the client of the present one: an answer that is read late would end another call, or complete the handshake of the next connection. A statement's answer could so reach another caller.

Node delivers nothing from a socket after it was destroyed, and a link pauses 300 ms before it connects again, so it is not known to have happened.

--- a/src/front/peer_link.ts
+++ b/src/front/peer_link.ts
@@ -143,6 +143,8 @@
     );
     let nonce: string | undefined;
     const channel = openChannel(socket, message => {
+      // Calls of the next connection are numbered from 1 again.
+      if (socket !== this.socket) return;
       this.lastSeenAtMs = performance.now();
       if (nonce === undefined) {
         nonce = String((message as {nonce?: unknown}).nonce);
