--- a/src/front/accrual.ts
+++ b/src/front/accrual.ts
@@ -3,23 +3,26 @@
  * of all fronts must not add up to more than a rate, so a front that joins a
  * running fleet waits until the others know of it.
  */
-import {StoredItem} from '../store/key_values.js';
+import {Fronts} from '../core/fronts.js';
+import {FirstWrite} from './registration.js';
 
 export interface AccrualOptions {
-  /** This front's view of the store. */
-  readonly view: {
-    readonly isFresh: boolean;
-    /** Items of fronts when the store was first listed. */
-    readonly fleetItemsAtStart: ReadonlyMap<string, StoredItem>;
-  };
-  /** Prefix of the fronts' entries. */
-  readonly entryPrefix: string;
-  readonly entryKey: string;
+  /** Name of this VM. */
+  readonly self: string;
+  /** Whether this front's view of the store is fresh. */
+  readonly isViewFresh: () => boolean;
   /**
-   * Whether the items at the start include the entries of all running fronts;
-   * false if the store may have lost some shortly before.
+   * Fronts that were registered when the store was first listed; an earlier
+   * process of this VM may be among them.
+   */
+  readonly frontsAtStart: () => Fronts;
+  /**
+   * Whether the fronts at the start include all running ones; false if the
+   * store may have lost entries shortly before.
    */
   readonly wasSettledAtStart: () => boolean;
+  /** When this process first wrote its entry; undefined before. */
+  readonly firstWrite: () => FirstWrite | undefined;
   /** Whether the lease certainly still keeps this front's entry. */
   readonly isLeaseValid: () => boolean;
   /** Steady clock in milliseconds; `performance.now` by default. */
@@ -37,11 +40,9 @@
 /** This front's right to accrue its rate shares. */
 export class Accrual {
   private readonly nowMs: () => number;
-  private readonly startedAtMs: number;
 
   private constructor(private readonly options: AccrualOptions) {
     this.nowMs = options.nowMs ?? (() => performance.now());
-    this.startedAtMs = this.nowMs();
   }
 
   static create(options: AccrualOptions): Accrual {
@@ -55,21 +56,31 @@
    * registration.
    */
   get isAllowed(): boolean {
-    const {view, isLeaseValid} = this.options;
-    return view.isFresh && !this.hasJoinedRecently && isLeaseValid();
+    const {isViewFresh, isLeaseValid} = this.options;
+    return isViewFresh() && !this.hasJoinedRecently && isLeaseValid();
+  }
+
+  /**
+   * Time from which this front has accrued the shares that it held when it
+   * started: a restarted front that is still registered keeps them. Undefined if
+   * it keeps none.
+   */
+  get keptSinceMs(): number | undefined {
+    const isKept = this.options.wasSettledAtStart() && this.hasStayedMember;
+    return isKept && this.nowMs() < JOIN_WAIT_MS ? PROCESS_START_MS : undefined;
   }
 
   /**
-   * Returns the time from which rate shares accrue. A front that was registered
-   * before it restarted kept its shares, which accrue from the start of the
-   * process.
+   * Whether the other fronts have counted this one as a share holder without
+   * interruption. They have not if an earlier process announced that it leaves,
+   * or if its entry had ended before this process wrote its own.
    */
-  startMs(): number {
-    const {view, entryKey, wasSettledAtStart} = this.options;
-    const nowMs = this.nowMs();
-    const isRestart =
-      wasSettledAtStart() && view.fleetItemsAtStart.has(entryKey);
-    return isRestart && nowMs < JOIN_WAIT_MS ? PROCESS_START_MS : nowMs;
+  private get hasStayedMember(): boolean {
+    const {frontsAtStart, firstWrite, self} = this.options;
+    return (
+      frontsAtStart().get(self)?.leaving === false &&
+      firstWrite()?.foundEntry === true
+    );
   }
 
   /**
@@ -77,12 +88,12 @@
    * joined one whose entries the store has lost.
    */
   private get hasJoinedRecently(): boolean {
-    if (this.nowMs() - this.startedAtMs >= JOIN_WAIT_MS) return false;
-    const {view, entryPrefix, entryKey, wasSettledAtStart} = this.options;
+    const {frontsAtStart, firstWrite, self, wasSettledAtStart} = this.options;
+    const joinedAtMs = firstWrite()?.atMs;
+    if (joinedAtMs === undefined) return true;
+    if (this.nowMs() - joinedAtMs >= JOIN_WAIT_MS) return false;
     if (!wasSettledAtStart()) return true;
-    const wasRunning = [...view.fleetItemsAtStart.keys()].some(key =>
-      key.startsWith(entryPrefix),
-    );
-    return wasRunning && !view.fleetItemsAtStart.has(entryKey);
+    const wasRunning = [...frontsAtStart().keys()].some(vm => vm !== self);
+    return wasRunning && !this.hasStayedMember;
   }
 }
