Do not run a statement whose transaction was lost while it waited for a token

A caller over its rate waits up to 250 ms for a token with its transaction open. If the lane of the transaction was lost meanwhile (its owner started again, the database closed the connection), the caller was answered transaction_lost, not run. Once the token came, the session ran the statement all the same, on a lane of its own, and so outside its transaction: a write was committed that had been answered as not run.

Cause: after the wait the session asked only whether it was closed, not whether the batch was still the one in progress.

--- a/src/proxy/session.ts
+++ b/src/proxy/session.ts
@@ -358,7 +358,8 @@
     const admission = this.options.host.admit(this.customer);
     if (admission === true) return this.run(batch, plan);
     void Promise.resolve(admission).then(granted => {
-      if (this.isClosed) return;
+      // The batch has been answered if its lane was lost meanwhile.
+      if (this.isClosed || this.currentBatch !== batch) return;
       if (granted) this.run(batch, plan);
       else this.reject(rateExceeded(this.customer));
       this.onChunkEnd();
