Use a connection again only once no cancel request is on its way to it

A cancel request travels on a connection of its own. When the statement that it was meant for ended first, the connection went back to the pool, and the database canceled the statement of the next caller on it (57014).

The database closes the connection of a cancel request after executing it. The pool now waits for that before it gives the database connection to another lane, and closes the connection if the request is not answered within the connect timeout. The request's connection is no longer half-closed by the proxy, since a server may close its side at once in answer.

The stand-in delays cancel requests on demand.

--- a/src/pg/backend.ts
+++ b/src/pg/backend.ts
@@ -63,6 +63,10 @@
   /** When the outstanding probe was sent; undefined if there is none. */
   probedAtMs: number | undefined;
   isClosed = false;
+  /** Cancel requests that the database may not have executed yet. */
+  private pendingCancels = 0;
+  private hasUnansweredCancel = false;
+  private readonly awaitingCancels: (() => void)[] = [];
   private readonly reader: FrameReader;
 
   private constructor(
@@ -129,14 +133,36 @@
     this.socket.resume();
   }
 
-  /** Asks the database to cancel the statement that this connection runs. */
+  /**
+   * Asks the database to cancel the statement that this connection runs. The
+   * database closes the connection of the request once it has executed it;
+   * until then it may cancel any later statement instead.
+   */
   cancel(): void {
     const {host, port} = this.target;
     const socket = connectTcp({host, port});
+    let isExecuted = false;
+    this.pendingCancels++;
     socket.on('error', () => socket.destroy());
     socket.setTimeout(this.target.connectTimeoutMs, () => socket.destroy());
+    socket.once('end', () => (isExecuted = true));
+    socket.once('close', () => this.endCancel(isExecuted));
     const {processId, secret} = this.cancelKey;
-    socket.end(serialize.cancel(processId, secret));
+    socket.write(serialize.cancel(processId, secret));
+    socket.resume();
+  }
+
+  /**
+   * Calls back once no cancel request can reach a later statement on this
+   * connection, which is closed if the database did not answer one.
+   */
+  onCancelsEnded(callback: () => void): void {
+    if (this.pendingCancels > 0) {
+      this.awaitingCancels.push(callback);
+      return;
+    }
+    if (this.hasUnansweredCancel) this.destroy();
+    callback();
   }
 
   destroy(): void {
@@ -159,6 +185,15 @@
     this.probedAtMs = undefined;
   }
 
+  private endCancel(isExecuted: boolean): void {
+    this.pendingCancels--;
+    this.hasUnansweredCancel ||= !isExecuted;
+    if (this.pendingCancels > 0) return;
+    for (const callback of this.awaitingCancels.splice(0)) {
+      this.onCancelsEnded(callback);
+    }
+  }
+
   private handleClose(): void {
     if (this.isClosed) return;
     this.isClosed = true;
--- a/src/proxy/database_pool.ts
+++ b/src/proxy/database_pool.ts
@@ -150,13 +150,14 @@
     this.dispatchWaiting();
   }
 
-  /** Returns a connection without an open transaction to the pool. */
+  /**
+   * Returns a connection without an open transaction to the pool. It is used
+   * again once no cancel request for its last statement is on its way.
+   */
   release(connection: BackendConnection): void {
     this.customers.delete(connection);
     connection.setHandlers(this.idleHandlers(connection));
-    if (this.isClosed || this.open.size > this.limit) this.discard(connection);
-    else if (!connection.isClosed) this.idle.push(connection);
-    this.dispatchWaiting();
+    connection.onCancelsEnded(() => this.addIdle(connection));
   }
 
   /** Closes a connection whose state is unknown. */
@@ -317,6 +318,12 @@
     this.release(connection);
   }
 
+  private addIdle(connection: BackendConnection): void {
+    if (this.isClosed || this.open.size > this.limit) this.discard(connection);
+    else if (!connection.isClosed) this.idle.push(connection);
+    this.dispatchWaiting();
+  }
+
   private idleHandlers(connection: BackendConnection) {
     return {
       onFrame: () => this.readmit(connection),
--- a/src/standin/database.ts
+++ b/src/standin/database.ts
@@ -37,6 +37,8 @@
   isDown: boolean;
   /** Exchanges no log entries with other databases; clients still connect. */
   isIsolated: boolean;
+  /** Delay before a cancel request takes effect. */
+  cancelDelayMs: number;
 }
 
 /** Log, term, role and tables of one database, without its connections. */
@@ -45,6 +47,7 @@
     isUnresponsive: false,
     isDown: false,
     isIsolated: false,
+    cancelDelayMs: 0,
   };
   lagMs: number;
   serviceTimeMs: number;
--- a/src/standin/database_server.ts
+++ b/src/standin/database_server.ts
@@ -124,13 +124,14 @@
 
   private startLogin(socket: Socket): void {
     const gateway: PostgresConnection = new PostgresConnection(socket, {
-      onMessage: (data, state) => {
+      onMessage: async (data, state) => {
         if (state.hasStarted) return this.checkPassword(gateway, data);
         const message = Buffer.from(data);
         if (
           message.length === 16 &&
           message.readUInt32BE(4) === CANCEL_REQUEST_CODE
         ) {
+          await delay(this.database.faults.cancelDelayMs);
           this.cancel(message.readUInt32BE(8));
           socket.destroy();
           return true;
--- a/test/lanes.test.ts
+++ b/test/lanes.test.ts
@@ -1,9 +1,13 @@
+import {connect} from 'node:net';
 import test from 'ava';
 import pg from 'pg';
+import {serialize} from 'pg-protocol';
 import {LocalFleet} from '../src/standin/local_fleet.js';
 
 const SERVICE = 'order-books-1';
 const CUSTOMER = 'villacres';
+/** Limit of a database of which the pool uses one connection. */
+const ONE_IN_POOL = 3;
 
 const delay = (ms: number): Promise<void> =>
   new Promise(resolve => setTimeout(resolve, ms));
@@ -21,6 +25,18 @@
     (error: pg.DatabaseError) => error.code,
   );
 
+/** Sends a cancel request for the statement that a client waits for. */
+function cancel(fleet: LocalFleet, client: pg.Client): void {
+  const {processID, secretKey} = client as unknown as {
+    processID: number;
+    secretKey: number;
+  };
+  const port = fleet.proxies[0].callerPort;
+  const socket = connect({host: '127.0.0.1', port});
+  socket.on('error', () => undefined);
+  socket.end(serialize.cancel(processID, secretKey));
+}
+
 // Guards against a statement that was answered as lost, and ran outside its
 // transaction as soon as the customer's rate allowed it.
 test.serial(
@@ -53,3 +69,33 @@
   },
 );
 
+// Guards against a cancel request that ends the statement of the next caller on
+// the connection.
+for (const cancelDelayMs of [150, 1_200]) {
+  test.serial(
+    `a cancel request that is ${cancelDelayMs} ms late reaches no other caller`,
+    async t => {
+      const services = [{service: SERVICE, connections: ONE_IN_POOL}];
+      const fleet = await LocalFleet.create({proxies: 1, services});
+      try {
+        const first = await connectClient(fleet);
+        const second = await connectClient(fleet);
+        await first.query('SELECT 1');
+        const {primary} = fleet.group(SERVICE);
+        primary.database.faults.cancelDelayMs = cancelDelayMs;
+        const canceled = first.query('SELECT pg_sleep(0.1)');
+        await delay(60);
+        cancel(fleet, first);
+        await canceled;
+        t.is(
+          await sqlStateOf(second.query('SELECT pg_sleep(1.4)')),
+          undefined,
+          'the statement of another caller was canceled',
+        );
+        await Promise.all([first.end(), second.end()]);
+      } finally {
+        await fleet.close();
+      }
+    },
+  );
+}
