Do not answer a cancel request during a commit's confirmation as not run

A commit that had returned from the primary and waited for its confirmation holds no connection. A cancel request then ended the lane as canceled, outcome not_run, although the change was in the log. Such a request now has no effect, as a commit can't be canceled.

--- a/src/proxy/local_lane.ts
+++ b/src/proxy/local_lane.ts
@@ -190,7 +190,10 @@
 
   cancel(): void {
     if (this.held) this.held.connection.cancel();
-    else this.fail(failure('canceled', 'canceled while waiting'));
+    // A commit that waits for its confirmation has run and can't be canceled.
+    else if (!this.stopConfirmation) {
+      this.fail(failure('canceled', 'canceled while waiting'));
+    }
   }
 
   abort(): void {
--- a/test/lanes.test.ts
+++ b/test/lanes.test.ts
@@ -99,3 +99,25 @@
     },
   );
 }
+
+// Guards against a commit that has run and is answered as not run.
+test.serial('a cancel request does not deny a commit that has run', async t => {
+  const fleet = await LocalFleet.create({proxies: 1});
+  try {
+    const client = await connectClient(fleet);
+    await client.query('SELECT 1');
+    const {servers} = fleet.group(SERVICE);
+    const replicas = servers.filter(server => !server.database.isPrimary);
+    for (const {database} of replicas) database.faults.isIsolated = true;
+    const write = sqlStateOf(client.query("INSERT INTO t (id) VALUES ('a')"));
+    await delay(100);
+    cancel(fleet, client);
+    await delay(100);
+    for (const {database} of replicas) database.faults.isIsolated = false;
+    t.is(await write, undefined);
+    t.deepEqual(fleet.group(SERVICE).committedIds('t'), ['a']);
+    await client.end();
+  } finally {
+    await fleet.close();
+  }
+});
