--- a/src/cli/main.ts
+++ b/src/cli/main.ts
@@ -15,7 +15,7 @@
   variableOf,
 } from '../proxy/settings.js';
 import {callOperator, OperatorOptions} from './operator_client.js';
-import {formatLogLine, readRequestLines} from './explain.js';
+import {explainFromFiles, formatExplanation} from './explain.js';
 import {runStandin} from './standin_command.js';
 
 /** Exit codes of the command line. */
@@ -244,11 +244,14 @@
 
 function addLocalCommands(cli: CAC, run: RunAction): void {
   cli
-    .command('explain <request> <...files>', 'print the log lines of a request')
+    .command(
+      'explain <id> <...files>',
+      'print the log lines of a request, transaction, lane or connection',
+    )
     .option('--json', 'print the lines as JSON')
     .example('mustardpass explain 8d2c3068f59c5dac front-*.log')
-    .action((request: string, files: string[], options: Options) =>
-      run(() => runExplain(String(request), files, options)),
+    .action((id: string, files: string[], options: Options) =>
+      run(() => runExplain(String(id), files, options)),
     );
   cli
     .command(
@@ -284,21 +287,21 @@
 }
 
 /**
- * Collects the log lines about one request from the logs of several processes
- * and prints them.
+ * Collects the log lines about a request, transaction, lane or connection from
+ * the logs of several processes and prints them.
  */
 async function runExplain(
-  request: string,
+  id: string,
   files: readonly string[],
   options: Options,
 ): Promise<ExitCode> {
-  const found = readRequestLines(request, files);
+  const found = explainFromFiles(id, files);
   if (found.isErr()) {
     printToStderr(found.error);
     return ExitCode.failed;
   }
-  if (options.json) printJson(found.value);
-  else for (const line of found.value) print(formatLogLine(line));
+  if (options.json) printJson(found.value.lines);
+  else for (const line of formatExplanation(found.value)) print(line);
   return ExitCode.ok;
 }
 
