Soak real front processes under faults and judge what their databases saw

A fault soak starts fronts as processes over the stand-ins of the store and the databases, kills, stops, freezes and restarts them by a seeded schedule while callers hold transactions open, and judges what ran on each connection without any log of the fronts: PINNED, UNASKED, ROUTE, MIXED, and from the final logs TWICE, LOST and REFUSED. The judges are pure; wrong histories test them.

The stand-in database tells what it ran in which transaction, signs each run anew, rolls back what a closed connection had open, loses nothing of its log to a gap after a restart, and runs nothing that it had received before a crash.

--- a/eslint.config.js
+++ b/eslint.config.js
@@ -4,7 +4,7 @@
   {ignores: ['build/', 'target/', 'eslint.config.js']},
   ...gts,
   {
-    files: ['test/**/*.ts', 'bench/**/*.ts', 'model/**/*.ts'],
+    files: ['test/**/*.ts', 'bench/**/*.ts', 'model/**/*.ts', 'soak/**/*.ts'],
     rules: {'n/no-unpublished-import': 'off'},
   },
 ];
--- /dev/null
+++ b/soak/fault_schedule.ts
@@ -0,0 +1,104 @@
+/** Draws the faults of a run from its seed. */
+import {Random} from './random.js';
+
+/** What happens to a front, a database or an entry of the store. */
+export const FaultKind = {
+  /** SIGKILL; the front starts again at once. */
+  kill: 'kill',
+  /** The same, and again after `durationMs`, so that the process is young. */
+  killTwice: 'kill_twice',
+  /** SIGTERM; the front starts again once the process has ended. */
+  terminate: 'terminate',
+  /** SIGSTOP, then SIGCONT. */
+  freeze: 'freeze',
+  /** All connections of a database are closed. */
+  cutDatabase: 'cut_database',
+  /** A database neither reads nor answers. */
+  silenceDatabase: 'silence_database',
+  /** A database crashes and comes back under its id. */
+  restartDatabase: 'restart_database',
+  /** A database's entry is missing from the store. */
+  removeEntry: 'remove_entry',
+  /** A front's entry is removed from the store; it registers itself again. */
+  removeFrontEntry: 'remove_front_entry',
+  /** A spare front joins and leaves, so that holders change twice. */
+  addFront: 'add_front',
+} as const;
+export type FaultKind = (typeof FaultKind)[keyof typeof FaultKind];
+
+/** A fault at a time of the run; `target` counts fronts or databases. */
+export interface ScheduledFault {
+  readonly atMs: number;
+  readonly kind: FaultKind;
+  readonly target: number;
+  readonly durationMs: number;
+}
+
+interface FaultOdds {
+  readonly kind: FaultKind;
+  readonly weight: number;
+  readonly of: 'fronts' | 'databases' | 'spares';
+  readonly durationMs: readonly [number, number];
+}
+
+const ODDS: readonly FaultOdds[] = [
+  {kind: 'kill', weight: 4, of: 'fronts', durationMs: [0, 0]},
+  {kind: 'kill_twice', weight: 6, of: 'fronts', durationMs: [900, 3_000]},
+  {kind: 'terminate', weight: 2, of: 'fronts', durationMs: [0, 0]},
+  {kind: 'freeze', weight: 3, of: 'fronts', durationMs: [100, 2_500]},
+  {kind: 'cut_database', weight: 2, of: 'databases', durationMs: [0, 0]},
+  {
+    kind: 'silence_database',
+    weight: 1,
+    of: 'databases',
+    durationMs: [200, 1_500],
+  },
+  {
+    kind: 'restart_database',
+    weight: 1,
+    of: 'databases',
+    durationMs: [50, 1_500],
+  },
+  {
+    kind: 'remove_entry',
+    weight: 2,
+    of: 'databases',
+    durationMs: [1_000, 4_000],
+  },
+  {kind: 'remove_front_entry', weight: 1, of: 'fronts', durationMs: [0, 0]},
+  {kind: 'add_front', weight: 2, of: 'spares', durationMs: [2_000, 5_000]},
+];
+/** Pause between two faults, which may overlap. */
+const PAUSE_MS = [200, 1_400] as const;
+
+/** How many targets there are of each sort. */
+export interface FaultTargets {
+  readonly fronts: number;
+  readonly databases: number;
+  readonly spares: number;
+}
+
+/** Returns the faults of a run, by time. */
+export function drawSchedule(
+  seed: number,
+  lengthMs: number,
+  targets: FaultTargets,
+): ScheduledFault[] {
+  const random = Random.create(seed);
+  const bag = ODDS.flatMap(odds =>
+    new Array<FaultOdds>(odds.weight).fill(odds),
+  );
+  const faults: ScheduledFault[] = [];
+  let atMs = 0;
+  for (;;) {
+    atMs += random.between(...PAUSE_MS);
+    if (atMs >= lengthMs) return faults;
+    const {kind, of, durationMs} = random.pick(bag);
+    faults.push({
+      atMs,
+      kind,
+      target: random.between(0, targets[of] - 1),
+      durationMs: random.between(...durationMs),
+    });
+  }
+}
--- /dev/null
+++ b/soak/front_process.ts
@@ -0,0 +1,118 @@
+/** One front as an operating system process, started again under its name. */
+import {ChildProcess, spawn} from 'node:child_process';
+import {closeSync, openSync, writeFileSync} from 'node:fs';
+import {join} from 'node:path';
+import {ZONES} from '../test/platform/fleet_fixture.js';
+
+const CALLER_PORT = 8_465;
+const READY_PORT = 8_460;
+const PEER_PORTS = [7_560, 7_575];
+
+export interface FrontProcessOptions {
+  readonly name: string;
+  readonly zone: string;
+  /** Loopback address of its own, as all fronts use the same ports. */
+  readonly host: string;
+  readonly program: string;
+  readonly storePort: number;
+  /** Folder of settings files and logs. */
+  readonly folder: string;
+}
+
+/** The settings file; JSON is valid YAML. */
+const settingsOf = (
+  {name, zone, host, storePort}: FrontProcessOptions,
+  isFirstStart: boolean,
+): object => ({
+  node_name: name,
+  ip: host,
+  zone,
+  region: zone,
+  zones: Object.fromEntries(ZONES.map(z => [z, z])),
+  listen: {
+    front: `${host}:${CALLER_PORT}`,
+    ready_addr: `${host}:${READY_PORT}`,
+  },
+  port_range: PEER_PORTS,
+  bootstrap: isFirstStart,
+  beat_interval_ms: 1_000,
+  bounds: {revoke_ms: 5_000, grace_s: 4, require_fence: true},
+  platform: {addr: `127.0.0.1:${storePort}`, min_ttl_ms: 500},
+  cloud_api: {addr: `127.0.0.1:${storePort}`},
+});
+
+/** A named front and its present process, if any. */
+export class FrontProcess {
+  readonly callerPort = CALLER_PORT;
+  /** How often a process of this name was started. */
+  starts = 0;
+  private child: ChildProcess | undefined;
+  private ended: Promise<void> = Promise.resolve();
+
+  private constructor(private readonly options: FrontProcessOptions) {}
+
+  static create(options: FrontProcessOptions): FrontProcess {
+    return new FrontProcess(options);
+  }
+
+  get name(): string {
+    return this.options.name;
+  }
+
+  get host(): string {
+    return this.options.host;
+  }
+
+  get isRunning(): boolean {
+    return this.child !== undefined;
+  }
+
+  /** Starts a process unless one runs; its output is appended to the log. */
+  start(): void {
+    if (this.child) return;
+    const {name, folder, program} = this.options;
+    const settings = join(folder, `${name}.yaml`);
+    writeFileSync(
+      settings,
+      JSON.stringify(settingsOf(this.options, this.starts === 0)),
+    );
+    const log = openSync(join(folder, `${name}.log`), 'a');
+    const child = spawn(
+      process.execPath,
+      ['--max-old-space-size=160', program],
+      {
+        stdio: ['ignore', log, log],
+        env: {PATH: process.env.PATH, MUSTARDPASS_NODE_FILE: settings},
+      },
+    );
+    closeSync(log);
+    this.starts++;
+    this.child = child;
+    this.ended = new Promise(resolve =>
+      child.once('close', () => {
+        if (this.child === child) this.child = undefined;
+        resolve();
+      }),
+    );
+  }
+
+  /** Sends a signal to the present process. */
+  signal(signal: NodeJS.Signals): void {
+    this.child?.kill(signal);
+  }
+
+  /** Ends the present process; resolves once it is gone. */
+  async end(signal: NodeJS.Signals): Promise<void> {
+    this.signal(signal);
+    await this.ended;
+  }
+
+  /** Whether the front reports itself ready. */
+  async isReady(): Promise<boolean> {
+    const url = `http://${this.host}:${READY_PORT}/-/readiness`;
+    return fetch(url, {signal: AbortSignal.timeout(1_000)}).then(
+      response => response.ok,
+      () => false,
+    );
+  }
+}
--- /dev/null
+++ b/soak/world.ts
@@ -0,0 +1,129 @@
+/** The platform of a run: store, services, and fronts as processes. */
+import {operatorConfig, until, ZONES} from '../test/platform/fleet_fixture.js';
+import {
+  DatabaseEvent,
+  StandinDatabase,
+  StandinGroup,
+} from '../test/platform/standin_database.js';
+import {StandinStore} from '../test/platform/standin_store.js';
+import {FrontProcess} from './front_process.js';
+
+export const CUSTOMERS = ['ana', 'bea', 'carla', 'dario'] as const;
+export const SERVICES = ['orders', 'claims', 'rota'] as const;
+/** Fronts that only join for a while. */
+const SPARE_COUNT = 2;
+const DATABASE_SLOTS = 3;
+const MAX_CONNECTIONS = 36;
+const START_LIMIT_MS = 30_000;
+const READY_POLL_MS = 100;
+
+export interface WorldOptions {
+  readonly frontCount: number;
+  readonly program: string;
+  readonly folder: string;
+  readonly onEvent: (event: DatabaseEvent) => void;
+}
+
+/** Configuration with routes of each kind for each service. */
+function configuration(): object {
+  const routes = SERVICES.flatMap(service =>
+    operatorConfig(service).routes.map(route => ({
+      ...route,
+      name: `${service}-${String(route.name)}`,
+      host: `${service}-${String(route.host)}`,
+      timeout_ms: 2_000,
+    })),
+  );
+  const services = SERVICES.map(name => ({
+    name,
+    max_conns: MAX_CONNECTIONS,
+    sync_replicas: 1,
+  }));
+  const tenants = CUSTOMERS.map(name => ({
+    name,
+    api_keys: [`${name}-key`],
+    priority: 1,
+    rate_per_s: 20_000,
+    burst: 20_000,
+  }));
+  const limits = {tx_idle_ms: 3_000};
+  return {version: 1, routes, services, tenants, limits};
+}
+
+/** A started platform with its fronts. */
+export class World {
+  private constructor(
+    readonly store: StandinStore,
+    readonly groups: readonly StandinGroup[],
+    readonly fronts: readonly FrontProcess[],
+    readonly spares: readonly FrontProcess[],
+  ) {}
+
+  /** Starts everything; resolves once all fronts but the spares are ready. */
+  static async start(options: WorldOptions): Promise<World> {
+    const groups: StandinGroup[] = [];
+    for (const service of SERVICES) {
+      const group = await StandinGroup.start(service, ZONES);
+      group.slots = DATABASE_SLOTS;
+      group.maxConnections = MAX_CONNECTIONS;
+      group.onEvent = options.onEvent;
+      groups.push(group);
+    }
+    const store = await StandinStore.start(groups);
+    store.put('op/config', configuration());
+    const {frontCount, program, folder} = options;
+    // Runs on one machine at the same time have different addresses.
+    const network = 1 + (process.pid % 250);
+    const create = (name: string, index: number): FrontProcess =>
+      FrontProcess.create({
+        name,
+        zone: ZONES[index % ZONES.length],
+        host: `127.${network}.1.${index + 1}`,
+        program,
+        storePort: store.port,
+        folder,
+      });
+    const fronts = Array.from({length: frontCount}, (_, index) =>
+      create(`front-${index + 1}`, index),
+    );
+    const spares = Array.from({length: SPARE_COUNT}, (_, index) =>
+      create(`spare-${index + 1}`, frontCount + index),
+    );
+    const world = new World(store, groups, fronts, spares);
+    for (const front of fronts) front.start();
+    await world.untilReady();
+    return world;
+  }
+
+  get databases(): StandinDatabase[] {
+    return this.groups.flatMap(group => group.databases);
+  }
+
+  /** Waits until each service has a primary that runs. */
+  async untilLed(): Promise<void> {
+    await until(
+      () => this.groups.every(({primary}) => primary?.isRunning),
+      START_LIMIT_MS,
+    );
+  }
+
+  async stop(): Promise<void> {
+    const processes = [...this.fronts, ...this.spares];
+    await Promise.all(processes.map(front => front.end('SIGKILL')));
+    for (const group of this.groups) await group.stop();
+    await this.store.stop();
+  }
+
+  private async untilReady(): Promise<void> {
+    const endMs = performance.now() + START_LIMIT_MS;
+    for (const front of this.fronts) {
+      while (!(await front.isReady())) {
+        if (performance.now() > endMs) {
+          await this.stop();
+          throw new Error(`${front.name} is not ready`);
+        }
+        await new Promise(resolve => setTimeout(resolve, READY_POLL_MS));
+      }
+    }
+  }
+}
--- a/test/platform/fleet_fixture.ts
+++ b/test/platform/fleet_fixture.ts
@@ -230,8 +230,9 @@
     port: number,
     database: string,
     key: string,
+    host = HOST,
   ): Promise<{client: WireClient; answer: ClientAnswer}> {
-    const socket = connect({host: HOST, port, allowHalfOpen: true});
+    const socket = connect({host, port, allowHalfOpen: true});
     const client = new WireClient(socket);
     client.send(`START ${database} ${key}`);
     return {client, answer: await client.readAnswer()};
--- a/test/platform/standin_database.ts
+++ b/test/platform/standin_database.ts
@@ -32,6 +32,37 @@
   readonly needsPrimary: boolean;
 }
 
+/**
+ * What a database did on a connection: `begun` and `ended` are those of its
+ * transactions; `ran` is a caller's statement that had an effect or returned
+ * rows; `unknown_name` is an EXECUTE of a name that the connection lacks.
+ */
+export type DatabaseEvent =
+  | {readonly kind: 'begun' | 'ended'; readonly connection: string}
+  | RanStatement
+  | {
+      readonly kind: 'unknown_name';
+      readonly connection: string;
+      readonly requestId: string;
+    };
+
+/** A caller's statement that a database ran, and its result. */
+export interface RanStatement {
+  readonly kind: 'ran';
+  /** Unique among all connections that were ever opened. */
+  readonly connection: string;
+  readonly service: string;
+  readonly customer: string;
+  readonly requestId: string;
+  readonly text: string;
+  /** Values that were `SET` on the connection. */
+  readonly values: ReadonlyMap<string, string>;
+  /** Access and shape of the prepared statement that was executed. */
+  readonly prepared?: string;
+  readonly rows: readonly string[];
+  readonly signature: string;
+}
+
 const VERSION = 'v1';
 
 const positionOf = (log: readonly CommittedChange[], term: number): string => {
@@ -56,6 +87,8 @@
   readonly executedStatements: ExecutedStatement[] = [];
   readonly sockets = new Set<Socket>();
   connectionsOpened = 0;
+  /** How often the database crashed. */
+  crashCount = 0;
   port = 0;
   isPrimary = false;
   isPaused = false;
@@ -76,6 +109,7 @@
   ) {}
 
   async start(): Promise<void> {
+    this.isPaused = false;
     this.server = createServer(socket => this.accept(socket));
     await new Promise<void>(resolve =>
       this.server?.listen(this.port, '127.0.0.1', resolve),
@@ -85,6 +119,7 @@
 
   /** Closes the server and all connections; the log is kept. */
   async crash(): Promise<void> {
+    this.crashCount++;
     for (const socket of this.sockets) socket.destroy();
     const {server} = this;
     this.server = undefined;
@@ -111,7 +146,7 @@
       cold_left_ms: 0,
       db_role: this.isPrimary ? 'primary' : 'replica',
       seq: 1,
-      born: 1,
+      born: 1 + this.crashCount,
     };
   }
 
@@ -139,6 +174,8 @@
   /** Time when the last promotion took effect, by `performance.now()`. */
   promotedAtMs = Infinity;
   onRoleChange: () => void = () => undefined;
+  /** Receives what the group's databases do, in order. */
+  onEvent: (event: DatabaseEvent) => void = () => undefined;
   /**
    * Commits that a replica has, so that the primary may report success to the
    * client.
@@ -181,16 +218,15 @@
   replicate(from: StandinDatabase, commit: CommittedChange): Promise<void> {
     return new Promise(resolve => {
       const send = (): void => {
+        if (!from.isRunning) return;
         let isReplicated = false;
         for (const database of this.databases) {
           if (database === from || database.isPaused || !database.isRunning) {
             continue;
           }
-          const isInLog = database.log.some(c => c.offset === commit.offset);
-          if (!isInLog && database.log.length === commit.offset - 1) {
-            database.log.push(commit);
-          }
-          isReplicated ||= database.log.some(c => c === commit);
+          const known = database.log.length;
+          database.log.push(...from.log.slice(known, commit.offset));
+          isReplicated ||= database.log[commit.offset - 1] === commit;
         }
         if (isReplicated) resolve();
         else if (from.isPrimary) setTimeout(send, this.lagMs);
@@ -235,13 +271,37 @@
     {readOnly: boolean; writes: CommittedChange[]} | undefined;
   private isFailed = false;
   private readonly values = new Map<string, string>();
-  private readonly prepared = new Map<string, string>();
+  private readonly prepared = new Map<
+    string,
+    {access: string; shape: string}
+  >();
+  private readonly connection: string;
+  /** Crashes of the database before this connection was opened. */
+  private readonly crashCount: number;
 
   private constructor(
     private readonly database: StandinDatabase,
     private readonly socket: Socket,
   ) {
+    this.connection = `${database.id}#${database.connectionsOpened}`;
+    this.crashCount = database.crashCount;
     socket.on('data', chunk => this.receive(chunk.toString('latin1')));
+    socket.on('close', () => {
+      this.processing = this.processing.then(() => this.endTransaction());
+    });
+  }
+
+  /** Whether the database has crashed since the connection was opened. */
+  private get isGone(): boolean {
+    return this.crashCount !== this.database.crashCount;
+  }
+
+  private endTransaction(): void {
+    if (this.transaction) {
+      this.database.group.onEvent({kind: 'ended', connection: this.connection});
+    }
+    this.transaction = undefined;
+    this.isFailed = false;
   }
 
   static serve(database: StandinDatabase, socket: Socket): void {
@@ -280,7 +340,7 @@
 
   private async handleLine(line: string): Promise<void> {
     const {group, id} = this.database;
-    if (this.database.isUnresponsive) return;
+    if (this.database.isUnresponsive || this.isGone) return;
     const [word, first, ...tail] = line.split(' ');
     if (word === 'START') {
       const [customer, expected] = tail;
@@ -321,18 +381,25 @@
         this.values.set(args[0], args.slice(1).join(' '));
         return this.sendDone();
       case 'PREPARE':
-        this.prepared.set(args[0], args[1]);
+        this.prepared.set(args[0], {
+          access: args[1],
+          shape: args.slice(2).join(' '),
+        });
         return this.sendDone();
       case 'BEGIN':
         if (args[0] !== 'READ' && !this.database.isPrimary) {
           this.send(`ERROR READONLY ${this.database.id}`);
           return this.sendReady();
         }
+        this.endTransaction();
         this.transaction = {readOnly: args[0] === 'READ', writes: []};
+        this.database.group.onEvent({
+          kind: 'begun',
+          connection: this.connection,
+        });
         return this.sendDone();
       case 'ROLLBACK':
-        this.transaction = undefined;
-        this.isFailed = false;
+        this.endTransaction();
         return this.sendDone();
       default:
         return this.runStatement(requestId, text, word, args);
@@ -358,31 +425,57 @@
     word: string,
     args: readonly string[],
   ): Promise<void> {
-    const access = word === 'EXECUTE' ? this.prepared.get(args[0]) : word;
-    if (access === undefined) return this.sendError('NOSTMT');
+    const prepared =
+      word === 'EXECUTE' ? this.prepared.get(args[0]) : undefined;
+    const access = word === 'EXECUTE' ? prepared?.access : word;
+    const {database, connection, customer} = this;
+    const {group} = database;
+    if (access === undefined) {
+      group.onEvent({kind: 'unknown_name', connection, requestId});
+      return this.sendError('NOSTMT');
+    }
     if (this.isFailed) return this.sendError('MALFORMED');
     const isInWriteTransaction = this.transaction && !this.transaction.readOnly;
     const isWrite = access === 'WRITE';
-    if (!this.database.isPrimary && (isWrite || isInWriteTransaction)) {
-      return this.sendError('READONLY');
-    }
+    const needsPrimary = isWrite || isInWriteTransaction === true;
+    if (!database.isPrimary && needsPrimary) return this.sendError('READONLY');
     await this.useSlot();
-    this.database.executedStatements.push({
-      database: this.database.id,
-      customer: this.customer,
+    if (this.isGone) return;
+    if (!database.isPrimary && needsPrimary) return this.sendError('READONLY');
+    const values = new Map(this.values);
+    database.executedStatements.push({
+      database: database.id,
+      customer,
       requestId,
       text,
-      values: new Map(this.values),
+      values,
       executedAtMs: performance.now(),
-      needsPrimary: isWrite || isInWriteTransaction === true,
+      needsPrimary,
     });
-    if (access === 'READ') {
-      const item = args[word === 'EXECUTE' ? 1 : 0];
-      const found = this.database.log.filter(c => c.item === item).at(-1);
-      this.send(`ROW ${found?.data ?? '-'}`);
-      return this.sendDone(`sig.${this.database.id}`);
+    const item = args[word === 'EXECUTE' ? 1 : 0];
+    const rows =
+      access === 'READ'
+        ? [database.log.findLast(c => c.item === item)?.data ?? '-']
+        : [];
+    const signature = `sig.${database.id}.${requestId}.${database.executedStatements.length}`;
+    group.onEvent({
+      kind: 'ran',
+      connection,
+      service: group.service,
+      customer,
+      requestId,
+      text,
+      values,
+      prepared: prepared && `${prepared.access} ${prepared.shape}`,
+      rows,
+      signature,
+    });
+    if (access !== 'READ') {
+      await this.write(requestId, word, args, access);
+      if (this.isGone) return;
     }
-    return this.write(requestId, word, args, access);
+    for (const row of rows) this.send(`ROW ${row}`);
+    this.sendDone(signature);
   }
 
   private async write(
@@ -392,26 +485,26 @@
     access: string,
   ): Promise<void> {
     const [item, data] = word === 'EXECUTE' ? args.slice(1) : args;
-    const transaction = this.transaction;
+    const {transaction, database} = this;
+    const {group} = database;
     const change = {term: 0, offset: 0, item, data, requestId};
     if (access === 'WRITE' && transaction) {
       transaction.writes.push(change);
-      return this.sendDone(`sig.${this.database.id}`);
+      return;
     }
     const changes =
       access === 'COMMIT' ? (transaction?.writes ?? []) : [change];
-    this.transaction = undefined;
-    for (const next of changes) {
-      const commit = {
-        ...next,
-        term: this.database.group.term,
-        offset: this.database.log.length + 1,
-      };
-      this.database.log.push(commit);
-      await this.database.group.replicate(this.database, commit);
-      this.database.group.acknowledged.push(commit);
-    }
-    this.sendDone(`sig.${this.database.id}`);
+    this.endTransaction();
+    const commits = changes.map((next, index) => ({
+      ...next,
+      term: group.term,
+      offset: database.log.length + 1 + index,
+    }));
+    database.log.push(...commits);
+    const last = commits.at(-1);
+    if (!last) return;
+    await group.replicate(database, last);
+    group.acknowledged.push(...commits);
   }
 
   /** Waits for a free slot and holds it for `executionMs`. */
--- /dev/null
+++ b/test/soak.test.ts
@@ -0,0 +1,251 @@
+/** Tests the judges of the fault soak, and runs a short soak. */
+import {mkdtempSync, rmSync} from 'node:fs';
+import {tmpdir} from 'node:os';
+import {join} from 'node:path';
+import {fileURLToPath} from 'node:url';
+import test from 'ava';
+import {Attempt, judgeCommits, Outcome} from '../soak/commit_judge.js';
+import {drawSchedule} from '../soak/fault_schedule.js';
+import {hasPassed, runSoak} from '../soak/soak_run.js';
+import {SentStatement, StatementJudge} from '../soak/statement_judge.js';
+import {DatabaseEvent, RanStatement} from './platform/standin_database.js';
+
+/** What callers sent: two transactions, of two customers, and a single read. */
+const SENT: readonly SentStatement[] = (
+  [
+    ['a1', 'WRITE x a1', 'ana', 'A'],
+    ['a2', 'READ x', 'ana', 'A'],
+    ['a3', 'COMMIT', 'ana', 'A'],
+    ['b1', 'WRITE y b1', 'bea', 'B'],
+    ['c1', 'READ x', 'ana', undefined],
+  ] as const
+).map(([id, text, customer, transaction]) => ({
+  id,
+  text,
+  service: 'orders',
+  customer,
+  front: 'front-1',
+  transaction,
+  values: new Map(customer === 'ana' ? [['one', '1']] : []),
+}));
+
+const begun = (connection: string): DatabaseEvent => ({
+  kind: 'begun',
+  connection,
+});
+const ended = (connection: string): DatabaseEvent => ({
+  kind: 'ended',
+  connection,
+});
+
+/** A statement that ran as it was sent, but for `changes`. */
+function ran(
+  id: string,
+  connection: string,
+  changes: Partial<RanStatement> = {},
+): RanStatement {
+  const statement = SENT.find(known => known.id === id) ?? SENT[0];
+  const {text, service, customer, values} = statement;
+  return {
+    kind: 'ran',
+    connection,
+    service,
+    customer,
+    requestId: id,
+    text,
+    values,
+    rows: [],
+    signature: `sig.${id}`,
+    ...changes,
+  };
+}
+
+/** Returns what the judge reports of a history. */
+function judge(history: readonly DatabaseEvent[]): string[] {
+  const findings: string[] = [];
+  const statementJudge = StatementJudge.create(({rule, kind}) =>
+    findings.push(`${rule}/${kind}`),
+  );
+  for (const statement of SENT) statementJudge.expect(statement);
+  for (const event of history) statementJudge.observe(event);
+  return findings;
+}
+
+/** Transaction A on one connection, B on another, and a read between. */
+const RIGHT: readonly DatabaseEvent[] = [
+  begun('1'),
+  ran('a1', '1'),
+  begun('2'),
+  ran('b1', '2'),
+  ran('c1', '3'),
+  ran('a2', '1'),
+  ran('a3', '1'),
+  ended('1'),
+  ended('2'),
+];
+
+test('the judge accepts a right history', t => {
+  t.deepEqual(judge(RIGHT), []);
+});
+
+test('the judge accepts a read in a transaction that is opened for it alone', t => {
+  t.deepEqual(judge([begun('1'), ran('c1', '1'), ended('1')]), []);
+});
+
+/** Wrong histories, and what the judge must report of each. */
+const MUTANTS: ReadonlyArray<
+  readonly [string, readonly DatabaseEvent[], readonly string[]]
+> = [
+  [
+    "a statement in another caller's transaction",
+    [begun('1'), ran('a1', '1'), begun('2'), ran('b1', '2'), ran('a2', '2')],
+    ['PINNED/inside_anothers'],
+  ],
+  [
+    "a first statement in another caller's transaction",
+    [begun('1'), ran('a1', '1'), ran('b1', '1', {customer: 'bea'})],
+    ['PINNED/inside_anothers'],
+  ],
+  [
+    "a single statement in another caller's transaction",
+    [begun('1'), ran('a1', '1'), ran('c1', '1')],
+    ['PINNED/inside_anothers'],
+  ],
+  [
+    'a statement after the end of its transaction',
+    [begun('1'), ran('a1', '1'), ended('1'), ran('a2', '1')],
+    ['PINNED/outside'],
+  ],
+  [
+    'a first statement outside a transaction',
+    [ran('a1', '1')],
+    ['PINNED/outside'],
+  ],
+  [
+    'a statement in a second transaction on its connection',
+    [begun('1'), ran('a1', '1'), ended('1'), begun('1'), ran('a2', '1')],
+    ['PINNED/outside'],
+  ],
+  [
+    'a statement on another connection than the first',
+    [begun('1'), ran('a1', '1'), begun('2'), ran('a2', '2')],
+    ['PINNED/other_connection'],
+  ],
+  [
+    'other values',
+    [ran('c1', '1', {values: new Map([['one', '2']])})],
+    ['PINNED/values'],
+  ],
+  ['missing values', [ran('c1', '1', {values: new Map()})], ['PINNED/values']],
+  [
+    'values that the session did not set',
+    [begun('1'), ran('b1', '1', {values: new Map([['one', '1']])})],
+    ['PINNED/values'],
+  ],
+  ['another shape', [ran('c1', '1', {prepared: 'READ s'})], ['PINNED/shape']],
+  [
+    'an unknown name',
+    [{kind: 'unknown_name', connection: '1', requestId: 'c1'}],
+    ['PINNED/unknown_name'],
+  ],
+  [
+    'a connection of another customer',
+    [ran('c1', '1', {customer: 'bea'})],
+    ['UNASKED/customer'],
+  ],
+  ['a changed text', [ran('c1', '1', {text: 'READ y'})], ['UNASKED/text']],
+  ['an unknown id', [ran('z9', '1')], ['UNASKED/not_sent']],
+  ['another service', [ran('c1', '1', {service: 'rota'})], ['ROUTE/service']],
+];
+
+for (const [name, history, expected] of MUTANTS) {
+  test(`the judge reports ${name}`, t => {
+    t.deepEqual(judge(history), expected);
+  });
+}
+
+test('the judge reports a success with other rows, or without the signature of its run', t => {
+  const findings: string[] = [];
+  const statementJudge = StatementJudge.create(({rule, kind}) =>
+    findings.push(`${rule}/${kind}`),
+  );
+  for (const statement of SENT) statementJudge.expect(statement);
+  statementJudge.observe(ran('c1', '1', {rows: ['1']}));
+  statementJudge.succeeded('c1', 'sig.c1', ['1']);
+  t.deepEqual(findings, []);
+  statementJudge.succeeded('c1', 'sig.c1', ['2']);
+  statementJudge.succeeded('c1', 'sig.c1', []);
+  statementJudge.succeeded('c1', 'sig.a1', ['1']);
+  statementJudge.succeeded('a2', 'sig.a2', []);
+  t.deepEqual(findings, [
+    'MIXED/rows',
+    'MIXED/rows',
+    'MIXED/signature',
+    'MIXED/signature',
+  ]);
+});
+
+/** Judges an attempt with two writes against a log of these writes. */
+function judgeAttempt(outcome: Outcome, log: readonly string[]): string[] {
+  const attempt: Attempt = {
+    front: 'front-1',
+    writes: ['a', 'b'],
+    outcome,
+    answer: '',
+  };
+  const changes = log.map((requestId, index) => ({
+    term: 1,
+    offset: index + 1,
+    item: 'x',
+    data: requestId,
+    requestId,
+  }));
+  return judgeCommits([attempt], changes).map(
+    ({rule, kind}) => `${rule}/${kind}`,
+  );
+}
+
+test('the judge of commits accepts what callers were told', t => {
+  t.deepEqual(judgeAttempt(Outcome.acknowledged, ['z', 'a', 'b']), []);
+  t.deepEqual(judgeAttempt(Outcome.promised, ['z']), []);
+  t.deepEqual(judgeAttempt(Outcome.notAsked, []), []);
+  t.deepEqual(judgeAttempt(Outcome.unknown, []), []);
+  t.deepEqual(judgeAttempt(Outcome.unknown, ['a', 'b']), []);
+});
+
+test('the judge of commits reports lost, kept, doubled and partial writes', t => {
+  t.deepEqual(judgeAttempt(Outcome.acknowledged, ['a']), ['LOST/commit']);
+  t.deepEqual(judgeAttempt(Outcome.acknowledged, []), ['LOST/commit']);
+  t.deepEqual(judgeAttempt(Outcome.promised, ['a', 'b']), ['REFUSED/kept']);
+  t.deepEqual(judgeAttempt(Outcome.notAsked, ['b']), ['UNASKED/commit']);
+  t.deepEqual(judgeAttempt(Outcome.unknown, ['a']), ['LOST/part']);
+  t.deepEqual(judgeAttempt(Outcome.acknowledged, ['a', 'b', 'a']), [
+    'TWICE/write',
+  ]);
+});
+
+test('a seed draws the same schedule each time', t => {
+  const targets = {fronts: 6, databases: 9, spares: 2};
+  const schedule = drawSchedule(7, 60_000, targets);
+  t.deepEqual(drawSchedule(7, 60_000, targets), schedule);
+  t.notDeepEqual(drawSchedule(8, 60_000, targets), schedule);
+  t.true(schedule.length > 40);
+});
+
+// Guards against a front that was started again under its name and ran
+// statements of transactions that its former process had opened.
+test('fronts that are killed and started again break no rule', async t => {
+  const folder = mkdtempSync(join(tmpdir(), 'mustardpass-soak-'));
+  const result = await runSoak({
+    seed: 1,
+    minutes: 0.25,
+    fronts: 4,
+    callersPerFront: 6,
+    program: fileURLToPath(new URL('../platform/main.js', import.meta.url)),
+    folder,
+  });
+  t.log(JSON.stringify(result), folder);
+  t.deepEqual(result.findings, {});
+  t.true(hasPassed(result));
+  rmSync(folder, {recursive: true});
+});
