--- a/soak/caller.ts
+++ b/soak/caller.ts
@@ -146,7 +146,8 @@
     const begun = await this.query(isReadOnly ? 'BEGIN READ' : 'BEGIN');
     if (begun.state !== 'T') return;
     const writes: string[] = [];
-    for (let left = random.between(1, 5); left > 0; left--) {
+    const length = random.between(1, 5);
+    for (let done = 0; done < length; done++) {
       const {id, isWrite, answer} = await this.runStatement(
         transaction,
         isReadOnly,
@@ -158,7 +159,7 @@
         if (!this.client.isEnded) await this.query('ROLLBACK');
         return;
       }
-      await pause(this.thinkMs());
+      if (!this.host.isOver()) await pause(this.thinkMs());
       if (random.chance(15)) await this.changeState();
     }
     if (this.client.isEnded || random.chance(15)) {
