--- a/soak/statement_judge.ts
+++ b/soak/statement_judge.ts
@@ -3,10 +3,7 @@
  * which session and transaction each statement id belongs to, and from the
  * databases what ran on which connection; it reads no log of a front.
  */
-import {
-  DatabaseEvent,
-  RanStatement,
-} from '../test/platform/standin_database.js';
+import {DatabaseEvent, RanStatement} from '../test/platform/standin_session.js';
 
 /** A statement as its caller sent it. */
 export interface SentStatement {
--- a/soak/world.ts
+++ b/soak/world.ts
@@ -1,10 +1,10 @@
 /** The platform of a run: store, services, and fronts as processes. */
 import {operatorConfig, until, ZONES} from '../test/platform/fleet_fixture.js';
 import {
-  DatabaseEvent,
   StandinDatabase,
   StandinGroup,
 } from '../test/platform/standin_database.js';
+import {DatabaseEvent} from '../test/platform/standin_session.js';
 import {StandinStore} from '../test/platform/standin_store.js';
 import {FrontProcess} from './front_process.js';
 
--- a/test/soak.test.ts
+++ b/test/soak.test.ts
@@ -8,7 +8,7 @@
 import {drawSchedule} from '../soak/fault_schedule.js';
 import {hasPassed, runSoak} from '../soak/soak_run.js';
 import {SentStatement, StatementJudge} from '../soak/statement_judge.js';
-import {DatabaseEvent, RanStatement} from './platform/standin_database.js';
+import {DatabaseEvent, RanStatement} from './platform/standin_session.js';
 
 /** What callers sent: two transactions, of two customers, and a single read. */
 const SENT: readonly SentStatement[] = (
