--- a/soak/fault_schedule.ts
+++ b/soak/fault_schedule.ts
@@ -11,6 +11,10 @@
   terminate: 'terminate',
   /** SIGSTOP, then SIGCONT. */
   freeze: 'freeze',
+  /** The connections that other fronts opened to a front are closed. */
+  cutPeers: 'cut_peers',
+  /** These connections go silent for good, but stay open; new ones work. */
+  silencePeers: 'silence_peers',
   /** All connections of a database are closed. */
   cutDatabase: 'cut_database',
   /** A database neither reads nor answers. */
@@ -46,6 +50,8 @@
   {kind: 'kill_twice', weight: 6, of: 'fronts', durationMs: [900, 3_000]},
   {kind: 'terminate', weight: 2, of: 'fronts', durationMs: [0, 0]},
   {kind: 'freeze', weight: 3, of: 'fronts', durationMs: [100, 2_500]},
+  {kind: 'cut_peers', weight: 2, of: 'fronts', durationMs: [0, 0]},
+  {kind: 'silence_peers', weight: 2, of: 'fronts', durationMs: [0, 0]},
   {kind: 'cut_database', weight: 2, of: 'databases', durationMs: [0, 0]},
   {
     kind: 'silence_database',
@@ -78,14 +84,15 @@
   readonly spares: number;
 }
 
-/** Returns the faults of a run, by time. */
+/** Returns the faults of a run, by time; only those of `kinds` if given. */
 export function drawSchedule(
   seed: number,
   lengthMs: number,
   targets: FaultTargets,
+  kinds: readonly string[] = Object.values(FaultKind),
 ): ScheduledFault[] {
   const random = Random.create(seed);
-  const bag = ODDS.flatMap(odds =>
+  const bag = ODDS.filter(({kind}) => kinds.includes(kind)).flatMap(odds =>
     new Array<FaultOdds>(odds.weight).fill(odds),
   );
   const faults: ScheduledFault[] = [];
--- a/soak/faults.ts
+++ b/soak/faults.ts
@@ -2,9 +2,7 @@
 import {frontEntryKey} from '../src/front/front_list.js';
 import {FaultKind, ScheduledFault} from './fault_schedule.js';
 import {FrontProcess} from './front_process.js';
-import {World} from './world.js';
-
-const FLEET_PREFIX = 'mustardpass/';
+import {FLEET_PREFIX, World} from './world.js';
 
 const pause = (ms: number): Promise<void> =>
   new Promise(resolve => setTimeout(resolve, ms));
@@ -37,6 +35,8 @@
     await pause(fault.durationMs);
     front.signal('SIGCONT');
   },
+  cut_peers: async (world, fault) => frontOf(world, fault).cutPeers(),
+  silence_peers: async (world, fault) => frontOf(world, fault).silencePeers(),
   cut_database: async (world, {target}) => {
     for (const socket of world.databases[target].sockets) socket.destroy();
   },
--- a/soak/front_process.ts
+++ b/soak/front_process.ts
@@ -2,11 +2,14 @@
 import {ChildProcess, spawn} from 'node:child_process';
 import {closeSync, openSync, writeFileSync} from 'node:fs';
 import {join} from 'node:path';
+import {PeerProxy} from './peer_proxy.js';
 import {ZONES} from '../test/platform/fleet_fixture.js';
 
 const CALLER_PORT = 8_465;
 const READY_PORT = 8_460;
-const PEER_PORTS = [7_560, 7_575];
+const PEER_PORTS = [7_560, 7_575] as const;
+/** Port of the relay through which other fronts reach a front. */
+export const PEER_PROXY_PORT = PEER_PORTS[1];
 
 export interface FrontProcessOptions {
   readonly name: string;
@@ -41,18 +44,35 @@
   cloud_api: {addr: `127.0.0.1:${storePort}`},
 });
 
-/** A named front and its present process, if any. */
+/** A named front, its present process, if any, and the relay to it. */
 export class FrontProcess {
   readonly callerPort = CALLER_PORT;
   /** How often a process of this name was started. */
   starts = 0;
   private child: ChildProcess | undefined;
+  private proxy: PeerProxy | undefined;
   private ended: Promise<void> = Promise.resolve();
 
   private constructor(private readonly options: FrontProcessOptions) {}
 
-  static create(options: FrontProcessOptions): FrontProcess {
-    return new FrontProcess(options);
+  static async create(options: FrontProcessOptions): Promise<FrontProcess> {
+    const front = new FrontProcess(options);
+    front.proxy = await PeerProxy.start(
+      options.host,
+      PEER_PROXY_PORT,
+      PEER_PORTS[0],
+    );
+    return front;
+  }
+
+  /** Closes the connections that other fronts have opened to this one. */
+  cutPeers(): void {
+    this.proxy?.cut();
+  }
+
+  /** Makes these connections silent; they stay open. */
+  silencePeers(): void {
+    this.proxy?.silence();
   }
 
   get name(): string {
@@ -101,6 +121,12 @@
     this.child?.kill(signal);
   }
 
+  /** Ends the process and the relay. */
+  async close(): Promise<void> {
+    await this.end('SIGKILL');
+    await this.proxy?.stop();
+  }
+
   /** Ends the present process; resolves once it is gone. */
   async end(signal: NodeJS.Signals): Promise<void> {
     this.signal(signal);
--- a/soak/run.ts
+++ b/soak/run.ts
@@ -16,6 +16,7 @@
   readonly minutes: number;
   readonly fronts: number;
   readonly callers: number;
+  readonly kinds?: string;
   readonly program: string;
   readonly logs: string;
   readonly keep?: boolean;
@@ -32,6 +33,7 @@
   .option('--minutes <n>', 'time of faults for each seed', {default: 1})
   .option('--fronts <n>', 'number of front processes', {default: 6})
   .option('--callers <n>', 'callers at each front', {default: 8})
+  .option('--kinds <list>', 'kinds of faults, by commas; all by default')
   .option('--program <path>', 'entry point of a front', {default: PROGRAM})
   .option('--logs <folder>', 'folder for logs', {default: 'target/soak'})
   .option('--keep', 'keep the logs of seeds that passed')
@@ -45,6 +47,7 @@
         minutes: Number(options.minutes),
         fronts: Number(options.fronts),
         callersPerFront: Number(options.callers),
+        kinds: options.kinds?.split(','),
         program: options.program,
         folder,
       });
--- a/soak/soak_run.ts
+++ b/soak/soak_run.ts
@@ -14,6 +14,8 @@
   readonly minutes: number;
   readonly fronts: number;
   readonly callersPerFront: number;
+  /** Kinds of faults; all by default. */
+  readonly kinds?: readonly string[];
   /** Entry point of a front. */
   readonly program: string;
   /** Folder for the logs of the processes and of the run. */
@@ -97,11 +99,13 @@
     }
   };
   process.once('exit', endProcesses);
-  const schedule = drawSchedule(seed, options.minutes * 60_000, {
+  const targets = {
     fronts: world.fronts.length,
     databases: world.databases.length,
     spares: world.spares.length,
-  });
+  };
+  const lengthMs = options.minutes * 60_000;
+  const schedule = drawSchedule(seed, lengthMs, targets, options.kinds);
   recorder.log('schedule', {...options, schedule});
   const callers = startCallers(options, world, judge, recorder);
   const progressTimer = setInterval(() => {
--- a/soak/world.ts
+++ b/soak/world.ts
@@ -6,10 +6,12 @@
 } from '../test/platform/standin_database.js';
 import {DatabaseEvent} from '../test/platform/standin_session.js';
 import {StandinStore} from '../test/platform/standin_store.js';
-import {FrontProcess} from './front_process.js';
+import {frontEntryKey} from '../src/front/front_list.js';
+import {FrontProcess, PEER_PROXY_PORT} from './front_process.js';
 
 export const CUSTOMERS = ['ana', 'bea', 'carla', 'dario'] as const;
 export const SERVICES = ['orders', 'claims', 'rota'] as const;
+export const FLEET_PREFIX = 'mustardpass/';
 /** Fronts that only join for a while. */
 const SPARE_COUNT = 2;
 const DATABASE_SLOTS = 3;
@@ -50,6 +52,15 @@
   return {version: 1, routes, services, tenants, limits};
 }
 
+/** Returns a front's entry with the port of the relay to it. */
+function withProxyPort(key: string, text: string): string {
+  if (!key.startsWith(frontEntryKey(FLEET_PREFIX, ''))) return text;
+  return JSON.stringify({
+    ...(JSON.parse(text) as object),
+    port: PEER_PROXY_PORT,
+  });
+}
+
 /** A started platform with its fronts. */
 export class World {
   private constructor(
@@ -71,10 +82,11 @@
     }
     const store = await StandinStore.start(groups);
     store.put('op/config', configuration());
+    store.rewriteOnRead = withProxyPort;
     const {frontCount, program, folder} = options;
     // Runs on one machine at the same time have different addresses.
     const network = 1 + (process.pid % 250);
-    const create = (name: string, index: number): FrontProcess =>
+    const create = (name: string, index: number): Promise<FrontProcess> =>
       FrontProcess.create({
         name,
         zone: ZONES[index % ZONES.length],
@@ -83,12 +95,14 @@
         storePort: store.port,
         folder,
       });
-    const fronts = Array.from({length: frontCount}, (_, index) =>
-      create(`front-${index + 1}`, index),
-    );
-    const spares = Array.from({length: SPARE_COUNT}, (_, index) =>
-      create(`spare-${index + 1}`, frontCount + index),
-    );
+    const fronts: FrontProcess[] = [];
+    for (let index = 0; index < frontCount; index++) {
+      fronts.push(await create(`front-${index + 1}`, index));
+    }
+    const spares: FrontProcess[] = [];
+    for (let index = 0; index < SPARE_COUNT; index++) {
+      spares.push(await create(`spare-${index + 1}`, frontCount + index));
+    }
     const world = new World(store, groups, fronts, spares);
     for (const front of fronts) front.start();
     await world.untilReady();
@@ -109,7 +123,7 @@
 
   async stop(): Promise<void> {
     const processes = [...this.fronts, ...this.spares];
-    await Promise.all(processes.map(front => front.end('SIGKILL')));
+    await Promise.all(processes.map(front => front.close()));
     for (const group of this.groups) await group.stop();
     await this.store.stop();
   }
--- a/test/platform/standin_store.ts
+++ b/test/platform/standin_store.ts
@@ -63,6 +63,8 @@
     holder: string;
     fencingToken: number;
   }> = [];
+  /** Changes the text of items as clients read them. */
+  rewriteOnRead: (key: string, text: string) => string = (_, text) => text;
   private revision = 1;
   private compactedRevision = 0;
   private readonly items = new Map<string, Item>();
@@ -270,12 +272,19 @@
       .filter(item => item.key.startsWith(prefix) && item.key > after)
       .sort((a, b) => (a.key < b.key ? -1 : 1));
     answer(200, {
-      items: found.slice(0, pageSize),
+      items: found.slice(0, pageSize).map(item => this.asRead(item)),
       has_more: found.length > pageSize,
       as_of: this.revision,
     });
   }
 
+  private asRead(item: Item): Item {
+    const text = Buffer.from(item.value, 'base64').toString();
+    const rewritten = this.rewriteOnRead(item.key, text);
+    if (rewritten === text) return item;
+    return {...item, value: Buffer.from(rewritten).toString('base64')};
+  }
+
   private watch(
     url: URL,
     answer: (status: number, body: object) => void,
@@ -292,7 +301,12 @@
         event => event.revision > after && event.key.startsWith(prefix),
       );
       if (events.length > 0 || isTimedOut)
-        end(200, {events, as_of: this.revision});
+        end(200, {
+          events: events.map(event =>
+            'value' in event ? this.asRead(event) : event,
+          ),
+          as_of: this.revision,
+        });
     };
     const end = (status: number, body: object): void => {
       clearTimeout(timer);
