--- a/test/platform/standin_database.ts
+++ b/test/platform/standin_database.ts
@@ -5,6 +5,7 @@
  * Logs, executed statements and acknowledged commits are kept for assertions.
  */
 import {createServer, Server, Socket} from 'node:net';
+import {DatabaseEvent, StandinSession} from './standin_session.js';
 
 /** A write in the log; `term` and `offset` are its log position. */
 export interface CommittedChange {
@@ -39,14 +40,6 @@
   return last ? `${last.term}.${last.offset}` : `${term}.0`;
 };
 
-const isAtLeast = (position: string, minimum: string): boolean => {
-  const [term, offset] = position.split('.').map(Number);
-  const [minimumTerm, minimumOffset] = minimum.split('.').map(Number);
-  return (
-    term > minimumTerm || (term === minimumTerm && offset >= minimumOffset)
-  );
-};
-
 /**
  * A database with its own log and server; `start` after `crash` serves the kept
  * log on the same port.
@@ -56,6 +49,8 @@
   readonly executedStatements: ExecutedStatement[] = [];
   readonly sockets = new Set<Socket>();
   connectionsOpened = 0;
+  /** How often the database crashed. */
+  crashCount = 0;
   port = 0;
   isPrimary = false;
   isPaused = false;
@@ -76,6 +71,7 @@
   ) {}
 
   async start(): Promise<void> {
+    this.isPaused = false;
     this.server = createServer(socket => this.accept(socket));
     await new Promise<void>(resolve =>
       this.server?.listen(this.port, '127.0.0.1', resolve),
@@ -85,6 +81,7 @@
 
   /** Closes the server and all connections; the log is kept. */
   async crash(): Promise<void> {
+    this.crashCount++;
     for (const socket of this.sockets) socket.destroy();
     const {server} = this;
     this.server = undefined;
@@ -111,7 +108,7 @@
       cold_left_ms: 0,
       db_role: this.isPrimary ? 'primary' : 'replica',
       seq: 1,
-      born: 1,
+      born: 1 + this.crashCount,
     };
   }
 
@@ -139,6 +136,8 @@
   /** Time when the last promotion took effect, by `performance.now()`. */
   promotedAtMs = Infinity;
   onRoleChange: () => void = () => undefined;
+  /** Receives what the group's databases do, in order. */
+  onEvent: (event: DatabaseEvent) => void = () => undefined;
   /**
    * Commits that a replica has, so that the primary may report success to the
    * client.
@@ -181,16 +180,15 @@
   replicate(from: StandinDatabase, commit: CommittedChange): Promise<void> {
     return new Promise(resolve => {
       const send = (): void => {
+        if (!from.isRunning) return;
         let isReplicated = false;
         for (const database of this.databases) {
           if (database === from || database.isPaused || !database.isRunning) {
             continue;
           }
-          const isInLog = database.log.some(c => c.offset === commit.offset);
-          if (!isInLog && database.log.length === commit.offset - 1) {
-            database.log.push(commit);
-          }
-          isReplicated ||= database.log.some(c => c === commit);
+          const known = database.log.length;
+          database.log.push(...from.log.slice(known, commit.offset));
+          isReplicated ||= database.log[commit.offset - 1] === commit;
         }
         if (isReplicated) resolve();
         else if (from.isPrimary) setTimeout(send, this.lagMs);
@@ -225,204 +223,3 @@
     await Promise.all(this.databases.map(database => database.crash()));
   }
 }
-
-/** Serves one connection; handles its lines in sequence. */
-class StandinSession {
-  private customer = '';
-  private partialLine = '';
-  private processing: Promise<void> = Promise.resolve();
-  private transaction:
-    {readOnly: boolean; writes: CommittedChange[]} | undefined;
-  private isFailed = false;
-  private readonly values = new Map<string, string>();
-  private readonly prepared = new Map<string, string>();
-
-  private constructor(
-    private readonly database: StandinDatabase,
-    private readonly socket: Socket,
-  ) {
-    socket.on('data', chunk => this.receive(chunk.toString('latin1')));
-  }
-
-  static serve(database: StandinDatabase, socket: Socket): void {
-    new StandinSession(database, socket);
-  }
-
-  private receive(text: string): void {
-    const lines = (this.partialLine + text).split('\r\n');
-    this.partialLine = lines.pop() ?? '';
-    for (const line of lines) {
-      this.processing = this.processing.then(() => this.handleLine(line));
-    }
-  }
-
-  private send(line: string): void {
-    if (!this.database.isUnresponsive && !this.database.dropsResponses) {
-      this.socket.write(`${line}\r\n`, 'latin1');
-    }
-  }
-
-  private sendReady(): void {
-    const state = this.isFailed ? 'E' : this.transaction ? 'T' : 'I';
-    this.send(`READY ${state} ${this.database.position}`);
-  }
-
-  private sendError(code: string): void {
-    if (this.transaction) this.isFailed = true;
-    this.send(`ERROR ${code} ${this.database.id}`);
-    this.sendReady();
-  }
-
-  private sendDone(signature = '-'): void {
-    this.send(`DONE ${signature}`);
-    this.sendReady();
-  }
-
-  private async handleLine(line: string): Promise<void> {
-    const {group, id} = this.database;
-    if (this.database.isUnresponsive) return;
-    const [word, first, ...tail] = line.split(' ');
-    if (word === 'START') {
-      const [customer, expected] = tail;
-      this.customer = customer;
-      const isMisrouted =
-        first !== group.service || (expected && expected !== id);
-      if (isMisrouted) return void this.send(`ERROR MISROUTED ${id}`);
-      if (this.database.sockets.size > group.maxConnections) {
-        return void this.send(`ERROR TOOMANY ${id}`);
-      }
-      return this.sendReady();
-    }
-    if (word === 'QUERY') await this.handleQuery(first, tail.join(' '));
-    if (word === 'BYE') this.socket.end();
-  }
-
-  private async handleQuery(requestId: string, full: string): Promise<void> {
-    let text = full;
-    if (text.startsWith('AFTER ')) {
-      const [, minimum, ...rest] = text.split(' ');
-      text = rest.join(' ');
-      if (!isAtLeast(this.database.position, minimum)) {
-        return this.sendError('LAGGING');
-      }
-    }
-    const [word, ...args] = text.split(' ');
-    switch (word) {
-      case 'STATUS':
-      case 'PAUSE':
-      case 'RESUME':
-      case 'STEPDOWN':
-        return this.runControl(word);
-      case 'RESET':
-        this.values.clear();
-        this.prepared.clear();
-        return this.sendDone();
-      case 'SET':
-        this.values.set(args[0], args.slice(1).join(' '));
-        return this.sendDone();
-      case 'PREPARE':
-        this.prepared.set(args[0], args[1]);
-        return this.sendDone();
-      case 'BEGIN':
-        if (args[0] !== 'READ' && !this.database.isPrimary) {
-          this.send(`ERROR READONLY ${this.database.id}`);
-          return this.sendReady();
-        }
-        this.transaction = {readOnly: args[0] === 'READ', writes: []};
-        return this.sendDone();
-      case 'ROLLBACK':
-        this.transaction = undefined;
-        this.isFailed = false;
-        return this.sendDone();
-      default:
-        return this.runStatement(requestId, text, word, args);
-    }
-  }
-
-  private runControl(word: string): void {
-    if (word === 'PAUSE') this.database.isPaused = true;
-    if (word === 'RESUME') this.database.isPaused = false;
-    if (word === 'STEPDOWN' && this.database.group.acceptsStepDown) {
-      this.database.isPrimary = false;
-      this.database.group.onRoleChange();
-    }
-    const {isPrimary, position, group} = this.database;
-    const role = isPrimary ? 'primary' : 'replica';
-    this.send(`ROW ${role} ${group.term} ${position} ${group.term} 0 0 1`);
-    this.sendDone();
-  }
-
-  private async runStatement(
-    requestId: string,
-    text: string,
-    word: string,
-    args: readonly string[],
-  ): Promise<void> {
-    const access = word === 'EXECUTE' ? this.prepared.get(args[0]) : word;
-    if (access === undefined) return this.sendError('NOSTMT');
-    if (this.isFailed) return this.sendError('MALFORMED');
-    const isInWriteTransaction = this.transaction && !this.transaction.readOnly;
-    const isWrite = access === 'WRITE';
-    if (!this.database.isPrimary && (isWrite || isInWriteTransaction)) {
-      return this.sendError('READONLY');
-    }
-    await this.useSlot();
-    this.database.executedStatements.push({
-      database: this.database.id,
-      customer: this.customer,
-      requestId,
-      text,
-      values: new Map(this.values),
-      executedAtMs: performance.now(),
-      needsPrimary: isWrite || isInWriteTransaction === true,
-    });
-    if (access === 'READ') {
-      const item = args[word === 'EXECUTE' ? 1 : 0];
-      const found = this.database.log.filter(c => c.item === item).at(-1);
-      this.send(`ROW ${found?.data ?? '-'}`);
-      return this.sendDone(`sig.${this.database.id}`);
-    }
-    return this.write(requestId, word, args, access);
-  }
-
-  private async write(
-    requestId: string,
-    word: string,
-    args: readonly string[],
-    access: string,
-  ): Promise<void> {
-    const [item, data] = word === 'EXECUTE' ? args.slice(1) : args;
-    const transaction = this.transaction;
-    const change = {term: 0, offset: 0, item, data, requestId};
-    if (access === 'WRITE' && transaction) {
-      transaction.writes.push(change);
-      return this.sendDone(`sig.${this.database.id}`);
-    }
-    const changes =
-      access === 'COMMIT' ? (transaction?.writes ?? []) : [change];
-    this.transaction = undefined;
-    for (const next of changes) {
-      const commit = {
-        ...next,
-        term: this.database.group.term,
-        offset: this.database.log.length + 1,
-      };
-      this.database.log.push(commit);
-      await this.database.group.replicate(this.database, commit);
-      this.database.group.acknowledged.push(commit);
-    }
-    this.sendDone(`sig.${this.database.id}`);
-  }
-
-  /** Waits for a free slot and holds it for `executionMs`. */
-  private async useSlot(): Promise<void> {
-    const {database} = this;
-    while (database.usedSlots >= database.group.slots) {
-      await new Promise<void>(resolve => database.slotWaiters.push(resolve));
-    }
-    database.usedSlots++;
-    await new Promise(resolve => setTimeout(resolve, database.executionMs));
-    database.usedSlots--;
-    database.slotWaiters.shift()?.();
-  }
-}
