Answer the commit of a transaction that was lost between statements with an error

A transaction whose lane was lost while its caller paused (the owner of the pools killed and started again, a connection closed by the database) is noted in the session. If the caller's next statement was the COMMIT, it got the tag ROLLBACK without an error, as PostgreSQL answers in a failed transaction; but there the caller has had an error before.

The COMMIT now ends in transaction_lost (40000, not run) if no error has told the caller before; ROLLBACK, and COMMIT after such an error, are as they were.

--- a/src/core/request.ts
+++ b/src/core/request.ts
@@ -13,6 +13,8 @@
       readonly mayCommit: boolean;
       /** Whether the batch ends a transaction that was open before it. */
       readonly endsTransaction: boolean;
+      /** Whether it ends that transaction by a commit. */
+      readonly commitsTransaction: boolean;
     };
 
 const isLocal = (statement: Statement): boolean =>
@@ -38,12 +40,14 @@
     };
   }
   const access = statements.every(isReadAccess) ? 'read' : 'write';
+  const end = statements.find(entry => entry.kind === 'end');
   const onlyBegins = statements.every(entry => entry.kind === 'begin');
   return {
     kind: 'run',
     access,
     mayCommit: access === 'write' && !onlyBegins,
-    endsTransaction: statements.some(entry => entry.kind === 'end'),
+    endsTransaction: end !== undefined,
+    commitsTransaction: end?.kind === 'end' && end.commits,
   };
 }
 
--- a/src/core/sql.ts
+++ b/src/core/sql.ts
@@ -18,7 +18,8 @@
   | {readonly kind: 'read'}
   | {readonly kind: 'write'}
   | {readonly kind: 'begin'; readonly readOnly: boolean}
-  | {readonly kind: 'end'}
+  /** `commits` is false for a rollback. */
+  | {readonly kind: 'end'; readonly commits: boolean}
   | {readonly kind: 'set'; readonly name: string; readonly value: string}
   | {readonly kind: 'show'; readonly name: string}
   | {readonly kind: 'discard'}
@@ -37,7 +38,6 @@
 
 const READ: Statement = {kind: 'read'};
 const WRITE: Statement = {kind: 'write'};
-const END: Statement = {kind: 'end'};
 const refused = (reason: string): Statement => ({kind: 'refused', reason});
 
 const CURSOR_WITH_HOLD = 0x20;
@@ -121,7 +121,9 @@
       return {kind: 'begin', readOnly: isReadOnly(body)};
     case 'TRANS_STMT_COMMIT':
     case 'TRANS_STMT_ROLLBACK':
-      return body.chain ? WRITE : END;
+      return body.chain
+        ? WRITE
+        : {kind: 'end', commits: body.kind === 'TRANS_STMT_COMMIT'};
     case 'TRANS_STMT_PREPARE':
     case 'TRANS_STMT_COMMIT_PREPARED':
     case 'TRANS_STMT_ROLLBACK_PREPARED':
--- a/src/proxy/session.ts
+++ b/src/proxy/session.ts
@@ -60,6 +60,11 @@
   message: 'current transaction is aborted; commands are ignored until its end',
 };
 
+const LOST_BEFORE_COMMIT: Failure = {
+  kind: 'transaction_lost',
+  message: 'the transaction was lost before its commit',
+};
+
 /** The session of a connected caller. */
 export class Session implements LaneSink {
   private readonly reader: FrameReader;
@@ -83,6 +88,8 @@
    * to end it.
    */
   private isTransactionLost = false;
+  /** Whether no error has told the caller that its transaction is lost. */
+  private isLossUntold = false;
   /** Whether an error was sent, so that messages up to Sync are skipped. */
   private isSkipping = false;
   /** Whether a batch ended with Flush and no ReadyForQuery has followed. */
@@ -208,7 +215,7 @@
   onFailure(reason: Failure): void {
     this.lane = undefined;
     if (this.currentBatch || this.isSyncPending) this.answerFailure(reason);
-    else this.isTransactionLost = true;
+    else this.isTransactionLost = this.isLossUntold = true;
     this.onChunkEnd();
   }
 
@@ -314,6 +321,10 @@
     }
     this.isTransactionLost = false;
     this.status = 'I';
+    // Clients take any answer to a commit but an error for its success.
+    if (plan.commitsTransaction && this.isLossUntold) {
+      return this.reject(LOST_BEFORE_COMMIT);
+    }
     this.output.push(...answerLocally(batch, 'ROLLBACK'));
     this.finishLocally(batch);
   }
@@ -436,6 +447,7 @@
       return this.terminate(reason);
     }
     if (this.status !== 'I') this.isTransactionLost = true;
+    this.isLossUntold = false;
     this.parseVisible = [];
     this.isSyncPending = false;
     this.output.push(failureFrame(reason));
--- a/test/lanes.test.ts
+++ b/test/lanes.test.ts
@@ -69,6 +69,30 @@
   },
 );
 
+// Guards against a commit that is answered without an error after its transaction
+// was lost.
+test.serial('the commit of a transaction that was lost fails', async t => {
+  const fleet = await LocalFleet.create({proxies: 1});
+  try {
+    const client = await connectClient(fleet);
+    const {primary} = fleet.group(SERVICE);
+    for (const end of ['COMMIT', 'ROLLBACK']) {
+      await client.query('BEGIN');
+      await client.query(`INSERT INTO t (id) VALUES ('${end}')`);
+      primary.kill();
+      primary.restart();
+      await delay(50);
+      const sqlState = await sqlStateOf(client.query(end));
+      t.is(sqlState, end === 'COMMIT' ? '40000' : undefined);
+    }
+    await client.query("INSERT INTO t (id) VALUES ('after')");
+    t.deepEqual(fleet.group(SERVICE).committedIds('t'), ['after']);
+    await client.end();
+  } finally {
+    await fleet.close();
+  }
+});
+
 // Guards against a cancel request that ends the statement of the next caller on
 // the connection.
 for (const cancelDelayMs of [150, 1_200]) {
