Judge in the stand-in databases whose transaction a statement runs in

Callers name themselves and their transaction in a comment at the start of a statement; the stand-in compares it with the transaction that is open on the connection, in the order in which statements run, and reports each statement in the transaction of another, outside its own, or of no transaction inside one. 'mustardpass standin' prints violations, and the sums at its end.

--- a/src/cli/standin_command.ts
+++ b/src/cli/standin_command.ts
@@ -5,6 +5,7 @@
 import {StoreKey} from '../store/store.js';
 import {StandinGroup} from '../standin/group.js';
 import {StandinPlatform} from '../standin/platform.js';
+import {describeViolation} from '../standin/transaction_judge.js';
 import {ExitCode} from './main.js';
 
 type Options = Readonly<Record<string, unknown>>;
@@ -34,7 +35,7 @@
   const platform = await StandinPlatform.create({
     port: Number(options.platformPort),
   });
-  const groups = await startGroups(options);
+  const groups = await startGroups(options, printLine);
   platform.put(StoreKey.config, JSON.stringify(createConfig(groups)));
   if (typeof options.vms === 'string') {
     platform.put(StoreKey.vms, readFileSync(options.vms, 'utf8'));
@@ -50,12 +51,24 @@
     process.once('SIGTERM', resolve);
     process.once('SIGINT', resolve);
   });
+  printLine(describeJudgement(groups));
   await Promise.all(groups.map(group => group.close()));
   await platform.close();
   return ExitCode.ok;
 }
 
-async function startGroups(options: Options): Promise<StandinGroup[]> {
+/** Reports on the statements that name their caller. */
+function describeJudgement(groups: readonly StandinGroup[]): string {
+  const servers = groups.flatMap(group => group.servers);
+  const tagged = servers.reduce((n, server) => n + server.taggedStatements, 0);
+  const wrong = servers.reduce((n, server) => n + server.violations.length, 0);
+  return `${tagged} tagged statements, ${wrong} in a wrong transaction`;
+}
+
+async function startGroups(
+  options: Options,
+  printLine: (line: string) => void,
+): Promise<StandinGroup[]> {
   const groups: StandinGroup[] = [];
   for (let i = 0; i < Number(options.services); i++) {
     groups.push(
@@ -66,6 +79,7 @@
         ...GROUP_LIMITS,
         lagMs: Number(options.lagMs),
         basePort: Number(options.basePort) + i * DATABASES_PER_GROUP,
+        onViolation: violation => printLine(describeViolation(violation)),
       }),
     );
   }
--- a/src/standin/backend_session.ts
+++ b/src/standin/backend_session.ts
@@ -34,6 +34,12 @@
   SqlError,
   Value,
 } from './sql_engine.js';
+import {
+  readTag,
+  StatementTag,
+  TransactionJudge,
+  Violation,
+} from './transaction_judge.js';
 
 const MAX_FRAME_BYTES = 64 * 1024 * 1024;
 const ROWS_PER_WRITE = 256;
@@ -43,6 +49,9 @@
   readonly database: StandinDatabase;
   readonly options: {readonly findDatabase: FindDatabase};
   executedStatements: number;
+  /** Statements that name their caller. */
+  taggedStatements: number;
+  recordViolation(violation: Violation): void;
   acquireSlot(): Promise<void>;
   releaseSlot(): void;
 }
@@ -53,11 +62,13 @@
 
 interface Portal {
   readonly node: Node | undefined;
+  readonly tag: StatementTag | undefined;
   readonly parameters: readonly Value[];
 }
 
 interface Statement {
   readonly node: Node | undefined;
+  readonly tag: StatementTag | undefined;
 }
 
 interface Message {
@@ -75,6 +86,7 @@
   private readonly received: Message[] = [];
   private readonly statements = new Map<string, Statement>();
   private readonly portals = new Map<string, Portal>();
+  private readonly judge = TransactionJudge.create();
   private isProcessing = false;
   private hasStoppedResponding = false;
   private isSkippingToSync = false;
@@ -209,9 +221,10 @@
 
   private async simpleQuery(text: string): Promise<void> {
     const nodes = parseStatements(text);
+    const tag = readTag(text);
     if (nodes.length === 0) this.send(emptyFrame(FrameCode.emptyQuery));
     for (const node of nodes) {
-      const outcome = await this.run(node, []);
+      const outcome = await this.run(node, [], tag);
       if (outcome.result.columns.length > 0) {
         this.send(rowDescriptionFrame(outcome.result.columns));
       }
@@ -223,15 +236,16 @@
   private async run(
     node: Node,
     parameters: readonly Value[],
+    tag: StatementTag | undefined,
   ): Promise<StatementOutcome> {
     const isControl = Boolean(node.TransactionStmt) || callsGroupFunction(node);
     const serviceTimeMs = this.server.database.serviceTimeMs;
-    if (isControl) return this.session.run(node, parameters);
+    if (isControl) return this.runJudged(node, parameters, tag);
     await this.server.acquireSlot();
     this.server.executedStatements++;
     try {
       await delay(serviceTimeMs);
-      const outcome = this.session.run(node, parameters);
+      const outcome = this.runJudged(node, parameters, tag);
       if (outcome.sleepMs > 0) await this.sleep(outcome.sleepMs);
       this.committedPosition = outcome.position ?? this.committedPosition;
       return outcome;
@@ -240,6 +254,23 @@
     }
   }
 
+  private runJudged(
+    node: Node,
+    parameters: readonly Value[],
+    tag: StatementTag | undefined,
+  ): StatementOutcome {
+    if (tag) this.server.taggedStatements++;
+    const place = {
+      database: this.server.database.name,
+      connection: this.processId,
+      isInTransaction: this.session.status !== 'I',
+      isBegin: isBegin(node),
+    };
+    const violation = this.judge.judge(place, tag);
+    if (violation) this.server.recordViolation(violation);
+    return this.session.run(node, parameters);
+  }
+
   private async sleep(ms: number): Promise<void> {
     this.isCancelRequested = false;
     await new Promise<void>(resolve => {
@@ -283,7 +314,8 @@
   private parse(body: Buffer): void {
     const [name, textAt] = readCString(body, 0);
     const [text] = readCString(body, textAt);
-    this.statements.set(name, {node: parseStatements(text)[0]});
+    const tag = readTag(text);
+    this.statements.set(name, {node: parseStatements(text)[0], tag});
     this.send(emptyFrame(FrameCode.parseComplete));
   }
 
@@ -295,7 +327,7 @@
       throw SqlError.create('26000', `no prepared statement "${name}"`);
     }
     const parameters = readParameters(body, formatsAt);
-    this.portals.set(portal, {node: statement.node, parameters});
+    this.portals.set(portal, {...statement, parameters});
     this.send(emptyFrame(FrameCode.bindComplete));
   }
 
@@ -332,10 +364,14 @@
       this.send(emptyFrame(FrameCode.emptyQuery));
       return;
     }
-    await this.sendRows(await this.run(portal.node, portal.parameters));
+    const {node, parameters, tag} = portal;
+    await this.sendRows(await this.run(node, parameters, tag));
   }
 }
 
+const isBegin = (node: Node): boolean =>
+  ['TRANS_STMT_BEGIN', 'TRANS_STMT_START'].includes(node.TransactionStmt?.kind);
+
 const callsGroupFunction = (node: Node): boolean =>
   String(
     node.SelectStmt?.targetList?.[0]?.ResTarget?.val?.FuncCall?.funcname?.[0]
--- a/src/standin/database_server.ts
+++ b/src/standin/database_server.ts
@@ -8,6 +8,7 @@
 import {BackendSession, delay} from './backend_session.js';
 import {StandinDatabase} from './database.js';
 import {FindDatabase} from './database_session.js';
+import {Violation} from './transaction_judge.js';
 
 const CANCEL_REQUEST_CODE = 80_877_102;
 
@@ -18,6 +19,8 @@
   readonly password?: string;
   /** Called with all bytes that clients send, for tests that search them. */
   readonly onBytesReceived?: (chunk: Buffer) => void;
+  /** Called with each statement that ran in a wrong transaction. */
+  readonly onViolation?: (violation: Violation) => void;
 }
 
 /** Serves one stand-in database over TCP on a port of 127.0.0.1. */
@@ -33,6 +36,10 @@
   refusedConnections = 0;
   /** Number of statements, without group functions and transaction control. */
   executedStatements = 0;
+  /** Number of statements that name their caller, all of which are judged. */
+  taggedStatements = 0;
+  /** Statements that ran in a wrong transaction. */
+  readonly violations: Violation[] = [];
 
   private constructor(
     readonly options: DatabaseServerOptions,
@@ -86,6 +93,11 @@
     await new Promise(resolve => this.server.close(resolve));
   }
 
+  recordViolation(violation: Violation): void {
+    this.violations.push(violation);
+    this.options.onViolation?.(violation);
+  }
+
   /** Resolves once the statement has an execution slot, in arrival order. */
   async acquireSlot(): Promise<void> {
     if (this.usedSlots < this.database.options.slots) {
--- a/src/standin/group.ts
+++ b/src/standin/group.ts
@@ -6,6 +6,7 @@
 import {DatabaseConfig} from '../core/config.js';
 import {DatabaseOptions, StandinDatabase} from './database.js';
 import {DatabaseServer} from './database_server.js';
+import {Violation} from './transaction_judge.js';
 
 /** Options of a group; see `DatabaseOptions` for those of each database. */
 export interface GroupOptions {
@@ -25,6 +26,8 @@
   /** First of consecutive ports, one for each database; free if undefined. */
   readonly basePort?: number;
   readonly onBytesReceived?: (chunk: Buffer) => void;
+  /** Called with each statement that ran in a wrong transaction. */
+  readonly onViolation?: (violation: Violation) => void;
 }
 
 const REPLICATION_INTERVAL_MS = 5;
@@ -49,6 +52,7 @@
           findDatabase,
           password: options.password,
           onBytesReceived: options.onBytesReceived,
+          onViolation: options.onViolation,
           port: options.basePort && options.basePort + index,
         }),
       );
