Do not set the window of a connection between VMs that was closed meanwhile

The process died of ERR_HTTP2_INVALID_SESSION, seen once in test/demo.test.ts. HTTP/2 schedules its connect event when TLS is established; a session that is closed before the event is delivered gets it all the same, and the handler set its window size. It now asks whether the session was destroyed.

The test closes the client at that moment; before, it ended in the same uncaught exception.

--- a/src/peer/client.ts
+++ b/src/peer/client.ts
@@ -102,6 +102,8 @@
     session.once('close', () => clearTimeout(timer));
     session.once('connect', () => {
       clearTimeout(timer);
+      // The session may have been destroyed since the event was scheduled.
+      if (session.destroyed) return;
       session.setLocalWindowSize(SESSION_WINDOW_BYTES);
     });
     this.session = session;
--- /dev/null
+++ b/test/peers.test.ts
@@ -0,0 +1,67 @@
+import tls from 'node:tls';
+import {syncBuiltinESMExports} from 'node:module';
+import test from 'ava';
+import {JSONRPCServer} from 'json-rpc-2.0';
+import {PeerClient} from '../src/peer/client.js';
+import {PeerServer} from '../src/peer/server.js';
+
+const SECRETS = ['fleet-secret'];
+const MAX_FRAME_BYTES = 65_536;
+
+async function createServer(): Promise<PeerServer> {
+  const rpc = new JSONRPCServer();
+  rpc.addMethod('ping', () => 'pong');
+  return PeerServer.create({
+    host: '127.0.0.1',
+    port: 0,
+    secrets: SECRETS,
+    rpc,
+    executor: {
+      open: () => {
+        throw new Error('no lane is expected');
+      },
+    },
+    maxFrameBytes: MAX_FRAME_BYTES,
+  });
+}
+
+const createClient = (port: number): PeerClient =>
+  PeerClient.create({
+    vm: 'vm-2',
+    address: {host: '127.0.0.1', port},
+    secrets: SECRETS,
+    maxFrameBytes: MAX_FRAME_BYTES,
+  });
+
+/** Calls back between the end of the TLS handshake and HTTP/2's `connect`. */
+function interceptConnect(callback: () => void): () => void {
+  const {connect} = tls;
+  tls.connect = ((...args: Parameters<typeof connect>) => {
+    const socket = connect(...args);
+    socket.once('secureConnect', () => process.nextTick(callback));
+    return socket;
+  }) as typeof connect;
+  syncBuiltinESMExports();
+  return () => {
+    tls.connect = connect;
+    syncBuiltinESMExports();
+  };
+}
+
+// Guards against the end of the process by ERR_HTTP2_INVALID_SESSION, as in the
+// demo (issue 19).
+test.serial('a connection may be closed just before it is ready', async t => {
+  const server = await createServer();
+  const client = createClient(server.port);
+  const restore = interceptConnect(() => client.close());
+  try {
+    await t.throwsAsync(client.call('ping', {}, 500));
+    const next = createClient(server.port);
+    restore();
+    t.is(await next.call('ping', {}, 500), 'pong');
+    next.close();
+  } finally {
+    restore();
+    await server.close();
+  }
+});
