--- a/soak/front_process.ts
+++ b/soak/front_process.ts
@@ -7,6 +7,10 @@
 
 const CALLER_PORT = 8_465;
 const READY_PORT = 8_460;
+/** Time in which a front must stop after SIGTERM. */
+const GRACE_S = 4;
+/** Longer than the grace period, as a frozen process handles no signal. */
+const STOP_LIMIT_MS = 8_000;
 const PEER_PORTS = [7_560, 7_575] as const;
 /** Port of the relay through which other fronts reach a front. */
 export const PEER_PROXY_PORT = PEER_PORTS[1];
@@ -20,6 +24,8 @@
   readonly storePort: number;
   /** Folder of settings files and logs. */
   readonly folder: string;
+  /** Called when a process ends by itself, or does not stop in time. */
+  readonly onFailure: (kind: string, details: object) => void;
 }
 
 /** The settings file; JSON is valid YAML. */
@@ -39,7 +45,7 @@
   port_range: PEER_PORTS,
   bootstrap: isFirstStart,
   beat_interval_ms: 1_000,
-  bounds: {revoke_ms: 5_000, grace_s: 4, require_fence: true},
+  bounds: {revoke_ms: 5_000, grace_s: GRACE_S, require_fence: true},
   platform: {addr: `127.0.0.1:${storePort}`, min_ttl_ms: 500},
   cloud_api: {addr: `127.0.0.1:${storePort}`},
 });
@@ -52,6 +58,8 @@
   private child: ChildProcess | undefined;
   private proxy: PeerProxy | undefined;
   private ended: Promise<void> = Promise.resolve();
+  /** Whether the present process was told to end. */
+  private isEnding = false;
 
   private constructor(private readonly options: FrontProcessOptions) {}
 
@@ -108,8 +116,12 @@
     closeSync(log);
     this.starts++;
     this.child = child;
+    this.isEnding = false;
     this.ended = new Promise(resolve =>
-      child.once('close', () => {
+      child.once('close', (code, signal) => {
+        if (!this.isEnding) {
+          this.options.onFailure('ended', {front: name, code, signal});
+        }
         if (this.child === child) this.child = undefined;
         resolve();
       }),
@@ -129,8 +141,14 @@
 
   /** Ends the present process; resolves once it is gone. */
   async end(signal: NodeJS.Signals): Promise<void> {
+    this.isEnding = true;
     this.signal(signal);
+    const timer = setTimeout(() => {
+      this.options.onFailure('not_stopped', {front: this.name, signal});
+      this.signal('SIGKILL');
+    }, STOP_LIMIT_MS);
     await this.ended;
+    clearTimeout(timer);
   }
 
   /** Whether the front reports itself ready. */
--- a/soak/run.ts
+++ b/soak/run.ts
@@ -58,4 +58,8 @@
     }
   });
 cli.help();
+// Runs the exit handlers, which end the processes of a run.
+for (const signal of ['SIGINT', 'SIGTERM']) {
+  process.once(signal, () => process.exit(1));
+}
 cli.parse();
--- a/soak/soak_run.ts
+++ b/soak/soak_run.ts
@@ -92,6 +92,8 @@
     program: options.program,
     folder,
     onEvent: event => judge.observe(event),
+    onFailure: (kind, details) =>
+      recorder.report({rule: 'PROCESS', kind, details}),
   });
   const endProcesses = (): void => {
     for (const front of [...world.fronts, ...world.spares]) {
--- a/soak/world.ts
+++ b/soak/world.ts
@@ -24,6 +24,7 @@
   readonly program: string;
   readonly folder: string;
   readonly onEvent: (event: DatabaseEvent) => void;
+  readonly onFailure: (kind: string, details: object) => void;
 }
 
 /** Configuration with routes of each kind for each service. */
@@ -83,7 +84,7 @@
     const store = await StandinStore.start(groups);
     store.put('op/config', configuration());
     store.rewriteOnRead = withProxyPort;
-    const {frontCount, program, folder} = options;
+    const {frontCount, program, folder, onFailure} = options;
     // Runs on one machine at the same time have different addresses.
     const network = 1 + (process.pid % 250);
     const create = (name: string, index: number): Promise<FrontProcess> =>
@@ -94,6 +95,7 @@
         program,
         storePort: store.port,
         folder,
+        onFailure,
       });
     const fronts: FrontProcess[] = [];
     for (let index = 0; index < frontCount; index++) {
