Do not reuse a connection on which the ROLLBACK of a read has failed

Callers could see: MALFORMED for a statement in order, or a statement that ran inside the transaction of an earlier read of another caller (PINNED).

Cause: a read of a primary runs between BEGIN and ROLLBACK. If the ROLLBACK was answered with an error, as when the database had just lost the lead, the connection was taken as idle, whatever state the answer reported, and went back to the pool with the transaction open or failed.

Evidence: the new test failed before; the next statement followed the failed ROLLBACK on the same connection.

Why this works: release() goes by the state that the database reported, as in all other places: it rolls back once more and closes the connection if that fails too.

--- a/src/front/database_worker.ts
+++ b/src/front/database_worker.ts
@@ -592,10 +592,7 @@
         this.recordServiceTime(job);
       } else {
         this.inFlight--;
-        this.release(
-          connection,
-          answer.ok ? answer.state : TransactionState.idle,
-        );
+        this.release(connection, answer.state);
         this.startQueuedJobs();
       }
     });
--- a/test/platform/worker.test.ts
+++ b/test/platform/worker.test.ts
@@ -1,5 +1,6 @@
 /** Tests how a worker fails the work for a database that does not answer. */
 import {createServer, Server, Socket} from 'node:net';
+import {createInterface} from 'node:readline';
 import test from 'ava';
 import {databaseCodec} from '../../platform/wire.js';
 import {putEntry} from '../../src/core/directory.js';
@@ -24,6 +25,31 @@
   return {port, close};
 }
 
+/**
+ * Starts a database that answers each line by `answer`; `lines` are the lines
+ * that it received, with the number of their connection.
+ */
+async function startScriptedDatabase(
+  answer: (line: string) => string,
+): Promise<{port: number; lines: string[]; close: () => void}> {
+  const lines: string[] = [];
+  const sockets: Socket[] = [];
+  const server = createServer(socket => {
+    const connection = sockets.push(socket);
+    createInterface(socket).on('line', line => {
+      lines.push(`${connection} ${line}`);
+      socket.write(answer(line));
+    });
+  });
+  const port = await freePort();
+  await new Promise<void>(done => server.listen(port, '127.0.0.1', done));
+  const close = (): void => {
+    sockets.forEach(socket => socket.destroy());
+    server.close();
+  };
+  return {port, lines, close};
+}
+
 const ORIGIN = {vm: 'f', process: 'p', connection: ''};
 
 const readWork = (n: number): Work => ({
@@ -115,3 +141,35 @@
     `${Math.max(...replies.map(({tookMs}) => tookMs))} ms`,
   );
 });
+
+// A connection whose transaction could not be ended went back to the pool, and
+// the next statement on it ran inside the transaction of another caller.
+test('a connection on which a ROLLBACK failed runs no other statement in that transaction', async t => {
+  let rollbacks = 0;
+  const database = await startScriptedDatabase(line => {
+    const done = 'DONE sig\r\n';
+    if (line.startsWith('START')) return 'READY I 1.1\r\n';
+    if (line.endsWith('ROLLBACK') && ++rollbacks === 1) {
+      return 'ERROR READONLY d\r\nREADY E 1.1\r\n';
+    }
+    const isOpen = line.endsWith('BEGIN') || line.includes('READ a');
+    return `${done}READY ${isOpen ? 'T' : 'I'} 1.1\r\n`;
+  });
+  const worker = startWorker(database.port, true);
+  t.teardown(() => {
+    worker.close();
+    database.close();
+  });
+  const fenced = {...readWork(0), mode: ExecutionMode.fenced};
+  t.true((await worker.run(fenced, ORIGIN)).ok);
+  const next = {...readWork(3), text: 'READ b'};
+  t.true((await worker.run(next, ORIGIN)).ok);
+  const {lines} = database;
+  const failedAt = lines.findIndex(line => line.endsWith('ROLLBACK'));
+  const nextAt = lines.findIndex(line => line.endsWith('READ b'));
+  const connection = lines[nextAt].split(' ')[0];
+  const isEnded = lines
+    .slice(failedAt + 1, nextAt)
+    .some(line => line === `${connection} QUERY - ROLLBACK`);
+  t.true(connection !== '1' || isEnded, lines.join('; '));
+});
