Count a replica's log for a takeover only if the replica has stopped

An acknowledged commit could be lost in a change of primary: a front pauses the replicas at the newest term that its own samples show, plus one. A front that has run no statement of the service since an earlier change (ordered by another front, or by itself a moment ago) knows an older term, and a pause at a term that is not above the present one has no effect. The replicas answered it all the same, so their logs were taken as final while a primary that was only lost to the fronts could go on having its commits acknowledged.

A log now counts only if its replica reports to be paused at the term or above. If a replica knows a primary of that term or above, the replicas are paused again at once, above it (`takeover_term_outdated`).

Checks: the stand-in database now ignores a pause that is not above its term, ends it with a restart, and reports the term held as the platform does (0 while it receives, where it reported its own term); `codec.test` expects the two new fields.

--- a/src/core/takeover.ts
+++ b/src/core/takeover.ts
@@ -18,6 +18,15 @@
   readonly leaving: boolean;
 }
 
+/**
+ * Whether a database has stopped replicating for a takeover at `term`. A pause
+ * at a term that is not above that of the primary has no effect.
+ */
+export const hasStopped = (
+  {pausedAtTerm}: {readonly pausedAtTerm: number},
+  term: number,
+): boolean => pausedAtTerm >= term;
+
 /** What determines how many logs a takeover of a database group needs. */
 export interface TakeoverGroup {
   /** Number of known databases of the service, including the primary. */
--- a/src/front/takeover_runner.ts
+++ b/src/front/takeover_runner.ts
@@ -8,6 +8,7 @@
 import {FrontService} from '../core/front_config.js';
 import {
   chooseTakeover,
+  hasStopped,
   isPrimaryUnreachable,
   SAFE_TAKEOVER,
   StoppedLog,
@@ -19,6 +20,7 @@
 import {JsonLog} from './json_log.js';
 import {Leadership} from './leadership.js';
 import {Promote} from './promoter.js';
+import {pauseReplicas} from './replica_pause.js';
 import {DatabaseCodec} from './wire_types.js';
 
 export interface TakeoverOptions {
@@ -399,15 +401,13 @@
   ): Promise<TakeoverChoice> {
     const {codec, log, serviceOf} = this.options;
     const replicas = this.replicasOf(service, leader?.id);
-    const term = await this.nextTerm(service, replicas);
-    const reports = await Promise.all(
-      replicas.map(async entry => ({
-        entry,
-        report: await runControlStatement(entry, codec, {kind: 'pause', term}),
-      })),
-    );
+    const expectedTerm = await this.nextTerm(service, replicas);
+    const paused = await pauseReplicas(replicas, expectedTerm, codec);
+    const {term, reports} = paused;
+    if (term > expectedTerm)
+      log('takeover_term_outdated', {service, term, expectedTerm});
     const logs: StoppedLog[] = [];
-    const leading = reports.filter(({report}) => report?.isLeader);
+    const leading = reports.filter(({report}) => report.isLeader);
     if (leading.length > 0) {
       const names = leading.map(({entry}) => entry.id);
       log('takeover_superseded', {service, leading: names});
@@ -415,7 +415,7 @@
       return {kind: 'need_logs', missing: replicas.length};
     }
     for (const {entry, report} of reports) {
-      if (!report) continue;
+      if (!hasStopped(report, term)) continue;
       const {position} = report;
       logs.push({database: entry.id, position, leaving: entry.leaving});
     }
--- a/src/front/wire_types.ts
+++ b/src/front/wire_types.ts
@@ -74,7 +74,12 @@
 /** Answer of a database to `status` and `pause`. */
 export interface DatabaseReport {
   readonly isLeader: boolean;
+  /** Highest term that it knows, that of a pause included. */
   readonly term: number;
+  /** Term of the primary that it is or receives from. */
+  readonly primaryTerm: number;
+  /** Term at which it has stopped receiving the log; 0 while it receives. */
+  readonly pausedAtTerm: number;
   readonly position: Position;
 }
 
--- a/test/platform/codec.test.ts
+++ b/test/platform/codec.test.ts
@@ -74,8 +74,14 @@
   t.deepEqual(databaseCodec.parseReport('replica 3 3.1209 0 12 2 17'), {
     isLeader: false,
     term: 3,
+    primaryTerm: 3,
+    pausedAtTerm: 0,
     position: {term: 3, offset: 1209},
   });
+  const paused = databaseCodec.parseReport('replica 3 2.90 4 12 2 17');
+  t.is(paused?.term, 4);
+  t.is(paused?.primaryTerm, 3);
+  t.is(paused?.pausedAtTerm, 4);
 });
 
 test('encodes answers to callers', t => {
--- a/test/platform/standin_database.ts
+++ b/test/platform/standin_database.ts
@@ -53,7 +53,8 @@
   crashCount = 0;
   port = 0;
   isPrimary = false;
-  isPaused = false;
+  /** Term of the pause in which it receives no log; 0 while it receives. */
+  pausedAtTerm = 0;
   isDraining = false;
   /** Ignores all messages but keeps its connections open. */
   isUnresponsive = false;
@@ -71,7 +72,7 @@
   ) {}
 
   async start(): Promise<void> {
-    this.isPaused = false;
+    this.pausedAtTerm = 0;
     this.server = createServer(socket => this.accept(socket));
     await new Promise<void>(resolve =>
       this.server?.listen(this.port, '127.0.0.1', resolve),
@@ -88,10 +89,20 @@
     if (server) await new Promise(resolve => server.close(resolve));
   }
 
+  get isPaused(): boolean {
+    return this.pausedAtTerm > 0;
+  }
+
   get isRunning(): boolean {
     return this.server !== undefined;
   }
 
+  /** Stops receiving the log, unless the term is not above the present one. */
+  pause(term: number): void {
+    const isAbove = term > Math.max(this.group.term, this.pausedAtTerm);
+    if (isAbove) this.pausedAtTerm = term;
+  }
+
   get position(): string {
     return positionOf(this.log, this.group.term);
   }
@@ -211,7 +222,7 @@
       for (const database of this.databases) {
         if (database.isPrimary && !this.fencesFormerPrimary) continue;
         database.isPrimary = database === target;
-        database.isPaused = false;
+        database.pausedAtTerm = 0;
         database.log.splice(target.log.length);
       }
       this.onRoleChange();
--- a/test/platform/standin_session.ts
+++ b/test/platform/standin_session.ts
@@ -151,7 +151,7 @@
       case 'PAUSE':
       case 'RESUME':
       case 'STEPDOWN':
-        return this.runControl(word);
+        return this.runControl(word, Number(args[0]));
       case 'RESET':
         this.values.clear();
         this.prepared.clear();
@@ -185,16 +185,16 @@
     }
   }
 
-  private runControl(word: string): void {
-    if (word === 'PAUSE') this.database.isPaused = true;
-    if (word === 'RESUME') this.database.isPaused = false;
+  private runControl(word: string, term: number): void {
+    if (word === 'PAUSE') this.database.pause(term);
+    if (word === 'RESUME') this.database.pausedAtTerm = 0;
     if (word === 'STEPDOWN' && this.database.group.acceptsStepDown) {
       this.database.isPrimary = false;
       this.database.group.onRoleChange();
     }
-    const {isPrimary, position, group} = this.database;
+    const {isPrimary, position, group, pausedAtTerm} = this.database;
     const role = isPrimary ? 'primary' : 'replica';
-    this.send(`ROW ${role} ${group.term} ${position} ${group.term} 0 0 1`);
+    this.send(`ROW ${role} ${group.term} ${position} ${pausedAtTerm} 0 0 1`);
     this.sendDone();
   }
 
