Model transactions over fronts

The model drives createIdSource and Lanes of the core. A callers' front and the holder are started again under their names, their connection is lost and opened again, the holder makes its worker anew, and messages of a lost connection arrive after those of the next. Four invariants: a statement runs in its own transaction, a caller's end of a transaction ends no other, a cancel removes no other work, and a closed connection ends only transactions that came over it.

A second case shows that comparing the transactions keeps statements apart where only the ids of lanes repeat; a mutant without the comparison breaks the same invariant.

--- a/model/check.ts
+++ b/model/check.ts
@@ -24,6 +24,8 @@
   FailoverModelOptions,
   FailoverSystemEvent,
 } from './failover_model.js';
+import {lanesModel} from './lanes_model.js';
+import {Misdirected, SAFE_LANE_RULES} from './lanes_system.js';
 import {ratesModel, SAFE_RATE_RULES} from './rates_model.js';
 import {
   SAFE_TAKEOVER_RULES,
@@ -105,6 +107,13 @@
 ): Check =>
   createCheck(takeoverModel(name, {...SAFE_TAKEOVER_RULES, ...changes}));
 
+const lanes = (
+  name: string,
+  changes: Partial<typeof SAFE_LANE_RULES> = {},
+  excluded?: readonly Misdirected[],
+): Check =>
+  createCheck(lanesModel(name, {...SAFE_LANE_RULES, ...changes}, excluded));
+
 /** The models with the rules used in production. */
 const models = (): Check[] => [
   failover('failover, write_ack replica'),
@@ -118,6 +127,13 @@
   config('configuration, restored platform', RESTORABLE_CONFIG_RULES),
   takeover('takeover on a platform'),
   takeover('takeover without fencing', UNFENCED_TAKEOVER_RULES),
+  lanes('transactions over fronts'),
+  // Comparing the transactions suffices if only the lanes' ids repeat.
+  lanes(
+    'transactions over fronts, ids of lanes that repeat',
+    {workersShareIds: false},
+    [Misdirected.statement],
+  ),
 ];
 
 /** Weakened rule that ignores whether a probe was sent after the commit. */
@@ -267,6 +283,21 @@
     ...UNFENCED_TAKEOVER_RULES,
     expectsEarlierOrders: false,
   }),
+  lanes('two processes of a VM have the same id', {processId: vm => vm}),
+  lanes('each worker counts its ids', {workersShareIds: false}),
+  lanes(
+    'each worker counts its ids, and transactions are not compared',
+    {workersShareIds: false, checksTransaction: false},
+    [Misdirected.statement],
+  ),
+  lanes(
+    'processes of a VM have the same id, and transactions are not compared',
+    {processId: vm => vm, checksTransaction: false},
+    [Misdirected.statement],
+  ),
+  lanes('a closed connection ends all transactions of its VM', {
+    endsByConnection: false,
+  }),
 ];
 
 /** Checks every model and every mutant; `print` receives a line for each. */
