Find what came over a connection between fronts in explain

peer_accepted names the connection, and lane_opened and lane_refused name it as originConnection; explain looked for an id of a connection in the first field only. Fields whose value is the id itself are left out of the details, whatever their name, so that lane_opened shows its database connection.

--- a/src/cli/explain.ts
+++ b/src/cli/explain.ts
@@ -8,7 +8,7 @@
 /** The JSON object of a log line. */
 export type LogLine = Readonly<Record<string, unknown>>;
 
-/** What an id in the logs can name; also the field that contains it. */
+/** What an id in the logs can name. */
 export const LogSubject = {
   request: 'request',
   transaction: 'transaction',
@@ -19,12 +19,20 @@
 
 /** The lines about one id, in order of time. */
 export interface Explanation {
+  readonly id: string;
   readonly subject: LogSubject;
   readonly lines: readonly LogLine[];
   /** Ids of the transactions that the lines belong to. */
   readonly transactions: readonly string[];
 }
 
+/** Fields that contain the id of a subject. */
+const FIELDS: Readonly<Record<LogSubject, readonly string[]>> = {
+  request: ['request'],
+  transaction: ['transaction'],
+  lane: ['lane'],
+  connection: ['connection', 'originConnection'],
+};
 /** Fields omitted from the details; time, VM and event precede the details. */
 const OMITTED_FIELDS = new Set(['time', 'steadyMs', 'vm', 'event']);
 /** Separates the holder's name from the lane in the log of a caller's front. */
@@ -85,6 +93,7 @@
         ? selectCircumstances(lines, texts)
         : [];
     return {
+      id,
       subject,
       lines: sortByTime([...lines, ...circumstances]),
       transactions: [...transactions],
@@ -93,14 +102,15 @@
   return undefined;
 }
 
-/** Formats a line for display: time, VM, event and details. */
-export function formatLogLine(line: LogLine, subject: LogSubject): string {
+/**
+ * Formats a line for display: time, VM, event and details other than the id
+ * that all lines are about.
+ */
+export function formatLogLine(line: LogLine, id: string): string {
   const details = Object.entries(line)
     .filter(
       ([name, value]) =>
-        !OMITTED_FIELDS.has(name) &&
-        (name !== subject || subject === LogSubject.lane) &&
-        value !== undefined,
+        !OMITTED_FIELDS.has(name) && value !== id && value !== undefined,
     )
     .map(([name, value]) => `${name}=${formatValue(value)}`);
   return `${String(line.time)} ${String(line.vm)}: ${String(line.event)} ${details.join(' ')}`;
@@ -111,8 +121,8 @@
 
 /** Formats the lines for display; the last ones name the transactions. */
 export function formatExplanation(explanation: Explanation): string[] {
-  const {subject, lines, transactions} = explanation;
-  const formatted = lines.map(line => formatLogLine(line, subject));
+  const {id, subject, lines, transactions} = explanation;
+  const formatted = lines.map(line => formatLogLine(line, id));
   if (subject === LogSubject.transaction) return formatted;
   return [...formatted, ...transactions.map(id => `in transaction ${id}`)];
 }
@@ -150,7 +160,8 @@
 }
 
 function isAbout(line: LogLine, subject: LogSubject, id: string): boolean {
-  if (subject !== LogSubject.lane) return line[subject] === id;
+  if (subject !== LogSubject.lane)
+    return FIELDS[subject].some(name => line[name] === id);
   return (
     typeof line.lane === 'string' && isSameLane(line.lane, String(line.vm), id)
   );
--- a/test/front/explain.test.ts
+++ b/test/front/explain.test.ts
@@ -93,7 +93,7 @@
     ['statement', 'statement_refused'],
   );
   t.regex(
-    formatLogLine(lines[0], 'request'),
+    formatLogLine(lines[0], '8d2c'),
     /front-1: statement database=i-77 holder=front-2 outcome=unreachable/,
   );
 });
@@ -158,3 +158,20 @@
   t.is(explanation?.subject, 'connection');
   t.deepEqual(explanation?.transactions, ['p1.2']);
 });
+
+test('finds what came over a connection between fronts', t => {
+  const holder = logOf('front-2', [
+    [100, 'peer_accepted', {peer: 'front-1', connection: 'p2.1'}],
+    [200, 'lane_opened', {connection: 'p2.2', originConnection: 'p2.1'}],
+    [300, 'lane_ended', {connection: 'p2.2'}],
+    [400, 'peer_gone', {peer: 'front-1', connection: 'p2.1'}],
+  ]);
+  const explanation = explain('p2.1', [holder]);
+  t.deepEqual(eventsOf(explanation), [
+    'front-2 peer_accepted',
+    'front-2 lane_opened',
+    'front-2 peer_gone',
+  ]);
+  const formatted = explanation ? formatExplanation(explanation) : [];
+  t.regex(formatted[1], /lane_opened connection=p2\.2$/);
+});
