Reach a VM that was started again elsewhere at its new address

The connection to a VM is kept by the VM's name. When its process was started again at another address, the others heard of the address by heartbeats but went on using the former one: lanes failed there and were opened again elsewhere, and the VM counted as alive, since its own heartbeats set the misses back. At the former address there may be another VM by now, too.

A connection is now used only while it is for the VM's present address, and else closed and opened anew.

--- a/src/peer/client.ts
+++ b/src/peer/client.ts
@@ -81,6 +81,12 @@
     });
   }
 
+  /** Whether this client connects to an address. */
+  isFor({host, port}: PeerAddress): boolean {
+    const {address} = this.options;
+    return address.host === host && address.port === port;
+  }
+
   close(): void {
     this.isClosed = true;
     this.session?.destroy();
--- a/src/proxy/fleet.ts
+++ b/src/proxy/fleet.ts
@@ -120,13 +120,16 @@
 
   /** Returns the connection to a VM, or undefined if its address is unknown. */
   client(vm: string): PeerClient | undefined {
-    const address = addressOf(this.view, vm);
-    if (!address) return undefined;
-    const known = this.clients.get(vm);
-    if (known) return known;
+    const known = addressOf(this.view, vm);
+    if (!known) return undefined;
+    const address = {host: known.host, port: known.peerPort};
+    const former = this.clients.get(vm);
+    if (former?.isFor(address)) return former;
+    // The VM was started again elsewhere.
+    former?.close();
     const client = PeerClient.create({
       vm,
-      address: {host: address.host, port: address.peerPort},
+      address,
       secrets: this.options.secrets,
       maxFrameBytes: this.options.maxFrameBytes,
     });
--- a/test/peers.test.ts
+++ b/test/peers.test.ts
@@ -4,9 +4,14 @@
 import {JSONRPCServer} from 'json-rpc-2.0';
 import {PeerClient} from '../src/peer/client.js';
 import {PeerServer} from '../src/peer/server.js';
+import {LocalFleet, waitUntil} from '../src/standin/local_fleet.js';
 
 const SECRETS = ['fleet-secret'];
 const MAX_FRAME_BYTES = 65_536;
+const SERVICE = 'order-books-1';
+
+const delay = (ms: number): Promise<void> =>
+  new Promise(resolve => setTimeout(resolve, ms));
 
 async function createServer(): Promise<PeerServer> {
   const rpc = new JSONRPCServer();
@@ -65,3 +70,28 @@
     await server.close();
   }
 });
+
+// Guards against work that is sent to the former address of a VM that was started
+// again at another one.
+test.serial('a VM that starts again elsewhere is reached there', async t => {
+  const places = [{region: 'sierra', zone: 'sierra-b'}];
+  const fleet = await LocalFleet.create({
+    proxies: 2,
+    services: [{service: SERVICE, places}],
+  });
+  try {
+    const client = fleet.createClient(0, 'villacres', SERVICE);
+    await client.connect();
+    await client.query("INSERT INTO t (id) VALUES ('a')");
+    await fleet.proxies[1].close();
+    const again = await fleet.startProxy(1);
+    await waitUntil(() => (again.dump() as {ready: boolean}).ready);
+    await delay(1_500);
+    await client.query('BEGIN');
+    t.is((again.dump() as {lanes: number}).lanes, 1);
+    await client.query('ROLLBACK');
+    await client.end();
+  } finally {
+    await fleet.close();
+  }
+});
