Tie a change of primary to one tenure of the coordinator lease

A front that lost the coordinator lease in the middle of a change of primary and acquired it again went on with the attempt: it only asked whether it held the lease. Between, another front may have held it, kept the present primary and let the replicas receive again; the stopped logs that the attempt had read are not final then, and its order, with the newer fencing token, would be accepted. An acknowledged commit could be lost.

Likewise, a reply about the renewal of a former lease was taken as one about the present lease; one that said that the lease had ended gave the present one up.

The lease counts its tenures (acquisitions); an attempt sends no order and no resume outside of the one in which it began. A reply counts only for the lease that was renewed.

Checks: the store of `coordinator_lease.test` grants a new lease id each time and answers renewals when the test says so; its other cases are unchanged.

--- a/src/front/coordinator_lease.ts
+++ b/src/front/coordinator_lease.ts
@@ -55,6 +55,7 @@
    */
   private renewedAt: ClockReading | undefined;
   private acquiredAtMs = 0;
+  private tenureCount = 0;
   private ttlMs = LEASE_TTL_MS;
   private isAcquiring = false;
   private retryTimer: NodeJS.Timeout | undefined;
@@ -87,6 +88,15 @@
     return this.isHeld ? performance.now() - this.acquiredAtMs : 0;
   }
 
+  /**
+   * Identifies the time for which this front holds the lease without
+   * interruption; undefined when it does not hold it. What was found in one
+   * tenure may not hold in the next, as another front may have acted between.
+   */
+  get tenure(): number | undefined {
+    return this.isHeld ? this.tenureCount : undefined;
+  }
+
   /** VM that holds the lease, according to this front's view of the store. */
   get holder(): string | undefined {
     const {feed, key} = this.options;
@@ -216,6 +226,7 @@
         this.keyRevision = result.value;
         this.renewedAt = startedAt;
         this.acquiredAtMs = startedAt.steadyMs;
+        this.tenureCount++;
         this.options.log('duty_taken', {fence: this.fencingToken, ttlMs});
       } else {
         const text = result.isErr()
@@ -233,8 +244,10 @@
   private async renew(): Promise<void> {
     if (this.fencingToken === 0) return this.checkKey();
     const startedAt = readClocks();
-    const result = await this.options.store.renew(this.leaseId);
-    if (this.fencingToken === 0) return;
+    const {leaseId} = this;
+    const result = await this.options.store.renew(leaseId);
+    // A reply about an earlier lease says nothing about the present one.
+    if (this.leaseId !== leaseId) return;
     if (result.isOk()) this.renewedAt = startedAt;
     else if (result.error.kind === StoreFaultKind.leaseNotFound) {
       this.markLost('lease ended');
--- a/src/front/takeover_runner.ts
+++ b/src/front/takeover_runner.ts
@@ -105,6 +105,8 @@
    * not held.
    */
   private leaseAcquiredMs: number | undefined;
+  /** Tenure of the coordinator lease in which each attempt was begun. */
+  private readonly tenures = new Map<string, number | undefined>();
   private readonly timer: NodeJS.Timeout;
 
   private constructor(private readonly options: TakeoverOptions) {
@@ -198,6 +200,7 @@
   private async run(service: string, reason: TakeoverReason): Promise<void> {
     const {log, coordinatorLease} = this.options;
     const leader = this.options.leaderOf(service);
+    this.tenures.set(service, coordinatorLease.tenure);
     if (reason === 'lost') {
       if (!leader || !(await this.isLeaderLost(service, leader))) {
         return this.pauseService(service, RETRY_PAUSE_MS);
@@ -215,6 +218,15 @@
     this.pauseService(service, done ? TAKEOVER_PAUSE_MS : RETRY_PAUSE_MS);
   }
 
+  /**
+   * Whether this front has held the lease since the attempt began. If another
+   * front held it between, replicas may have received the log again.
+   */
+  private isTenureOf(service: string): boolean {
+    const {tenure} = this.options.coordinatorLease;
+    return tenure !== undefined && tenure === this.tenures.get(service);
+  }
+
   private pauseService(service: string, ms: number): void {
     this.pausedUntilMs.set(service, performance.now() + ms);
   }
@@ -245,11 +257,10 @@
     reason: TakeoverReason,
   ): Promise<boolean> {
     const untilMs = performance.now() + ATTEMPT_TIMEOUT_MS;
-    const {coordinatorLease} = this.options;
     for (;;) {
       const isLate = performance.now() > untilMs;
       const choice = await this.pauseAndChoose(service, leader);
-      if (!coordinatorLease.isHeld) return false;
+      if (!this.isTenureOf(service)) return false;
       if (choice.kind === 'promote') {
         const isOrdered = await this.appointAndOrder(
           service,
@@ -271,7 +282,7 @@
         return false;
       }
       await pause(ROUND_PAUSE_MS);
-      if (!coordinatorLease.isHeld) return false;
+      if (!this.isTenureOf(service)) return false;
     }
   }
 
@@ -295,6 +306,7 @@
       const fencingToken = await coordinatorLease.raiseFencingToken();
       if (fencingToken === undefined || !(await this.reportsLead(leader)))
         return;
+      if (!this.isTenureOf(service)) return;
       const database = leader.id;
       const outcome = await promote({
         service,
@@ -362,10 +374,11 @@
     service: string,
     database: string,
   ): Promise<boolean> {
-    const {leaderOf, coordinatorLease} = this.options;
+    const {leaderOf} = this.options;
     const untilMs = performance.now() + PROMOTION_TIMEOUT_MS;
     while (leaderOf(service)?.id !== database) {
-      if (performance.now() > untilMs || !coordinatorLease.isHeld) return false;
+      if (performance.now() > untilMs || !this.isTenureOf(service))
+        return false;
       await pause(ROUND_PAUSE_MS);
     }
     const {leadership} = this.options;
@@ -473,7 +486,7 @@
     database: string,
     leader: KnownDatabase | undefined,
   ): Promise<boolean> {
-    const {leadership, coordinatorLease, log} = this.options;
+    const {leadership, log} = this.options;
     if (!leadership.isEnabled) return this.orderPromotion(service, database);
     const unconfirmed = this.unconfirmedOrderOf(service);
     if (!isPromotionAllowed(unconfirmed, database)) {
@@ -491,12 +504,12 @@
       leader,
       term,
     );
-    if (!isAppointed || !coordinatorLease.isHeld) return false;
+    if (!isAppointed || !this.isTenureOf(service)) return false;
     // Appointing may have taken seconds, and a replica that has restarted since
     // then receives again: pause all replicas and choose once more.
     const choice = await this.pauseAndChoose(service, leader);
     const isSame = choice.kind === 'promote' && choice.database === database;
-    return isSame && coordinatorLease.isHeld
+    return isSame && this.isTenureOf(service)
       ? this.orderPromotion(service, database)
       : false;
   }
@@ -513,7 +526,7 @@
     const fencingToken = this.unconfirmedServices.has(service)
       ? await coordinatorLease.raiseFencingToken()
       : coordinatorLease.currentFencingToken;
-    if (fencingToken === undefined) return false;
+    if (fencingToken === undefined || !this.isTenureOf(service)) return false;
     const outcome = await promote({
       service,
       database,
@@ -541,10 +554,10 @@
     service: string,
     leader: string | undefined,
   ): Promise<void> {
-    const {codec, coordinatorLease} = this.options;
+    const {codec} = this.options;
     await Promise.all(
       this.replicasOf(service, leader).map(async entry => {
-        if (coordinatorLease.isHeld)
+        if (this.isTenureOf(service))
           await runControlStatement(entry, codec, {kind: 'resume'});
       }),
     );
--- a/test/front/coordinator_lease.test.ts
+++ b/test/front/coordinator_lease.test.ts
@@ -17,6 +17,7 @@
 const KEY = 'own/duty';
 const SELF = 'front-1';
 const WRITTEN_REVISION = 40;
+const RENEW_INTERVAL_MS = 800;
 
 /** A front that has acquired the lease at `WRITTEN_REVISION` of era 1. */
 async function createHolder(t: {teardown: (end: () => void) => void}) {
@@ -27,10 +28,12 @@
   );
   const commits: StoreTransaction[] = [];
   const revoked: number[] = [];
+  const renewals: Array<(reply: unknown) => void> = [];
+  let leases = 4;
   const qualified = (): number => qualifyRevision(state.era, state.revision);
   const store = {
-    grant: async (ttlMs: number) => ok({leaseId: 5, ttlMs}),
-    renew: async () => ok(2_500),
+    grant: async (ttlMs: number) => ok({leaseId: ++leases, ttlMs}),
+    renew: () => new Promise(resolve => renewals.push(resolve)),
     revoke: async (id: number) => ok(revoked.push(id)),
     commit: async (transaction: StoreTransaction) => {
       commits.push(transaction);
@@ -78,7 +81,7 @@
   await settle();
   show(SELF, WRITTEN_REVISION);
   t.teardown(() => undefined);
-  return {state, lease, show, commits, revoked};
+  return {state, lease, show, commits, revoked, renewals};
 }
 
 // Guards against seconds without a holder, though the store still has its lease.
@@ -128,3 +131,29 @@
   await settle();
   t.true((lease.currentFencingToken ?? 0) > token);
 });
+
+// Guards against seconds without a holder, and against what was found before
+// another front may have held the lease being acted on after it.
+test.serial(
+  'a late reply about a former lease does not end the next one, which is another tenure',
+  async t => {
+    const {state, lease, show, renewals} = await createHolder(t);
+    const {tenure} = lease;
+    t.not(tenure, undefined);
+    mock.timers.tick(RENEW_INTERVAL_MS);
+    await settle();
+    t.is(renewals.length, 1);
+    state.revision++;
+    show('front-2', state.revision);
+    t.is(lease.tenure, undefined);
+    show(undefined);
+    mock.timers.tick(1);
+    await settle();
+    t.true(lease.isHeld);
+    t.not(lease.tenure, tenure);
+    const kind = StoreFaultKind.leaseNotFound;
+    renewals[0](err({kind, message: 'the former lease has ended'}));
+    await settle();
+    t.true(lease.isHeld);
+  },
+);
