Log which transaction, front and process a lost call between fronts belonged to

On-call could not tell from the logs of a transaction why one of its statements had no answer: hop_failed named the request only, peer_lost not the process. explain follows them by the transaction's id now.

--- a/src/front/dispatcher.ts
+++ b/src/front/dispatcher.ts
@@ -146,6 +146,7 @@
       database: work.database,
       origin: origin.vm,
       originProcess: origin.process,
+      originConnection: origin.connection || undefined,
       outcome: reply.ok ? 'ok' : reply.fault,
       text: reply.ok ? undefined : reply.text,
       tookMs: Math.round(performance.now() - startedAtMs),
@@ -404,7 +405,14 @@
     } catch (error) {
       const sent = !(error instanceof PeerUnavailableError) || error.wasSent;
       const text = (error as Error).message;
-      this.options.log('hop_failed', {request: work.requestId, sent, text});
+      this.options.log('hop_failed', {
+        request: work.requestId,
+        transaction: work.transaction,
+        lane: work.lane,
+        peer: link.vm,
+        sent,
+        text,
+      });
       return sent ? unansweredReply(work, text) : undefined;
     } finally {
       clearTimeout(timer);
--- a/src/front/peer_link.ts
+++ b/src/front/peer_link.ts
@@ -64,6 +64,8 @@
   private pingedAtMs = 0;
   private silenceTimer: NodeJS.Timeout | undefined;
   private isClosed = false;
+  /** Id of the connected process; undefined if it tells none. */
+  private peerProcess: string | undefined;
 
   private constructor(private readonly options: PeerLinkOptions) {}
 
@@ -71,6 +73,11 @@
     return new PeerLink(options);
   }
 
+  /** Name of the peer. */
+  get vm(): string {
+    return this.options.target.vm;
+  }
+
   /** Whether calls fail at once: closed, or pausing after a lost connection. */
   get isDown(): boolean {
     return (
@@ -158,8 +165,8 @@
       } else if (this.state === 'connecting') {
         clearTimeout(connectTimer);
         this.onConnected(channel);
-        const {process} = message as Welcome;
-        log('peer_connected', {peer: target.vm, process});
+        this.peerProcess = (message as Welcome).process;
+        log('peer_connected', {peer: target.vm, process: this.peerProcess});
       } else this.client?.receive(message as never);
     });
     socket.on('error', error => this.disconnectSocket(socket, error.message));
@@ -193,6 +200,7 @@
     if (!this.isClosed) {
       this.options.log('peer_lost', {
         peer: this.options.target.vm,
+        process: wasSent ? this.peerProcess : undefined,
         text,
         unanswered: this.unanswered,
       });
