Confirm the commits of transactions that outlive the pools of their service

A change of a service makes its pools anew. Transactions that hold a connection of the former pools may go on to their end, but the probes that confirm commits stopped at once: each such commit waited until its deadline and ended outcome_unknown. The probes now go on until the last lane has ended; a closed election takes no more answers.

--- a/src/proxy/failover_runner.ts
+++ b/src/proxy/failover_runner.ts
@@ -42,6 +42,7 @@
   private state: FailoverState;
   private readonly subscriptions = new Subscription();
   private failoverStartMs = 0;
+  private isClosed = false;
 
   private constructor(private readonly options: FailoverRunnerOptions) {
     this.state = createFailoverState({
@@ -88,6 +89,7 @@
   }
 
   close(): void {
+    this.isClosed = true;
     this.subscriptions.unsubscribe();
   }
 
@@ -102,6 +104,7 @@
   }
 
   private apply(event: FailoverEvent): void {
+    if (this.isClosed) return;
     const before = this.state.phase;
     const {state, effects} = stepFailover(this.state, event);
     this.state = state;
--- a/src/proxy/local_group.ts
+++ b/src/proxy/local_group.ts
@@ -195,6 +195,7 @@
     this.parked.delete(lane);
     const index = this.floorRequests.findIndex(entry => entry.lane === lane);
     if (index >= 0) this.floorRequests.splice(index, 1);
+    this.stopProbingIfUnused();
   }
 
   dump(): object {
@@ -226,7 +227,10 @@
     for (const pool of this.pools.values()) pool.setOwned(owned);
   }
 
-  /** Rejects waiting lanes; lanes that hold a connection run to their end. */
+  /**
+   * Rejects waiting lanes. Lanes that hold a connection run to their end, and
+   * probes go on until then, since they confirm the commits.
+   */
   close(): void {
     this.isClosing = true;
     for (const lane of [...this.parked.keys()]) {
@@ -234,6 +238,11 @@
     }
     for (const pool of this.pools.values()) pool.close();
     this.failoverRunner.close();
+    this.stopProbingIfUnused();
+  }
+
+  private stopProbingIfUnused(): void {
+    if (!this.isClosing || this.lanes.size > 0) return;
     this.subscription.unsubscribe();
     this.prober.close();
   }
