Roll back a transaction when its caller says BYE

Callers saw: locks, and a connection of the database, that a transaction kept for up to the idle limit after its caller had ended the session in order.

Cause: a session that ends while it handles a message leaves the rollback to whoever handles that message. BYE is itself a message, and nothing rolled back after it; the session only started its idle timer.

The test failed before (no lane_ended within 300 ms). The session now rolls back once it has handled its last message, whatever that was; the same place serves a caller that leaves while a statement runs.

--- a/src/front/caller_session.ts
+++ b/src/front/caller_session.ts
@@ -188,6 +188,7 @@
       this.flush();
     }
     this.isBusy = false;
+    if (this.hasLeft) return this.rollBack('caller disconnected');
     if (this.socket.isPaused()) this.socket.resume();
     if (this.host.isStopping()) this.closeIfIdle();
     else if (this.transaction) this.startIdleTimer();
@@ -390,9 +391,8 @@
       : await this.runNext(query, access, prepared, customer, deadlineMs);
     this.runningWork = undefined;
     if (this.hasLeft) {
-      if (reply.lane !== undefined) {
-        this.host.endLane(this.transaction?.database ?? '', reply.lane);
-      }
+      if (transaction) transaction.lane = reply.lane ?? transaction.lane;
+      if (reply.ok && access === Access.commit) this.transaction = undefined;
       return;
     }
     this.host.onAnswered(
--- a/test/platform/front.test.ts
+++ b/test/platform/front.test.ts
@@ -119,6 +119,19 @@
   t.is(fleet.group.acknowledged.length, 0);
 });
 
+// A transaction whose caller said BYE kept its connection, and its locks, until
+// the idle limit.
+test('rolls back a transaction whose caller ends its session by BYE', async t => {
+  const fleet = await startFleet(['norte']);
+  t.teardown(() => fleet.stop());
+  const [front] = fleet.fronts;
+  const ana = await openSession(front, 'primary', 'ana-key');
+  await ana.query('BEGIN');
+  t.truthy((await ana.query('WRITE k1 gone')).done);
+  ana.send('BYE');
+  await until(() => front.events('lane_ended').length === 1, 300);
+});
+
 test('ends a transaction that is idle too long and fails its next statement', async t => {
   const fleet = await startFleet(['norte']);
   t.teardown(() => fleet.stop());
