Open no connections for work that a closed worker has refused

Callers saw, or could: BUSY, as places of a database were taken by connections that nobody used, after its entry had lapsed under load.

Cause: closing a worker refuses its work but leaves it in the queue. The end of a connection starts queued work, which opened a new connection for work that was over, and nothing closed it.

The test failed before (10 connections instead of 3). A closed worker starts no work.

--- a/src/front/database_worker.ts
+++ b/src/front/database_worker.ts
@@ -385,6 +385,7 @@
   }
 
   private startQueuedJobs(): void {
+    if (this.isClosed) return;
     while (this.inFlight < this.concurrencyLimit()) {
       const job = this.queue.take(customer => !this.canStartFor(customer));
       if (!job) return;
--- a/test/platform/worker.test.ts
+++ b/test/platform/worker.test.ts
@@ -7,7 +7,8 @@
 import {createIdSource} from '../../src/core/process_ids.js';
 import {Access, ExecutionMode, Reply, Work} from '../../src/core/work.js';
 import {DatabaseWorker} from '../../src/front/database_worker.js';
-import {freePort} from './fleet_fixture.js';
+import {freePort, until} from './fleet_fixture.js';
+import {sleep} from './lane_fixture.js';
 
 /** Starts a server that accepts connections and never answers. */
 async function startSilentDatabase(): Promise<{
@@ -173,3 +174,26 @@
     .some(line => line === `${connection} QUERY - ROLLBACK`);
   t.true(connection !== '1' || isEnded, lines.join('; '));
 });
+
+// A worker whose database was unlisted opened connections for work that it had
+// refused already, and nothing closed them.
+test('a closed worker opens no connection for the work that it has refused', async t => {
+  const database = await startScriptedDatabase(line =>
+    line.startsWith('START') ? 'READY I 1.1\r\n' : '',
+  );
+  const worker = startWorker(database.port, true);
+  t.teardown(() => {
+    worker.close();
+    database.close();
+  });
+  const replies = Promise.all(
+    Array.from({length: 12}, (_, n) => worker.run(readWork(n), ORIGIN)),
+  );
+  const starts = (): number =>
+    database.lines.filter(line => line.includes(' START ')).length;
+  await until(() => starts() === 3);
+  worker.close();
+  t.true((await replies).every(reply => !reply.ok));
+  await sleep(300);
+  t.is(starts(), 3);
+});
