Do not send a statement behind another one in the same lane

The second was sent behind the first without a check.

The connection is closed now: the statement is answered as ABORTED, and the running one as a connection that was lost. With unique lanes no path to this is known; the check keeps it so.

--- a/src/front/database_worker.ts
+++ b/src/front/database_worker.ts
@@ -685,6 +685,13 @@
         state: TransactionState.idle,
       });
     }
+    if (link.unansweredSteps > 0) {
+      link.close('a statement came before the answer to the last one');
+      return this.finish(job, {
+        ...faultReply(Fault.aborted, 'transaction was busy'),
+        state: TransactionState.failed,
+      });
+    }
     const {session, requestId, text} = job.work;
     const {codec} = this.options;
     const steps = setupStatements(link, session, codec, true);
--- a/test/platform/worker.test.ts
+++ b/test/platform/worker.test.ts
@@ -197,3 +197,30 @@
   await sleep(300);
   t.is(starts(), 3);
 });
+
+// A second statement in a lane was sent behind the one that was still running,
+// so that it ran outside its transaction if that was a COMMIT.
+test('a statement is not sent in a lane whose last one has no answer', async t => {
+  const database = await startScriptedDatabase(line => {
+    if (line.startsWith('START')) return 'READY I 1.1\r\n';
+    return line.endsWith('COMMIT') ? '' : 'DONE sig\r\nREADY T 1.1\r\n';
+  });
+  const worker = startWorker(database.port, true);
+  t.teardown(() => {
+    worker.close();
+    database.close();
+  });
+  const transaction = 'p.9';
+  const opening = {...readWork(0), mode: ExecutionMode.open, transaction};
+  const {lane} = await worker.run(opening, ORIGIN);
+  const inLane = {...opening, mode: ExecutionMode.lane, lane};
+  const commit = worker.run(
+    {...inLane, key: 'k1', text: 'COMMIT', access: Access.commit},
+    ORIGIN,
+  );
+  const read = worker.run({...inLane, key: 'k2', text: 'READ b'}, ORIGIN);
+  t.like(await read, {ok: false, fault: 'aborted'});
+  t.like(await commit, {ok: false, fault: 'lost'});
+  await sleep(100);
+  t.false(database.lines.some(line => line.endsWith('READ b')));
+});
