--- a/src/front/database_worker.ts
+++ b/src/front/database_worker.ts
@@ -385,6 +385,7 @@
   }
 
   private startQueuedJobs(): void {
+    if (this.isClosed) return;
     while (this.inFlight < this.concurrencyLimit()) {
       const job = this.queue.take(customer => !this.canStartFor(customer));
       if (!job) return;
@@ -684,6 +685,13 @@
         state: TransactionState.idle,
       });
     }
+    if (link.unansweredSteps > 0) {
+      link.close('a statement came before the answer to the last one');
+      return this.finish(job, {
+        ...faultReply(Fault.aborted, 'transaction was busy'),
+        state: TransactionState.failed,
+      });
+    }
     const {session, requestId, text} = job.work;
     const {codec} = this.options;
     const steps = setupStatements(link, session, codec, true);
--- a/test/platform/worker.test.ts
+++ b/test/platform/worker.test.ts
@@ -7,7 +7,8 @@
 import {createIdSource} from '../../src/core/process_ids.js';
 import {Access, ExecutionMode, Reply, Work} from '../../src/core/work.js';
 import {DatabaseWorker} from '../../src/front/database_worker.js';
-import {freePort} from './fleet_fixture.js';
+import {freePort, until} from './fleet_fixture.js';
+import {sleep} from './lane_fixture.js';
 
 /** Starts a server that accepts connections and never answers. */
 async function startSilentDatabase(): Promise<{
@@ -173,3 +174,53 @@
     .some(line => line === `${connection} QUERY - ROLLBACK`);
   t.true(connection !== '1' || isEnded, lines.join('; '));
 });
+
+// A worker whose database was unlisted opened connections for work that it had
+// refused already, and nothing closed them.
+test('a closed worker opens no connection for the work that it has refused', async t => {
+  const database = await startScriptedDatabase(line =>
+    line.startsWith('START') ? 'READY I 1.1\r\n' : '',
+  );
+  const worker = startWorker(database.port, true);
+  t.teardown(() => {
+    worker.close();
+    database.close();
+  });
+  const replies = Promise.all(
+    Array.from({length: 12}, (_, n) => worker.run(readWork(n), ORIGIN)),
+  );
+  const starts = (): number =>
+    database.lines.filter(line => line.includes(' START ')).length;
+  await until(() => starts() === 3);
+  worker.close();
+  t.true((await replies).every(reply => !reply.ok));
+  await sleep(300);
+  t.is(starts(), 3);
+});
+
+// A second statement in a lane was sent behind the one that was still running,
+// so that it ran outside its transaction if that was a COMMIT.
+test('a statement is not sent in a lane whose last one has no answer', async t => {
+  const database = await startScriptedDatabase(line => {
+    if (line.startsWith('START')) return 'READY I 1.1\r\n';
+    return line.endsWith('COMMIT') ? '' : 'DONE sig\r\nREADY T 1.1\r\n';
+  });
+  const worker = startWorker(database.port, true);
+  t.teardown(() => {
+    worker.close();
+    database.close();
+  });
+  const transaction = 'p.9';
+  const opening = {...readWork(0), mode: ExecutionMode.open, transaction};
+  const {lane} = await worker.run(opening, ORIGIN);
+  const inLane = {...opening, mode: ExecutionMode.lane, lane};
+  const commit = worker.run(
+    {...inLane, key: 'k1', text: 'COMMIT', access: Access.commit},
+    ORIGIN,
+  );
+  const read = worker.run({...inLane, key: 'k2', text: 'READ b'}, ORIGIN);
+  t.like(await read, {ok: false, fault: 'aborted'});
+  t.like(await commit, {ok: false, fault: 'lost'});
+  await sleep(100);
+  t.false(database.lines.some(line => line.endsWith('READ b')));
+});
