Check the whole message for an id that no log holds

Cause: explain takes ids of four kinds since, so its message for an id that is not found changed from "no line of request ID in FILES", and the test's pattern with it, from /no line/ to /^no request/.

Change: the test compares the whole message, with the id and the file, which the pattern before did not look at.

--- a/test/front/explain.test.ts
+++ b/test/front/explain.test.ts
@@ -103,7 +103,10 @@
   const file = join(folder, 'front-1.log');
   writeFileSync(file, `${FIRST}\n`);
   t.true(explainFromFiles('8d2c', [file]).isOk());
-  t.regex(explainFromFiles('0000', [file])._unsafeUnwrapErr(), /^no request/);
+  t.is(
+    explainFromFiles('0000', [file])._unsafeUnwrapErr(),
+    `no request, transaction, lane or connection 0000 in ${file}`,
+  );
   const missing = join(folder, 'missing.log');
   t.regex(
     explainFromFiles('8d2c', [missing])._unsafeUnwrapErr(),
