Write the origin of work and the separator of lane names once

Cause: the fields that tell where work came from stood three times in the front, and explain had its own copy of the character that separates the holder's name from a lane's id, which it must share with the front.

Change: originFields in json_log.ts, LANE_SEPARATOR in core/lanes.ts.

--- a/src/cli/explain.ts
+++ b/src/cli/explain.ts
@@ -4,6 +4,7 @@
  */
 import {readFileSync} from 'node:fs';
 import {err, ok, Result} from 'neverthrow';
+import {LANE_SEPARATOR} from '../core/lanes.js';
 
 /** The JSON object of a log line. */
 export type LogLine = Readonly<Record<string, unknown>>;
@@ -35,8 +36,6 @@
 };
 /** Fields omitted from the details; time, VM and event precede the details. */
 const OMITTED_FIELDS = new Set(['time', 'steadyMs', 'vm', 'event']);
-/** Separates the holder's name from the lane in the log of a caller's front. */
-const LANE_SEPARATOR = '|';
 /** Fields that name a front which takes part in a transaction. */
 const FRONT_FIELDS = ['vm', 'holder', 'origin'];
 /** Events about a front's process and its connections to other fronts. */
--- a/src/core/lanes.ts
+++ b/src/core/lanes.ts
@@ -4,6 +4,9 @@
  */
 import {WorkOrigin} from './process_ids.js';
 
+/** Separates the holder's VM from the lane's id in the name of a lane. */
+export const LANE_SEPARATOR = '|';
+
 /** A transaction's exclusive use of a connection. */
 export interface OpenLane {
   /** Unique among all processes and workers, those before a restart included. */
--- a/src/front/database_worker.ts
+++ b/src/front/database_worker.ts
@@ -33,7 +33,7 @@
   probeDatabase,
   samplePosition,
 } from './database_probe.js';
-import {JsonLog} from './json_log.js';
+import {JsonLog, originFields} from './json_log.js';
 import {setupStatements} from './session_setup.js';
 import {DatabaseCodec} from './wire_types.js';
 
@@ -764,9 +764,7 @@
       customer: work.customer,
       connection: connection.id,
       port: connection.link.localPort,
-      origin: origin.vm,
-      originProcess: origin.process,
-      originConnection: origin.connection || undefined,
+      ...originFields(origin),
     });
     return lane;
   }
@@ -802,9 +800,7 @@
       lane: work.lane,
       reason,
       database: this.entry.id,
-      origin: origin.vm,
-      originProcess: origin.process,
-      originConnection: origin.connection || undefined,
+      ...originFields(origin),
     });
   }
 
--- a/src/front/dispatcher.ts
+++ b/src/front/dispatcher.ts
@@ -16,6 +16,7 @@
   Work,
 } from '../core/work.js';
 import {usualLimit} from '../core/connection_budget.js';
+import {LANE_SEPARATOR} from '../core/lanes.js';
 import {DatabaseWorker} from './database_worker.js';
 import {
   fromSamplesByAge,
@@ -24,7 +25,7 @@
   toSamplesByAge,
 } from '../core/position_samples.js';
 import {IdSource, ProcessIdentity, WorkOrigin} from '../core/process_ids.js';
-import {JsonLog} from './json_log.js';
+import {JsonLog, originFields} from './json_log.js';
 import {PeerLink, PeerUnavailableError} from './peer_link.js';
 import {DatabaseCodec} from './wire_types.js';
 
@@ -71,11 +72,6 @@
  * fallback.
  */
 const LANE_IDLE_MARGIN_MS = 1_500;
-/**
- * Separates the name of the front that holds a lane (a transaction's exclusive
- * use of a connection) from the lane's id on that front.
- */
-const LANE_SEPARATOR = '|';
 
 /** A reply and the front that gave it. */
 export interface DispatchedReply {
@@ -144,9 +140,7 @@
       access: work.access,
       mode: work.mode,
       database: work.database,
-      origin: origin.vm,
-      originProcess: origin.process,
-      originConnection: origin.connection || undefined,
+      ...originFields(origin),
       outcome: reply.ok ? 'ok' : reply.fault,
       text: reply.ok ? undefined : reply.text,
       tookMs: Math.round(performance.now() - startedAtMs),
--- a/src/front/json_log.ts
+++ b/src/front/json_log.ts
@@ -5,10 +5,22 @@
 import {createWriteStream, fstatSync} from 'node:fs';
 import {Socket} from 'node:net';
 import {Writable} from 'node:stream';
+import {WorkOrigin} from '../core/process_ids.js';
 
 /** Writes one event with its fields. */
 export type JsonLog = (event: string, fields?: object) => void;
 
+/** Returns the fields that tell where work came from. */
+export const originFields = ({
+  vm,
+  process,
+  connection,
+}: WorkOrigin): object => ({
+  origin: vm,
+  originProcess: process,
+  originConnection: connection || undefined,
+});
+
 const FLUSH_INTERVAL_MS = 100;
 const MAX_QUEUED_BYTES = 1_000_000;
 
