--- a/review/4/run.mjs
+++ b/review/4/run.mjs
@@ -150,7 +150,7 @@
 }
 
 async function main() {
-  const {StandinStore} = await import('../out/test/platform/standin_store.js');
+  const {StandinStore} = await import('../../target/review/test/platform/standin_store.js');
   const group = new Group('orders', record);
   await group.start(ZONES);
   const store = await StandinStore.start([group]);
