Log why replicas stay paused after an abandoned change of primary

They do not tell which of these left the replicas paused: the lease was lost within the attempt, the fencing token was not raised, the primary did not report its lead, the confirming order got no answer, the promoted database was never listed, or RESUME was sent and got no answer. Each gets a reason in resume_withheld, and replicas_resumed names the replicas that have not confirmed.

--- a/src/front/takeover_runner.ts
+++ b/src/front/takeover_runner.ts
@@ -260,7 +260,7 @@
     for (;;) {
       const isLate = performance.now() > untilMs;
       const choice = await this.pauseAndChoose(service, leader);
-      if (!this.isTenureOf(service)) return false;
+      if (!this.isTenureOf(service)) return this.abandon(service);
       if (choice.kind === 'promote') {
         const isOrdered = await this.appointAndOrder(
           service,
@@ -282,10 +282,16 @@
         return false;
       }
       await pause(ROUND_PAUSE_MS);
-      if (!this.isTenureOf(service)) return false;
+      if (!this.isTenureOf(service)) return this.abandon(service);
     }
   }
 
+  /** Ends an attempt after the lease was lost; its replicas stay paused. */
+  private abandon(service: string): false {
+    this.logWithheld(service, 'lease lost');
+    return false;
+  }
+
   /**
    * Lets the replicas receive the log again. A promotion order of this front or
    * of an earlier lease holder that is executed afterwards would undo commits
@@ -304,9 +310,12 @@
       coordinatorLease.heldForMs < UNCONFIRMED_ORDER_MS;
     if (leader && isUnconfirmed) {
       const fencingToken = await coordinatorLease.raiseFencingToken();
-      if (fencingToken === undefined || !(await this.reportsLead(leader)))
-        return;
-      if (!this.isTenureOf(service)) return;
+      if (fencingToken === undefined)
+        return this.logWithheld(service, 'fencing token not raised');
+      if (!(await this.reportsLead(leader)))
+        return this.logWithheld(service, 'primary does not report its lead');
+      if (!this.isTenureOf(service))
+        return this.logWithheld(service, 'lease lost');
       const database = leader.id;
       const outcome = await promote({
         service,
@@ -320,9 +329,11 @@
         fence: fencingToken,
         outcome,
       });
-      if (outcome !== 'done') return;
+      if (outcome !== 'done')
+        return this.logWithheld(service, 'primary not confirmed');
       await pause(PROMOTION_DELAY_MS);
-      if (!(await this.reportsLead(leader))) return;
+      if (!(await this.reportsLead(leader)))
+        return this.logWithheld(service, 'primary no longer reports its lead');
       this.unconfirmedServices.delete(service);
     }
     await this.sendResume(service, leader?.id);
@@ -340,7 +351,7 @@
     const {leadership} = this.options;
     const record = leadership.latestRecord(service);
     if (!isPromotionAllowed(this.unconfirmedOrderOf(service), leader?.id))
-      return;
+      return this.logWithheld(service, 'an order may still be executed');
     if (leader && record && !this.isSettledOn(service, leader.id)) {
       const {id: database} = leader;
       const written = await leadership.writeRecord({
@@ -348,11 +359,17 @@
         database,
         settled: true,
       });
-      if (!written) return;
+      if (!written)
+        return this.logWithheld(service, 'leader record not written');
     }
     await this.sendResume(service, leader?.id);
   }
 
+  /** Logs why the replicas of a service stay paused for now. */
+  private logWithheld(service: string, reason: string): void {
+    this.options.log('resume_withheld', {service, reason});
+  }
+
   private isSettledOn(service: string, database: string): boolean {
     const record = this.options.leadership.latestRecord(service);
     return record?.database === database && record.settled;
@@ -377,8 +394,11 @@
     const {leaderOf} = this.options;
     const untilMs = performance.now() + PROMOTION_TIMEOUT_MS;
     while (leaderOf(service)?.id !== database) {
-      if (performance.now() > untilMs || !this.isTenureOf(service))
+      if (!this.isTenureOf(service)) return this.abandon(service);
+      if (performance.now() > untilMs) {
+        this.logWithheld(service, 'promoted database is not listed as primary');
         return false;
+      }
       await pause(ROUND_PAUSE_MS);
     }
     const {leadership} = this.options;
@@ -554,12 +574,18 @@
     service: string,
     leader: string | undefined,
   ): Promise<void> {
-    const {codec} = this.options;
+    const {codec, log} = this.options;
+    const receiving: string[] = [];
+    const unanswered: string[] = [];
     await Promise.all(
       this.replicasOf(service, leader).map(async entry => {
-        if (this.isTenureOf(service))
-          await runControlStatement(entry, codec, {kind: 'resume'});
+        if (!this.isTenureOf(service)) return;
+        const statement = {kind: 'resume'} as const;
+        const report = await runControlStatement(entry, codec, statement);
+        const isReceiving = report?.pausedAtTerm === 0;
+        (isReceiving ? receiving : unanswered).push(entry.id);
       }),
     );
+    log('replicas_resumed', {service, receiving, unanswered});
   }
 }
