Move resuming replicas out of the takeover runner

No change in behaviour: replica_resumer.ts lets replicas receive again, and unconfirmed_orders.ts keeps the orders without an answer, so that both the runner and what follows can use them.

--- /dev/null
+++ b/src/front/replica_resumer.ts
@@ -0,0 +1,160 @@
+/**
+ * Lets the replicas of a service receive the log again after a takeover attempt
+ * that promoted none of them. A promotion order that is executed afterwards
+ * would undo commits acknowledged since, so such orders are made void first.
+ */
+import {KnownDatabase} from '../core/directory.js';
+import {isPromotionAllowed} from '../core/leader_record.js';
+import {runControlStatement} from './control_link.js';
+import {CoordinatorLease} from './coordinator_lease.js';
+import {JsonLog} from './json_log.js';
+import {Leadership} from './leadership.js';
+import {Promote} from './promoter.js';
+import {UnconfirmedOrders, UNCONFIRMED_ORDER_MS} from './unconfirmed_orders.js';
+import {DatabaseCodec} from './wire_types.js';
+
+export interface ReplicaResumerOptions {
+  readonly self: string;
+  readonly coordinatorLease: CoordinatorLease;
+  readonly codec: DatabaseCodec;
+  readonly promote: Promote;
+  readonly leadership: Leadership;
+  readonly orders: UnconfirmedOrders;
+  /** Databases of a service other than `leader`. */
+  readonly replicasOf: (service: string, leader?: string) => KnownDatabase[];
+  /** Whether what was begun for a service may go on in this tenure. */
+  readonly isTenureOf: (service: string) => boolean;
+  readonly log: JsonLog;
+}
+
+/** Time from an accepted order until the database acts as primary. */
+const PROMOTION_DELAY_MS = 1_300;
+
+const pause = (ms: number): Promise<void> =>
+  new Promise(resolve => setTimeout(resolve, ms));
+
+/** Resumes replicas once no earlier promotion order can be executed. */
+export class ReplicaResumer {
+  private constructor(private readonly options: ReplicaResumerOptions) {}
+
+  static create(options: ReplicaResumerOptions): ReplicaResumer {
+    return new ReplicaResumer(options);
+  }
+
+  /**
+   * Lets the replicas receive the log again. A promotion order of this front or
+   * of an earlier lease holder that is executed afterwards would undo commits
+   * acknowledged since. An order to promote the current primary with a higher
+   * fencing token, sent first, makes such an order void.
+   */
+  async resume(
+    service: string,
+    leader: KnownDatabase | undefined,
+  ): Promise<void> {
+    const {leadership, coordinatorLease, orders} = this.options;
+    if (leadership.isEnabled) return this.resumeUnfenced(service, leader);
+    const isUnconfirmed =
+      orders.has(service) || coordinatorLease.heldForMs < UNCONFIRMED_ORDER_MS;
+    if (leader && isUnconfirmed) {
+      const refusal = await this.confirmLeader(service, leader);
+      if (refusal !== undefined) return this.logWithheld(service, refusal);
+    }
+    await this.sendResume(service, leader?.id);
+  }
+
+  /** Sends `RESUME` to all replicas of a service. */
+  async sendResume(service: string, leader: string | undefined): Promise<void> {
+    const {codec, log, replicasOf, isTenureOf} = this.options;
+    const receiving: string[] = [];
+    const unanswered: string[] = [];
+    await Promise.all(
+      replicasOf(service, leader).map(async entry => {
+        if (!isTenureOf(service)) return;
+        const statement = {kind: 'resume'} as const;
+        const report = await runControlStatement(entry, codec, statement);
+        const isReceiving = report?.pausedAtTerm === 0;
+        (isReceiving ? receiving : unanswered).push(entry.id);
+      }),
+    );
+    log('replicas_resumed', {service, receiving, unanswered});
+  }
+
+  /** Logs why the replicas of a service stay paused for now. */
+  logWithheld(service: string, reason: string): void {
+    this.options.log('resume_withheld', {service, reason});
+  }
+
+  /**
+   * Orders the promotion of the current primary with a higher fencing token.
+   * Resolves to why it is not confirmed; undefined if it is.
+   */
+  private async confirmLeader(
+    service: string,
+    leader: KnownDatabase,
+  ): Promise<string | undefined> {
+    const {coordinatorLease, promote, self, log, orders, isTenureOf} =
+      this.options;
+    const fencingToken = await coordinatorLease.raiseFencingToken();
+    if (fencingToken === undefined) return 'fencing token not raised';
+    if (!(await this.reportsLead(leader)))
+      return 'primary does not report its lead';
+    if (!isTenureOf(service)) return 'lease lost';
+    const database = leader.id;
+    const outcome = await promote({
+      service,
+      database,
+      holder: self,
+      fencingToken,
+    });
+    log('primary_confirmed', {
+      service,
+      database,
+      fence: fencingToken,
+      outcome,
+    });
+    if (outcome !== 'done') return 'primary not confirmed';
+    await pause(PROMOTION_DELAY_MS);
+    if (!(await this.reportsLead(leader)))
+      return 'primary no longer reports its lead';
+    orders.clear(service);
+    return undefined;
+  }
+
+  /**
+   * Resumes the replicas on a platform without fencing, but not while an
+   * earlier promotion order may still be executed, since nothing makes it void
+   * there. First makes the leader record name the current primary again.
+   */
+  private async resumeUnfenced(
+    service: string,
+    leader: KnownDatabase | undefined,
+  ): Promise<void> {
+    const {leadership, orders} = this.options;
+    const record = leadership.latestRecord(service);
+    if (!isPromotionAllowed(orders.orderOf(service), leader?.id))
+      return this.logWithheld(service, 'an order may still be executed');
+    if (leader && record && !this.isSettledOn(service, leader.id)) {
+      const {id: database} = leader;
+      const written = await leadership.writeRecord({
+        service,
+        database,
+        settled: true,
+      });
+      if (!written)
+        return this.logWithheld(service, 'leader record not written');
+    }
+    await this.sendResume(service, leader?.id);
+  }
+
+  private isSettledOn(service: string, database: string): boolean {
+    const record = this.options.leadership.latestRecord(service);
+    return record?.database === database && record.settled;
+  }
+
+  /** Queries a database for whether it is the primary. */
+  private async reportsLead(entry: KnownDatabase): Promise<boolean> {
+    const {codec} = this.options;
+    const report = await runControlStatement(entry, codec, {kind: 'status'});
+    return report?.isLeader === true;
+  }
+}
--- a/src/front/takeover_runner.ts
+++ b/src/front/takeover_runner.ts
@@ -15,12 +15,14 @@
   TakeoverChoice,
 } from '../core/takeover.js';
 import {runControlStatement} from './control_link.js';
-import {UnconfirmedOrder, isPromotionAllowed} from '../core/leader_record.js';
+import {isPromotionAllowed} from '../core/leader_record.js';
 import {CoordinatorLease} from './coordinator_lease.js';
 import {JsonLog} from './json_log.js';
 import {Leadership} from './leadership.js';
 import {Promote} from './promoter.js';
 import {pauseReplicas} from './replica_pause.js';
+import {ReplicaResumer} from './replica_resumer.js';
+import {UnconfirmedOrders} from './unconfirmed_orders.js';
 import {DatabaseCodec} from './wire_types.js';
 
 export interface TakeoverOptions {
@@ -55,12 +57,6 @@
 const INITIAL_LEADERLESS_LIMIT_MS = 6_000;
 /** How long an executed promotion may take to appear in the directory. */
 const PROMOTION_TIMEOUT_MS = 4_000;
-/**
- * How long the platform may still execute an order whose outcome is unknown.
- */
-const UNCONFIRMED_ORDER_MS = 15_000;
-/** Time from an accepted order until the database acts as primary. */
-const PROMOTION_DELAY_MS = 1_300;
 const ROUND_PAUSE_MS = 120;
 /**
  * Maximum duration of a takeover attempt in which no database is promoted. When
@@ -90,16 +86,8 @@
   private readonly pausedUntilMs = new Map<string, number>();
   private readonly leaderlessSinceMs = new Map<string, number>();
   private readonly servicesWithLeader = new Set<string>();
-  /**
-   * Services with an order of this front whose outcome is unknown: the platform
-   * may still execute it.
-   */
-  private readonly unconfirmedServices = new Set<string>();
-  /**
-   * The order that may still be executed where the platform does not check
-   * fencing tokens, by service.
-   */
-  private readonly unconfirmedOrders = new Map<string, UnconfirmedOrder>();
+  private readonly orders = UnconfirmedOrders.create();
+  private readonly resumer: ReplicaResumer;
   /**
    * When this front last acquired the coordinator lease; undefined while it is
    * not held.
@@ -110,6 +98,12 @@
   private readonly timer: NodeJS.Timeout;
 
   private constructor(private readonly options: TakeoverOptions) {
+    this.resumer = ReplicaResumer.create({
+      ...options,
+      orders: this.orders,
+      replicasOf: (service, leader) => this.replicasOf(service, leader),
+      isTenureOf: service => this.isTenureOf(service),
+    });
     this.timer = setInterval(() => this.check(), CHECK_INTERVAL_MS);
   }
 
@@ -166,23 +160,10 @@
     for (const service of serviceNames()) {
       const record = leadership.latestRecord(service);
       if (record && !record.settled)
-        this.addUnconfirmedOrder(service, record.database);
+        this.orders.addUnsettled(service, record.database);
     }
   }
 
-  private addUnconfirmedOrder(service: string, database: string): void {
-    const untilMs = performance.now() + UNCONFIRMED_ORDER_MS;
-    this.unconfirmedOrders.set(service, {database, untilMs});
-  }
-
-  /** Order of a service that the platform may still execute, if any. */
-  private unconfirmedOrderOf(service: string): UnconfirmedOrder | undefined {
-    const unconfirmed = this.unconfirmedOrders.get(service);
-    return unconfirmed && performance.now() < unconfirmed.untilMs
-      ? unconfirmed
-      : undefined;
-  }
-
   private start(service: string, reason: TakeoverReason): void {
     const pausedUntilMs = this.pausedUntilMs.get(service) ?? 0;
     if (this.running.has(service) || performance.now() < pausedUntilMs) return;
@@ -269,16 +250,16 @@
         );
         if (isOrdered) return this.awaitPromotion(service, choice.database);
       } else if (choice.kind === 'catch_up' || isLate) {
-        await this.resumeReplicas(service, leader);
+        await this.resumer.resume(service, leader);
         if (isLate) return false;
       }
       const currentLeader = this.options.leaderOf(service);
       if (currentLeader && currentLeader.id !== leader?.id) {
-        await this.resumeReplicas(service, currentLeader);
+        await this.resumer.resume(service, currentLeader);
         return true;
       }
       if (await this.hasLeaderRecovered(service, leader, reason)) {
-        await this.resumeReplicas(service, leader);
+        await this.resumer.resume(service, leader);
         return false;
       }
       await pause(ROUND_PAUSE_MS);
@@ -288,100 +269,10 @@
 
   /** Ends an attempt after the lease was lost; its replicas stay paused. */
   private abandon(service: string): false {
-    this.logWithheld(service, 'lease lost');
+    this.resumer.logWithheld(service, 'lease lost');
     return false;
   }
 
-  /**
-   * Lets the replicas receive the log again. A promotion order of this front or
-   * of an earlier lease holder that is executed afterwards would undo commits
-   * acknowledged since. An order to promote the current primary with a higher
-   * fencing token, sent first, makes such an order void.
-   */
-  private async resumeReplicas(
-    service: string,
-    leader: KnownDatabase | undefined,
-  ): Promise<void> {
-    const {coordinatorLease, promote, self, log, leadership} = this.options;
-    if (leadership.isEnabled)
-      return this.resumeReplicasUnfenced(service, leader);
-    const isUnconfirmed =
-      this.unconfirmedServices.has(service) ||
-      coordinatorLease.heldForMs < UNCONFIRMED_ORDER_MS;
-    if (leader && isUnconfirmed) {
-      const fencingToken = await coordinatorLease.raiseFencingToken();
-      if (fencingToken === undefined)
-        return this.logWithheld(service, 'fencing token not raised');
-      if (!(await this.reportsLead(leader)))
-        return this.logWithheld(service, 'primary does not report its lead');
-      if (!this.isTenureOf(service))
-        return this.logWithheld(service, 'lease lost');
-      const database = leader.id;
-      const outcome = await promote({
-        service,
-        database,
-        holder: self,
-        fencingToken,
-      });
-      log('primary_confirmed', {
-        service,
-        database,
-        fence: fencingToken,
-        outcome,
-      });
-      if (outcome !== 'done')
-        return this.logWithheld(service, 'primary not confirmed');
-      await pause(PROMOTION_DELAY_MS);
-      if (!(await this.reportsLead(leader)))
-        return this.logWithheld(service, 'primary no longer reports its lead');
-      this.unconfirmedServices.delete(service);
-    }
-    await this.sendResume(service, leader?.id);
-  }
-
-  /**
-   * Resumes the replicas on a platform without fencing, but not while an
-   * earlier promotion order may still be executed, since nothing makes it void
-   * there. First makes the leader record name the current primary again.
-   */
-  private async resumeReplicasUnfenced(
-    service: string,
-    leader: KnownDatabase | undefined,
-  ): Promise<void> {
-    const {leadership} = this.options;
-    const record = leadership.latestRecord(service);
-    if (!isPromotionAllowed(this.unconfirmedOrderOf(service), leader?.id))
-      return this.logWithheld(service, 'an order may still be executed');
-    if (leader && record && !this.isSettledOn(service, leader.id)) {
-      const {id: database} = leader;
-      const written = await leadership.writeRecord({
-        service,
-        database,
-        settled: true,
-      });
-      if (!written)
-        return this.logWithheld(service, 'leader record not written');
-    }
-    await this.sendResume(service, leader?.id);
-  }
-
-  /** Logs why the replicas of a service stay paused for now. */
-  private logWithheld(service: string, reason: string): void {
-    this.options.log('resume_withheld', {service, reason});
-  }
-
-  private isSettledOn(service: string, database: string): boolean {
-    const record = this.options.leadership.latestRecord(service);
-    return record?.database === database && record.settled;
-  }
-
-  /** Queries a database for whether it is the primary. */
-  private async reportsLead(entry: KnownDatabase): Promise<boolean> {
-    const {codec} = this.options;
-    const report = await runControlStatement(entry, codec, {kind: 'status'});
-    return report?.isLeader === true;
-  }
-
   /**
    * Waits until the directory shows the promoted database as primary, then
    * resumes the replicas. Before that the old primary may still serve, so the
@@ -396,16 +287,19 @@
     while (leaderOf(service)?.id !== database) {
       if (!this.isTenureOf(service)) return this.abandon(service);
       if (performance.now() > untilMs) {
-        this.logWithheld(service, 'promoted database is not listed as primary');
+        this.resumer.logWithheld(
+          service,
+          'promoted database is not listed as primary',
+        );
         return false;
       }
       await pause(ROUND_PAUSE_MS);
     }
     const {leadership} = this.options;
-    if (leadership.isEnabled && !this.unconfirmedOrderOf(service)) {
+    if (leadership.isEnabled && !this.orders.orderOf(service)) {
       await leadership.writeRecord({service, database, settled: true});
     }
-    await this.sendResume(service, database);
+    await this.resumer.sendResume(service, database);
     return true;
   }
 
@@ -455,7 +349,7 @@
     const size = replicas.length + 1;
     const syncReplicas = serviceOf(service)?.syncReplicas ?? 0;
     const group = {size, syncReplicas};
-    const preferred = this.unconfirmedOrderOf(service)?.database;
+    const preferred = this.orders.orderOf(service)?.database;
     const choice = chooseTakeover(group, logs, SAFE_TAKEOVER, preferred);
     log('takeover_choice', {
       service,
@@ -508,7 +402,7 @@
   ): Promise<boolean> {
     const {leadership, log} = this.options;
     if (!leadership.isEnabled) return this.orderPromotion(service, database);
-    const unconfirmed = this.unconfirmedOrderOf(service);
+    const unconfirmed = this.orders.orderOf(service);
     if (!isPromotionAllowed(unconfirmed, database)) {
       log('order_withheld', {
         service,
@@ -543,7 +437,7 @@
     database: string,
   ): Promise<boolean> {
     const {coordinatorLease, promote, self, log} = this.options;
-    const fencingToken = this.unconfirmedServices.has(service)
+    const fencingToken = this.orders.has(service)
       ? await coordinatorLease.raiseFencingToken()
       : coordinatorLease.currentFencingToken;
     if (fencingToken === undefined || !this.isTenureOf(service)) return false;
@@ -556,36 +450,16 @@
     log('promotion_ordered', {service, database, fence: fencingToken, outcome});
     switch (outcome) {
       case 'done':
-        this.unconfirmedServices.delete(service);
+        this.orders.clear(service);
         return true;
       case 'refused':
         await coordinatorLease.raiseFencingToken();
         return false;
       case 'unknown':
-        this.unconfirmedServices.add(service);
-        this.addUnconfirmedOrder(service, database);
+        this.orders.add(service, database);
         return false;
       case 'not_done':
         return false;
     }
   }
-
-  private async sendResume(
-    service: string,
-    leader: string | undefined,
-  ): Promise<void> {
-    const {codec, log} = this.options;
-    const receiving: string[] = [];
-    const unanswered: string[] = [];
-    await Promise.all(
-      this.replicasOf(service, leader).map(async entry => {
-        if (!this.isTenureOf(service)) return;
-        const statement = {kind: 'resume'} as const;
-        const report = await runControlStatement(entry, codec, statement);
-        const isReceiving = report?.pausedAtTerm === 0;
-        (isReceiving ? receiving : unanswered).push(entry.id);
-      }),
-    );
-    log('replicas_resumed', {service, receiving, unanswered});
-  }
 }
--- /dev/null
+++ b/src/front/unconfirmed_orders.ts
@@ -0,0 +1,58 @@
+/**
+ * Promotion orders of this front and of earlier lease holders that the platform
+ * may still execute, because no answer to them has arrived.
+ */
+import {UnconfirmedOrder} from '../core/leader_record.js';
+
+/**
+ * How long the platform may still execute an order whose outcome is unknown.
+ */
+export const UNCONFIRMED_ORDER_MS = 15_000;
+
+/** Unconfirmed orders by service. */
+export class UnconfirmedOrders {
+  /**
+   * Services with an order of this front whose outcome is unknown, until a
+   * later order with a higher fencing token has made it void.
+   */
+  private readonly services = new Set<string>();
+  /**
+   * The order that may still be executed where the platform does not check
+   * fencing tokens, by service.
+   */
+  private readonly orders = new Map<string, UnconfirmedOrder>();
+
+  private constructor() {}
+
+  static create(): UnconfirmedOrders {
+    return new UnconfirmedOrders();
+  }
+
+  /** Records an order of this front without an answer. */
+  add(service: string, database: string): void {
+    this.services.add(service);
+    this.addUnsettled(service, database);
+  }
+
+  /** Records an order of an earlier lease holder that has not been settled. */
+  addUnsettled(service: string, database: string): void {
+    const untilMs = performance.now() + UNCONFIRMED_ORDER_MS;
+    this.orders.set(service, {database, untilMs});
+  }
+
+  /** Records that a newer order of this front has been accepted. */
+  clear(service: string): void {
+    this.services.delete(service);
+  }
+
+  /** Whether an order of this front has no answer. */
+  has(service: string): boolean {
+    return this.services.has(service);
+  }
+
+  /** Order of a service that the platform may still execute, if any. */
+  orderOf(service: string): UnconfirmedOrder | undefined {
+    const order = this.orders.get(service);
+    return order && performance.now() < order.untilMs ? order : undefined;
+  }
+}
