Resume the replicas that an abandoned change of primary left paused

Starting all fronts again did not help.

Cause: the pause of a replica is state of another process, and only the attempt that had ordered it undid it. An attempt that lost the lease, got no higher fencing token, no report of the primary's lead or no answer to the confirming order returned and left the replicas paused; so did one whose RESUME a replica did not answer, and every front that was killed. Later attempts begin only for a primary that is lost or leaving, and the primary was well.

Three tenures of two processes followed and asked no replica.

What must be true before RESUME is as before (the primary confirmed with a higher fencing token). An attempt also no longer pauses replicas once the lease is lost.

takeover.test.ts: the fake leadership lacked latestRecord, which the runner calls on its first tick; on a busy machine the tick came before the end of the test and threw there.

--- a/src/core/directory.ts
+++ b/src/core/directory.ts
@@ -106,15 +106,17 @@
   return next;
 }
 
+/** Whether a database is listed or presumed alive. */
+export const isAvailable = (entry: KnownDatabase): boolean =>
+  entry.missingSinceMs === undefined || entry.isPresumedAlive;
+
 /** Returns the databases of a service that are listed or presumed alive. */
 export const databasesOf = (
   directory: Directory,
   service: string,
 ): KnownDatabase[] =>
   [...directory.values()].filter(
-    entry =>
-      entry.service === service &&
-      (entry.missingSinceMs === undefined || entry.isPresumedAlive),
+    entry => entry.service === service && isAvailable(entry),
   );
 
 /**
--- a/src/front/database_worker.ts
+++ b/src/front/database_worker.ts
@@ -74,6 +74,11 @@
 const MAX_SAMPLE_AGE_MS = 200;
 /** Idle time after which a front that is not the holder closes a connection. */
 const NON_HOLDER_IDLE_MS = 1_500;
+/**
+ * How long a primary counts as stalled after a commit that got no answer in
+ * time, unless another one is answered.
+ */
+const STALLED_MS = 1_000;
 /** Weight of the newest measurement in the moving average of service times. */
 const SERVICE_TIME_SMOOTHING = 0.1;
 const INITIAL_SERVICE_MS = 15;
@@ -116,6 +121,11 @@
   mode === ExecutionMode.open ||
   (mode === ExecutionMode.single && access !== Access.read);
 
+/** Whether the answer to work waits until its changes are replicated. */
+const isCommitting = ({mode, access}: Work): boolean =>
+  access === Access.commit ||
+  (access === Access.write && mode === ExecutionMode.single);
+
 /** Counters of a worker, shown in its dump under the same names. */
 export interface WorkerCounts {
   /** Connections opened for statements. */
@@ -142,6 +152,7 @@
   private readonly health: DatabaseHealth;
   private pendingSample: Promise<PositionSample | undefined> | undefined;
   private isClosed = false;
+  private stalledUntilMs = 0;
   /** Set while there is work or the connection budget is reduced. */
   private checkTimer: NodeJS.Timeout | undefined;
 
@@ -193,6 +204,11 @@
     return this.health.isSuspect;
   }
 
+  /** Whether commits that were sent lately have got no answer in time. */
+  get isStalled(): boolean {
+    return performance.now() < this.stalledUntilMs;
+  }
+
   /** Whether there is neither work nor an open transaction. */
   get isIdle(): boolean {
     return this.jobs.size === 0 && this.lanes.size === 0;
@@ -647,8 +663,10 @@
   ): void {
     this.inFlight--;
     this.recordServiceTime(job);
-    if (job.work.access === Access.write)
+    if (job.work.access === Access.write) {
       this.recordSample(job.sentAtMs, answer);
+      if (answer.ok) this.stalledUntilMs = 0;
+    }
     this.finish(job, this.replyOf(answer, {state: TransactionState.idle}));
     this.release(connection, answer.state);
     this.startQueuedJobs();
@@ -719,6 +737,7 @@
     this.recordServiceTime(job);
     const isLost = !answer.ok && answer.fault === Fault.lost;
     const isCommit = job.work.access === Access.commit;
+    if (isCommit && answer.ok) this.stalledUntilMs = 0;
     const hasNotRun = isFirst && !answer.ok && provesNotRun(answer.fault);
     const isStillOpen =
       !isLost &&
@@ -921,6 +940,8 @@
       state: inLane ? TransactionState.failed : TransactionState.idle,
     });
     connection?.link.close('no answer in time');
+    if (isCommitting(job.work))
+      this.stalledUntilMs = performance.now() + STALLED_MS;
     this.suspect('no answer in time');
   }
 
--- a/src/front/front.ts
+++ b/src/front/front.ts
@@ -46,7 +46,7 @@
 import {Router} from './router.js';
 import {StoreEra} from './store_era.js';
 import {Relay, StoreFeed, StoreLayout} from './store_feed.js';
-import {TakeoverRunner} from './takeover_runner.js';
+import {PauseReport, TakeoverRunner} from './takeover_runner.js';
 import {withTimeout} from './timeout.js';
 import {CallerCodec, DatabaseCodec} from './wire_types.js';
 
@@ -98,6 +98,15 @@
 /** Part of the grace period that is reserved for closing. */
 const CLOSE_RESERVE_MS = 600;
 
+/** What a front tells the holder of the coordinator lease. */
+interface SuspectReport {
+  readonly service: string;
+  /** The suspect primary. */
+  readonly database: string;
+  /** Set if the replicas may be paused, rather than the primary be lost. */
+  readonly pause?: PauseReport;
+}
+
 export class Front {
   private readonly lifecycle = Lifecycle.create();
   private readonly self: ProcessIdentity;
@@ -520,8 +529,7 @@
         dispatcher.localPositionSamples(p.database),
       [PeerMethodName.follow]: (request: FollowRequest) =>
         this.feed.follow(request),
-      [PeerMethodName.suspect]: (p: {service: string; database: string}) =>
-        this.takeoverRunner.reportSuspect(p.service, p.database),
+      [PeerMethodName.suspect]: (p: SuspectReport) => this.handleSuspect(p),
     };
   }
 
@@ -625,6 +633,7 @@
       sessions: this.sessions.size,
       ready: this.isReady ? 1 : 0,
       duty_held: this.coordinatorLease.isHeld ? 1 : 0,
+      services_maybe_paused: this.takeoverRunner.pendingResumeCount,
       config_version: this.feed.config?.version ?? 0,
       store_era: this.feed.era,
       store_revision: this.feed.knownRevision,
@@ -632,25 +641,54 @@
     };
   }
 
-  /** Reports suspect primaries to the holder of the coordinator lease. */
+  /**
+   * Reports suspect and stalled primaries to the holder of the coordinator
+   * lease, and services that this front has left in a change of primary.
+   */
   private reportSuspects(): void {
-    const {holder} = this.coordinatorLease;
+    const {takeoverRunner} = this;
     for (const [id, worker] of this.dispatcher.workersByDatabase) {
-      if (!worker.isSuspect) continue;
+      if (!worker.isSuspect && !worker.isStalled) continue;
       const service = this.feed.directory.get(id)?.service;
       if (service === undefined) continue;
       if (this.router.leader(service)?.id !== id) continue;
-      if (holder === this.settings.vm)
-        this.takeoverRunner.reportSuspect(service, id);
-      else if (holder !== undefined) {
-        this.dispatcher
-          .link(holder)
-          ?.call(PeerMethodName.suspect, {service, database: id})
-          .catch((error: Error) =>
-            this.ports.log('suspect_untold', {holder, text: error.message}),
-          );
-      }
+      if (worker.isSuspect) void this.tellHolder({service, database: id});
+      const pause = PauseReport.stalled;
+      if (worker.isStalled)
+        void this.tellHolder({service, database: id, pause});
     }
+    for (const service of takeoverRunner.abandonedServices) {
+      const pause = PauseReport.abandoned;
+      void this.tellHolder({service, database: '', pause}).then(isTold => {
+        if (isTold) takeoverRunner.forgetAbandoned(service);
+      });
+    }
+  }
+
+  /** Resolves to whether another front that holds the lease has answered. */
+  private async tellHolder(report: SuspectReport): Promise<boolean> {
+    const {holder} = this.coordinatorLease;
+    if (holder === undefined) return false;
+    if (holder === this.settings.vm) {
+      this.handleSuspect(report);
+      return false;
+    }
+    const link = this.dispatcher.link(holder);
+    if (!link) return false;
+    try {
+      await link.call(PeerMethodName.suspect, report);
+      return true;
+    } catch (error) {
+      const text = (error as Error).message;
+      this.ports.log('suspect_untold', {holder, text});
+      return false;
+    }
+  }
+
+  private handleSuspect({service, database, pause}: SuspectReport): void {
+    if (pause === undefined)
+      this.takeoverRunner.reportSuspect(service, database);
+    else this.takeoverRunner.reportPause(service, pause);
   }
 }
 
--- a/src/front/replica_resumer.ts
+++ b/src/front/replica_resumer.ts
@@ -24,6 +24,8 @@
   readonly replicasOf: (service: string, leader?: string) => KnownDatabase[];
   /** Whether what was begun for a service may go on in this tenure. */
   readonly isTenureOf: (service: string) => boolean;
+  /** Called when all replicas of a service have confirmed that they receive. */
+  readonly onReceiving: (service: string) => void;
   readonly log: JsonLog;
 }
 
@@ -45,12 +47,13 @@
    * Lets the replicas receive the log again. A promotion order of this front or
    * of an earlier lease holder that is executed afterwards would undo commits
    * acknowledged since. An order to promote the current primary with a higher
-   * fencing token, sent first, makes such an order void.
+   * fencing token, sent first, makes such an order void. Resolves to whether all
+   * replicas have confirmed that they receive.
    */
   async resume(
     service: string,
     leader: KnownDatabase | undefined,
-  ): Promise<void> {
+  ): Promise<boolean> {
     const {leadership, coordinatorLease, orders} = this.options;
     if (leadership.isEnabled) return this.resumeUnfenced(service, leader);
     const isUnconfirmed =
@@ -59,29 +62,39 @@
       const refusal = await this.confirmLeader(service, leader);
       if (refusal !== undefined) return this.logWithheld(service, refusal);
     }
-    await this.sendResume(service, leader?.id);
+    return this.sendResume(service, leader?.id);
   }
 
-  /** Sends `RESUME` to all replicas of a service. */
-  async sendResume(service: string, leader: string | undefined): Promise<void> {
-    const {codec, log, replicasOf, isTenureOf} = this.options;
+  /**
+   * Sends `RESUME` to all replicas of a service. Resolves to whether all of
+   * them have confirmed that they receive.
+   */
+  async sendResume(
+    service: string,
+    leader: string | undefined,
+  ): Promise<boolean> {
+    const {codec, log, replicasOf, isTenureOf, onReceiving} = this.options;
     const receiving: string[] = [];
     const unanswered: string[] = [];
     await Promise.all(
       replicasOf(service, leader).map(async entry => {
-        if (!isTenureOf(service)) return;
         const statement = {kind: 'resume'} as const;
-        const report = await runControlStatement(entry, codec, statement);
+        const report = isTenureOf(service)
+          ? await runControlStatement(entry, codec, statement)
+          : undefined;
         const isReceiving = report?.pausedAtTerm === 0;
         (isReceiving ? receiving : unanswered).push(entry.id);
       }),
     );
     log('replicas_resumed', {service, receiving, unanswered});
+    if (unanswered.length === 0) onReceiving(service);
+    return unanswered.length === 0;
   }
 
   /** Logs why the replicas of a service stay paused for now. */
-  logWithheld(service: string, reason: string): void {
+  logWithheld(service: string, reason: string): false {
     this.options.log('resume_withheld', {service, reason});
+    return false;
   }
 
   /**
@@ -128,7 +141,7 @@
   private async resumeUnfenced(
     service: string,
     leader: KnownDatabase | undefined,
-  ): Promise<void> {
+  ): Promise<boolean> {
     const {leadership, orders} = this.options;
     const record = leadership.latestRecord(service);
     if (!isPromotionAllowed(orders.orderOf(service), leader?.id))
@@ -143,7 +156,7 @@
       if (!written)
         return this.logWithheld(service, 'leader record not written');
     }
-    await this.sendResume(service, leader?.id);
+    return this.sendResume(service, leader?.id);
   }
 
   private isSettledOn(service: string, database: string): boolean {
--- /dev/null
+++ b/src/front/resume_supervisor.ts
@@ -0,0 +1,137 @@
+/**
+ * Finds replicas that an earlier change of primary has left paused, and lets
+ * them receive the log again. Works while this front holds the coordinator
+ * lease; see `core/resume_checks.ts` for when a service is checked.
+ */
+import {Directory, KnownDatabase, isAvailable} from '../core/directory.js';
+import {
+  ResumeCheck,
+  ResumeCheckResult,
+  ResumeChecks,
+} from '../core/resume_checks.js';
+import {runControlStatement} from './control_link.js';
+import {JsonLog} from './json_log.js';
+import {DatabaseCodec} from './wire_types.js';
+
+export interface ResumeSupervisorOptions {
+  readonly codec: DatabaseCodec;
+  readonly directory: () => Directory;
+  readonly serviceNames: () => readonly string[];
+  readonly leaderOf: (service: string) => KnownDatabase | undefined;
+  /** Databases of a service other than `leader`. */
+  readonly replicasOf: (service: string, leader?: string) => KnownDatabase[];
+  /** Whether a change of primary of a service is under way. */
+  readonly isBusy: (service: string) => boolean;
+  /**
+   * Lets the replicas of a service receive again, and begins no change of its
+   * primary meanwhile. Resolves to whether all replicas have confirmed it.
+   */
+  readonly resume: (service: string, leader: KnownDatabase) => Promise<boolean>;
+  readonly log: JsonLog;
+}
+
+/** Checks that run at the same time, which bounds their load on the front. */
+const MAX_RUNNING_CHECKS = 8;
+
+const NO_DATABASES: ReadonlySet<string> = new Set();
+
+/** Runs the checks that are due; called periodically by its owner. */
+export class ResumeSupervisor {
+  private readonly checks = ResumeChecks.create();
+  private running = 0;
+  private lastDirectory: Directory | undefined;
+  private available = NO_DATABASES;
+
+  private constructor(private readonly options: ResumeSupervisorOptions) {}
+
+  static create(options: ResumeSupervisorOptions): ResumeSupervisor {
+    return new ResumeSupervisor(options);
+  }
+
+  /** Number of services whose replicas may be paused. */
+  get pendingCount(): number {
+    return this.checks.size;
+  }
+
+  /**
+   * Must be called when this front has acquired the lease: the former holder
+   * may have paused replicas of any service.
+   */
+  beginTenure(nowMs: number): void {
+    this.checks.clear();
+    for (const service of this.options.serviceNames())
+      this.checks.request(service, nowMs);
+  }
+
+  /** Records that replicas of a service may be paused from now on. */
+  recordPause(service: string): void {
+    this.checks.request(service, performance.now());
+  }
+
+  /** Records that all replicas of a service have confirmed that they receive. */
+  recordReceiving(service: string): void {
+    this.checks.recordReceiving(service, performance.now());
+  }
+
+  /** Records that commits of a service get no answer. */
+  recordStall(service: string): void {
+    this.checks.requestForStall(service, performance.now());
+  }
+
+  /** Starts the checks that are due. */
+  run(nowMs: number): void {
+    this.requestForReturned(nowMs);
+    const count = MAX_RUNNING_CHECKS - this.running;
+    for (const check of this.checks.take(nowMs, count, this.options.isBusy)) {
+      this.running++;
+      void this.check(check)
+        .then(result => this.checks.record(check, result, performance.now()))
+        .finally(() => this.running--);
+    }
+  }
+
+  /**
+   * Requests checks of services of which a database was listed that was not
+   * before: it may have been paused while it was out of sight.
+   */
+  private requestForReturned(nowMs: number): void {
+    const directory = this.options.directory();
+    if (directory === this.lastDirectory) return;
+    const isFirst = this.lastDirectory === undefined;
+    this.lastDirectory = directory;
+    const before = this.available;
+    const listed = [...directory.values()].filter(isAvailable);
+    this.available = new Set(listed.map(({id}) => id));
+    if (isFirst) return;
+    for (const {id, service} of listed) {
+      if (!before.has(id)) this.checks.request(service, nowMs);
+    }
+  }
+
+  private async check({service}: ResumeCheck): Promise<ResumeCheckResult> {
+    const {codec, leaderOf, replicasOf, resume, log} = this.options;
+    const leader = leaderOf(service);
+    const replicas = replicasOf(service, leader?.id);
+    const query = (entry: KnownDatabase) =>
+      runControlStatement(entry, codec, {kind: 'status'});
+    const reports = await Promise.all(replicas.map(query));
+    const paused = replicas.filter(
+      (_, index) => (reports[index]?.pausedAtTerm ?? 0) > 0,
+    );
+    if (paused.length === 0) {
+      return reports.includes(undefined)
+        ? ResumeCheckResult.unanswered
+        : ResumeCheckResult.receiving;
+    }
+    const names = paused.map(({id}) => id);
+    log('replicas_found_paused', {service, leader: leader?.id, paused: names});
+    // A service without a usable primary gets another one, which ends the pause.
+    if (!leader || leader.leaving) return ResumeCheckResult.paused;
+    const leaderReport = await query(leader);
+    const mayResume =
+      leaderReport?.isLeader === true && !this.options.isBusy(service);
+    return mayResume && (await resume(service, leader))
+      ? ResumeCheckResult.receiving
+      : ResumeCheckResult.paused;
+  }
+}
--- a/src/front/takeover_runner.ts
+++ b/src/front/takeover_runner.ts
@@ -22,6 +22,7 @@
 import {Promote} from './promoter.js';
 import {pauseReplicas} from './replica_pause.js';
 import {ReplicaResumer} from './replica_resumer.js';
+import {ResumeSupervisor} from './resume_supervisor.js';
 import {UnconfirmedOrders} from './unconfirmed_orders.js';
 import {DatabaseCodec} from './wire_types.js';
 
@@ -80,6 +81,15 @@
  */
 type TakeoverReason = 'lost' | 'leaving' | 'none';
 
+/** Why replicas of a service may be paused, as fronts tell the lease's holder. */
+export const PauseReport = {
+  /** Commits get no answer, though the primary can be reached. */
+  stalled: 'stalled',
+  /** The sender gave up a change of primary as it had lost the lease. */
+  abandoned: 'abandoned',
+} as const;
+export type PauseReport = (typeof PauseReport)[keyof typeof PauseReport];
+
 /** Starts takeovers of all services while the coordinator lease is held. */
 export class TakeoverRunner {
   private readonly running = new Set<string>();
@@ -88,11 +98,17 @@
   private readonly servicesWithLeader = new Set<string>();
   private readonly orders = UnconfirmedOrders.create();
   private readonly resumer: ReplicaResumer;
+  private readonly supervisor: ResumeSupervisor;
+  /**
+   * Services with an attempt that this front gave up because it lost the lease,
+   * until the next holder has been told.
+   */
+  private readonly abandoned = new Set<string>();
   /**
-   * When this front last acquired the coordinator lease; undefined while it is
-   * not held.
+   * Tenure of the coordinator lease that this front has acted in last;
+   * undefined while the lease is not held.
    */
-  private leaseAcquiredMs: number | undefined;
+  private tenure: number | undefined;
   /** Tenure of the coordinator lease in which each attempt was begun. */
   private readonly tenures = new Map<string, number | undefined>();
   private readonly timer: NodeJS.Timeout;
@@ -103,6 +119,13 @@
       orders: this.orders,
       replicasOf: (service, leader) => this.replicasOf(service, leader),
       isTenureOf: service => this.isTenureOf(service),
+      onReceiving: service => this.supervisor.recordReceiving(service),
+    });
+    this.supervisor = ResumeSupervisor.create({
+      ...options,
+      replicasOf: (service, leader) => this.replicasOf(service, leader),
+      isBusy: service => this.running.has(service),
+      resume: (service, leader) => this.resumeExclusively(service, leader),
     });
     this.timer = setInterval(() => this.check(), CHECK_INTERVAL_MS);
   }
@@ -122,17 +145,46 @@
     this.start(service, 'lost');
   }
 
+  /**
+   * Handles a front's report that commits of a service get no answer, or that
+   * it has given up a change of primary: replicas may be paused. Ignored unless
+   * this front holds the coordinator lease.
+   */
+  reportPause(service: string, report: PauseReport): void {
+    if (!this.options.coordinatorLease.isHeld) return;
+    if (report === PauseReport.stalled) this.supervisor.recordStall(service);
+    else this.supervisor.recordPause(service);
+  }
+
+  /** Services whose replicas this front may have left paused. */
+  get abandonedServices(): ReadonlySet<string> {
+    return this.abandoned;
+  }
+
+  /** Must be called when the lease's holder knows of an abandoned service. */
+  forgetAbandoned(service: string): void {
+    this.abandoned.delete(service);
+  }
+
+  /** Number of services whose replicas may be paused; 0 without the lease. */
+  get pendingResumeCount(): number {
+    const {isHeld} = this.options.coordinatorLease;
+    return isHeld ? this.supervisor.pendingCount : 0;
+  }
+
   close(): void {
     clearInterval(this.timer);
   }
 
   private check(): void {
-    if (!this.options.coordinatorLease.isHeld) {
-      this.leaseAcquiredMs = undefined;
+    const {tenure} = this.options.coordinatorLease;
+    if (tenure === undefined) {
+      this.tenure = undefined;
       return this.leaderlessSinceMs.clear();
     }
     const nowMs = performance.now();
-    if (this.leaseAcquiredMs === undefined) this.markUnsettledOrders(nowMs);
+    if (tenure !== this.tenure) this.beginTenure(tenure, nowMs);
+    this.supervisor.run(nowMs);
     for (const service of this.options.serviceNames()) {
       const leader = this.options.leaderOf(service);
       if (leader) {
@@ -152,11 +204,13 @@
 
   /**
    * Treats the unsettled orders of earlier lease holders as unconfirmed, since
-   * the platform may still execute them.
+   * the platform may still execute them, and has all replicas checked.
    */
-  private markUnsettledOrders(nowMs: number): void {
+  private beginTenure(tenure: number, nowMs: number): void {
     const {serviceNames, leadership} = this.options;
-    this.leaseAcquiredMs = nowMs;
+    this.tenure = tenure;
+    this.abandoned.clear();
+    this.supervisor.beginTenure(nowMs);
     for (const service of serviceNames()) {
       const record = leadership.latestRecord(service);
       if (record && !record.settled)
@@ -188,6 +242,7 @@
       }
     }
     log('takeover_begun', {service, reason, leader: leader?.id});
+    this.supervisor.recordPause(service);
     const startedMs = performance.now();
     const done = await this.replaceLeader(service, leader, reason);
     log('takeover_ended', {
@@ -240,6 +295,7 @@
     const untilMs = performance.now() + ATTEMPT_TIMEOUT_MS;
     for (;;) {
       const isLate = performance.now() > untilMs;
+      if (!this.isTenureOf(service)) return this.abandon(service);
       const choice = await this.pauseAndChoose(service, leader);
       if (!this.isTenureOf(service)) return this.abandon(service);
       if (choice.kind === 'promote') {
@@ -269,8 +325,23 @@
 
   /** Ends an attempt after the lease was lost; its replicas stay paused. */
   private abandon(service: string): false {
-    this.resumer.logWithheld(service, 'lease lost');
-    return false;
+    this.abandoned.add(service);
+    return this.resumer.logWithheld(service, 'lease lost');
+  }
+
+  /** Lets replicas receive again, unless a change of primary is under way. */
+  private async resumeExclusively(
+    service: string,
+    leader: KnownDatabase,
+  ): Promise<boolean> {
+    if (this.running.has(service)) return false;
+    this.running.add(service);
+    this.tenures.set(service, this.options.coordinatorLease.tenure);
+    try {
+      return await this.resumer.resume(service, leader);
+    } finally {
+      this.running.delete(service);
+    }
   }
 
   /**
--- /dev/null
+++ b/test/platform/paused_replicas.test.ts
@@ -0,0 +1,137 @@
+/**
+ * Replicas that are still paused though no change of primary is under way, so
+ * that no commit of their service is acknowledged.
+ */
+import test, {ExecutionContext} from 'ava';
+import {
+  Fleet,
+  openSession,
+  operatorConfig,
+  RunningFront,
+  startFleet,
+  startFront,
+  until,
+  WireClient,
+  ZONES,
+} from './fleet_fixture.js';
+import {StandinDatabase, StandinGroup} from './standin_database.js';
+import {StandinStore} from './standin_store.js';
+
+const PAUSE_TERM = 5;
+/** More than the confirmation of a primary and some repetitions take. */
+const RESUME_LIMIT_MS = 10_000;
+
+const replicasOf = ({databases}: StandinGroup): StandinDatabase[] =>
+  databases.filter(({isPrimary}) => !isPrimary);
+
+function pauseReplicas(group: StandinGroup): void {
+  for (const replica of replicasOf(group)) replica.pause(PAUSE_TERM);
+}
+
+/** Starts one front for a service whose replicas are paused already. */
+async function startBehindPause(
+  t: ExecutionContext,
+  prepare: (group: StandinGroup, store: StandinStore) => void = () => undefined,
+): Promise<{group: StandinGroup; store: StandinStore; front: RunningFront}> {
+  const group = await StandinGroup.start('orders', ZONES);
+  pauseReplicas(group);
+  const store = await StandinStore.start([group]);
+  store.put('op/config', operatorConfig('orders'));
+  prepare(group, store);
+  const front = await startFront('front-1', ZONES[0], store);
+  t.teardown(async () => {
+    await front.front.stop();
+    await group.stop();
+    await store.stop();
+  });
+  await until(() => front.front.isReady);
+  return {group, store, front};
+}
+
+const haveResumed = (group: StandinGroup): boolean =>
+  replicasOf(group).every(({isPaused}) => !isPaused);
+
+/** Writes until a write is acknowledged, as clients that try again do. */
+async function writeUntilAcknowledged(fleet: Fleet): Promise<number> {
+  const startedMs = performance.now();
+  while (performance.now() - startedMs < RESUME_LIMIT_MS) {
+    const session = await openSession(fleet.fronts[0], 'primary', 'ana-key');
+    const {done} = await writeOnce(session);
+    session.close();
+    if (done !== undefined) return performance.now() - startedMs;
+  }
+  return Infinity;
+}
+
+const writeOnce = (session: WireClient) => session.query('WRITE k v');
+
+// Guards against writes that hang for good: a holder of the lease that ends or
+// loses the lease within a change of primary leaves the replicas paused.
+test('a new holder of the lease resumes the replicas that its predecessor paused', async t => {
+  const {group, front} = await startBehindPause(t);
+  await until(() => haveResumed(group), RESUME_LIMIT_MS);
+  const session = await openSession(front, 'primary', 'ana-key');
+  t.truthy((await writeOnce(session)).done);
+});
+
+// Guards against commits that a late order would undo: before replicas receive
+// again, the present primary is confirmed, and no order may be unanswered.
+test('replicas stay paused until the platform has confirmed the primary', async t => {
+  const {group, store, front} = await startBehindPause(t, (_, created) => {
+    created.promotionMode = 'lost';
+  });
+  await until(() => store.promotions.length >= 2);
+  t.deepEqual(
+    store.promotions.filter(({id}) => id !== group.databases[0].id),
+    [],
+  );
+  t.true(replicasOf(group).every(({isPaused}) => isPaused));
+  t.true(front.events('resume_withheld').length > 0);
+  store.promotionMode = 'executed';
+  await until(() => haveResumed(group), RESUME_LIMIT_MS);
+});
+
+// Guards against a replica that stays paused because it does not answer at the
+// one time when it is told to resume.
+test('a replica that was silent when it was to resume is told again', async t => {
+  const {group} = await startBehindPause(t, created => {
+    created.databases[2].isUnresponsive = true;
+  });
+  const [, first, silent] = group.databases;
+  await until(() => !first.isPaused, RESUME_LIMIT_MS);
+  t.true(silent.isPaused);
+  silent.isUnresponsive = false;
+  await until(() => !silent.isPaused, RESUME_LIMIT_MS);
+  t.pass();
+});
+
+// Guards against writes that hang because a former holder, frozen meanwhile,
+// pauses replicas of which the present holder knows nothing.
+test('replicas that are paused within a tenure are found by the commits that hang', async t => {
+  const fleet = await startFleet(['norte', 'puerto']);
+  t.teardown(() => fleet.stop());
+  const {group} = fleet;
+  t.true((await writeUntilAcknowledged(fleet)) < RESUME_LIMIT_MS);
+  pauseReplicas(group);
+  const tookMs = await writeUntilAcknowledged(fleet);
+  t.true(tookMs < RESUME_LIMIT_MS, `${tookMs} ms`);
+  t.true(haveResumed(group));
+});
+
+// Guards against a replica that stays paused because its entry was missing when
+// the others were resumed.
+test('a replica that is listed again is checked for a pause', async t => {
+  const fleet = await startFleet(['norte']);
+  t.teardown(() => fleet.stop());
+  const {group, store, fronts} = fleet;
+  const [, replica] = group.databases;
+  store.remove(`servers/${replica.id}`);
+  await until(() => fronts[0].events('database_unlisted').length > 0);
+  replica.pause(PAUSE_TERM);
+  // Longer than fronts keep a database whose entry is missing.
+  await new Promise(resolve => setTimeout(resolve, 3_600));
+  t.true(replica.isPaused);
+  store.registerDatabases();
+  await until(() => !replica.isPaused, RESUME_LIMIT_MS);
+  t.pass();
+});
--- a/test/platform/standin_store.ts
+++ b/test/platform/standin_store.ts
@@ -47,9 +47,22 @@
 export type StoreFaultMode =
   (typeof StoreFaultMode)[keyof typeof StoreFaultMode];
 
+/** What becomes of promotion orders; set by tests. */
+export const PromotionMode = {
+  executed: 'executed',
+  /** Neither executed nor answered. */
+  lost: 'lost',
+  /** Executed `LATE_PROMOTION_MS` after arrival, and not answered. */
+  late: 'late',
+} as const;
+export type PromotionMode = (typeof PromotionMode)[keyof typeof PromotionMode];
+
+const LATE_PROMOTION_MS = 3_000;
+
 /** An in-memory store with watches and leases, served over HTTP. */
 export class StandinStore {
   faultMode: StoreFaultMode = StoreFaultMode.none;
+  promotionMode: PromotionMode = PromotionMode.executed;
   requestCount = 0;
   watchCount = 0;
   port = 0;
@@ -384,9 +397,26 @@
     const fencingToken = Number(request.headers['mustardpass-fence-token']);
     const holder = String(request.headers['mustardpass-duty-holder']);
     this.promotions.push({service, id, holder, fencingToken});
-    if (fencingToken < this.highestFencingToken) return answer(409, {});
+    if (this.promotionMode === PromotionMode.lost) return;
+    if (this.promotionMode === PromotionMode.late) {
+      setTimeout(
+        () => this.executePromotion(service, id, fencingToken),
+        LATE_PROMOTION_MS,
+      );
+      return;
+    }
+    answer(this.executePromotion(service, id, fencingToken) ? 200 : 409, {});
+  }
+
+  /** Returns whether the order was accepted. */
+  private executePromotion(
+    service: string,
+    id: string,
+    fencingToken: number,
+  ): boolean {
+    if (fencingToken < this.highestFencingToken) return false;
     this.highestFencingToken = fencingToken;
     const group = this.groups.find(g => g.service === service);
-    answer(group?.promote(id) ? 200 : 409, {});
+    return group?.promote(id) === true;
   }
 }
--- a/test/platform/takeover.test.ts
+++ b/test/platform/takeover.test.ts
@@ -93,7 +93,10 @@
       return 1;
     },
     collectVotes: () => Promise.resolve([false]),
-    leadership: {isEnabled: false} as Leadership,
+    leadership: {
+      isEnabled: false,
+      latestRecord: () => undefined,
+    } as unknown as Leadership,
     log: event => {
       if (event === 'takeover_ended') ended = true;
     },
