Keep the coordinator lease when its holder raises the fencing token

Cause: raising the token rewrites the key. The watch of the store may show that write before its answer arrives, and checkOwnKey took any newer revision for another front's. Two raises at the same time (two services), and a leader record written beside a raise, met the revision of the first and gave up the lease as well.

Concurrent raises now share one write; a newer revision with this front's name is its own while a raise is under way; a write that conflicts with the own raise is tried again. A raise whose tenure ended meanwhile no longer sets a token.

Weighed and left out: revoking a lease that is given up, so that others need not wait for its end. Two holders could then order within one lease time.

--- a/src/front/coordinator_lease.ts
+++ b/src/front/coordinator_lease.ts
@@ -58,6 +58,8 @@
   private tenureCount = 0;
   private ttlMs = LEASE_TTL_MS;
   private isAcquiring = false;
+  /** The write of the key that is under way to raise the fencing token. */
+  private raise: Promise<number | undefined> | undefined;
   private retryTimer: NodeJS.Timeout | undefined;
   private readonly timer: NodeJS.Timeout;
   private readonly subscription: Subscription;
@@ -110,16 +112,24 @@
 
   /**
    * Rewrites the key to get a higher fencing token, so that orders still in
-   * progress are rejected. Resolves to undefined if that fails.
+   * progress are rejected. Calls at the same time share one write. Resolves to
+   * undefined if that fails.
    */
-  async raiseFencingToken(): Promise<number | undefined> {
-    if (!this.isHeld) return undefined;
+  raiseFencingToken(): Promise<number | undefined> {
+    this.raise ??= this.rewriteKey().finally(() => (this.raise = undefined));
+    return this.raise;
+  }
+
+  private async rewriteKey(): Promise<number | undefined> {
+    const {tenure} = this;
+    if (tenure === undefined) return undefined;
     const {key, store, self} = this.options;
     const result = await store.commit({
       expected: [{key, revision: this.keyRevision}],
       writes: [{key, value: self, leaseId: this.leaseId}],
       removals: [],
     });
+    if (this.tenure !== tenure) return undefined;
     if (result.isOk()) {
       this.fencingToken = result.value;
       this.keyRevision = result.value;
@@ -137,16 +147,20 @@
    */
   async write(key: string, value: string): Promise<number | undefined> {
     while (this.isHeld) {
+      const revision = this.keyRevision;
       const result = await this.options.store.commit({
-        expected: [{key: this.options.key, revision: this.keyRevision}],
+        expected: [{key: this.options.key, revision}],
         writes: [{key, value, leaseId: 0}],
         removals: [],
       });
       if (result.isOk()) return result.value;
       const {kind, message} = result.error;
       this.options.log('duty_write_failed', {key, kind, text: message});
-      if (kind === StoreFaultKind.conflict) this.markLost('superseded');
-      else await new Promise(done => setTimeout(done, WRITE_RETRY_DELAY_MS));
+      if (kind === StoreFaultKind.conflict) {
+        await this.raise;
+        // This front has rewritten the key itself meanwhile: try again.
+        if (this.keyRevision === revision) this.markLost('superseded');
+      } else await new Promise(done => setTimeout(done, WRITE_RETRY_DELAY_MS));
     }
     return undefined;
   }
@@ -190,12 +204,12 @@
     if (feed.knownRevision < this.keyRevision) return;
     if (!item) return this.markLost('key removed');
     if (item.revision <= this.keyRevision) return;
-    const isOwnWrite =
-      isSameWrite(item.revision, this.keyRevision) &&
-      item.value.toString('utf8') === self;
+    const isOwn = item.value.toString('utf8') === self;
     // The store was restored from a copy that includes this front's lease.
-    if (isOwnWrite) this.keyRevision = item.revision;
-    else this.markLost('superseded');
+    if (isOwn && isSameWrite(item.revision, this.keyRevision))
+      this.keyRevision = item.revision;
+    // The view may show the write that raises the token before its answer.
+    else if (!isOwn || !this.raise) this.markLost('superseded');
   }
 
   private async acquire(): Promise<void> {
--- a/test/front/coordinator_lease.test.ts
+++ b/test/front/coordinator_lease.test.ts
@@ -1,4 +1,7 @@
-/** The coordinator lease when the store returns from an older copy. */
+/**
+ * The coordinator lease: restores of the store from an older copy, and raises of
+ * the fencing token.
+ */
 import {mock} from 'node:test';
 import test from 'ava';
 import {err, ok} from 'neverthrow';
@@ -28,6 +31,12 @@
   );
   const commits: StoreTransaction[] = [];
   const revoked: number[] = [];
+  /** Revision of the key while the view does not show it yet. */
+  let unseenRevision: number | undefined;
+  /** Runs between a commit and its answer. */
+  let beforeAnswer: (
+    transaction: StoreTransaction,
+  ) => Promise<void> = async () => undefined;
   const renewals: Array<(reply: unknown) => void> = [];
   let leases = 4;
   const qualified = (): number => qualifyRevision(state.era, state.revision);
@@ -38,11 +47,17 @@
     commit: async (transaction: StoreTransaction) => {
       commits.push(transaction);
       const [{key, revision}] = transaction.expected;
-      const present = fleetItems$.value.get(key)?.revision ?? 0;
+      const shown = fleetItems$.value.get(key)?.revision ?? 0;
+      const present = unseenRevision ?? shown;
       if (revision !== present)
         return err({kind: StoreFaultKind.conflict, message: 'conflict'});
       if (commits.length > 1) state.revision++;
-      return ok(qualified());
+      const result = ok(qualified());
+      if (transaction.writes[0].key === KEY) unseenRevision = qualified();
+      // A store never answers within the call.
+      await Promise.resolve();
+      await beforeAnswer(transaction);
+      return result;
     },
   } as unknown as KeyValueStore;
   const feed = {
@@ -75,13 +90,17 @@
       value: Buffer.from(holder ?? ''),
       revision: qualifyRevision(state.era, revision),
     };
+    unseenRevision = undefined;
     fleetItems$.next(new Map(holder === undefined ? [] : [[KEY, item]]));
   };
   mock.timers.tick(1);
   await settle();
   show(SELF, WRITTEN_REVISION);
   t.teardown(() => undefined);
-  return {state, lease, show, commits, revoked, renewals};
+  const onCommit = (action: typeof beforeAnswer): void => {
+    beforeAnswer = action;
+  };
+  return {state, lease, show, commits, revoked, renewals, onCommit};
 }
 
 // Guards against seconds without a holder, though the store still has its lease.
@@ -157,3 +176,59 @@
     t.true(lease.isHeld);
   },
 );
+
+// Guards against replicas that stay paused, and seconds without a holder: the
+// watch of the store may show the rewritten key before the answer to the write.
+test.serial(
+  'a holder that sees the raise of its fencing token before the answer keeps the lease',
+  async t => {
+    const {state, lease, show, onCommit} = await createHolder(t);
+    const {tenure, currentFencingToken: token = 0} = lease;
+    onCommit(async () => show(SELF, state.revision));
+    const raised = await lease.raiseFencingToken();
+    t.true((raised ?? 0) > token);
+    t.is(lease.tenure, tenure);
+    t.is(lease.currentFencingToken, raised);
+    show('front-2', state.revision + 1);
+    t.false(lease.isHeld);
+  },
+);
+
+// Guards against the same where two services raise the token at the same time:
+// the second write met the revision of the first.
+test.serial(
+  'raises at the same time share one write of the key, and the lease is kept',
+  async t => {
+    const {state, lease, show, commits, onCommit} = await createHolder(t);
+    onCommit(async () => show(SELF, state.revision));
+    const before = commits.length;
+    const [first, second] = await Promise.all([
+      lease.raiseFencingToken(),
+      lease.raiseFencingToken(),
+    ]);
+    t.not(first, undefined);
+    t.is(second, first);
+    t.is(commits.length, before + 1);
+    t.true(lease.isHeld);
+    t.true(((await lease.raiseFencingToken()) ?? 0) > (first ?? 0));
+  },
+);
+
+// Guards against a lost lease: a record that is written while the token is
+// raised meets a key that this front has rewritten itself.
+test.serial(
+  'a write that conflicts with the raise of the own token is tried again',
+  async t => {
+    const {state, lease, show, commits, onCommit} = await createHolder(t);
+    onCommit(async ({writes}) => {
+      if (writes[0].key === KEY) show(SELF, state.revision);
+      await settle();
+    });
+    const raise = lease.raiseFencingToken();
+    const written = lease.write('own/record', 'text');
+    t.not(await raise, undefined);
+    t.not(await written, undefined);
+    t.is(commits.filter(({writes}) => writes[0].key !== KEY).length, 2);
+    t.true(lease.isHeld);
+  },
+);
