Count every order of this front that may still take effect

A caller could lose acknowledged commits in a change of primary that follows an outage of the platform's promotions. Two kinds of orders were forgotten: an order that confirms the present primary and got no answer, and a promotion that was accepted but not seen within 4 s. The next order reused the fencing token of the first, so that the platform would carry out the confirmation late and make the former primary lead again; and replicas received again without a confirmation while the promotion could still take effect.

--- a/src/front/replica_resumer.ts
+++ b/src/front/replica_resumer.ts
@@ -125,6 +125,7 @@
       fence: fencingToken,
       outcome,
     });
+    if (outcome === 'unknown') orders.requireHigherToken(service);
     if (outcome !== 'done') return 'primary not confirmed';
     await pause(PROMOTION_DELAY_MS);
     if (!(await this.reportsLead(leader)))
--- a/src/front/takeover_runner.ts
+++ b/src/front/takeover_runner.ts
@@ -358,11 +358,9 @@
     while (leaderOf(service)?.id !== database) {
       if (!this.isTenureOf(service)) return this.abandon(service);
       if (performance.now() > untilMs) {
-        this.resumer.logWithheld(
-          service,
-          'promoted database is not listed as primary',
-        );
-        return false;
+        this.orders.requireHigherToken(service);
+        const reason = 'promoted database is not listed as primary';
+        return this.resumer.logWithheld(service, reason);
       }
       await pause(ROUND_PAUSE_MS);
     }
--- a/src/front/unconfirmed_orders.ts
+++ b/src/front/unconfirmed_orders.ts
@@ -30,10 +30,18 @@
 
   /** Records an order of this front without an answer. */
   add(service: string, database: string): void {
-    this.services.add(service);
+    this.requireHigherToken(service);
     this.addUnsettled(service, database);
   }
 
+  /**
+   * Records that an earlier order of this front may take effect late, so that
+   * the next one needs a higher fencing token.
+   */
+  requireHigherToken(service: string): void {
+    this.services.add(service);
+  }
+
   /** Records an order of an earlier lease holder that has not been settled. */
   addUnsettled(service: string, database: string): void {
     const untilMs = performance.now() + UNCONFIRMED_ORDER_MS;
@@ -45,7 +53,7 @@
     this.services.delete(service);
   }
 
-  /** Whether an order of this front has no answer. */
+  /** Whether an order of this front may still take effect. */
   has(service: string): boolean {
     return this.services.has(service);
   }
--- a/test/platform/takeover.test.ts
+++ b/test/platform/takeover.test.ts
@@ -1,10 +1,14 @@
 /** Changes of primary by a front that has not seen earlier ones. */
-import test from 'ava';
+import test, {ExecutionContext} from 'ava';
 import {databaseCodec} from '../../platform/wire.js';
 import {KnownDatabase} from '../../src/core/directory.js';
 import {CoordinatorLease} from '../../src/front/coordinator_lease.js';
 import {Leadership} from '../../src/front/leadership.js';
-import {TakeoverRunner} from '../../src/front/takeover_runner.js';
+import {PromotionOrder} from '../../src/front/promoter.js';
+import {
+  TakeoverOptions,
+  TakeoverRunner,
+} from '../../src/front/takeover_runner.js';
 import {openSession, startFleet, until, ZONES} from './fleet_fixture.js';
 import {StandinDatabase, StandinGroup} from './standin_database.js';
 
@@ -62,50 +66,104 @@
   isPresumedAlive: false,
 });
 
-// Guards against the loss of acknowledged commits: another front that held the
-// lease between may have let the replicas receive the log again.
-test('an attempt orders nothing in a later tenure of the coordinator lease', async t => {
-  const group = await StandinGroup.start('orders', ZONES);
+/** A runner for a group, with a lease and a platform that tests control. */
+function createRunner(
+  t: ExecutionContext,
+  group: StandinGroup,
+  overrides: Partial<TakeoverOptions> = {},
+) {
   const lease = {
     isHeld: true,
     tenure: 1,
     currentFencingToken: 5,
     heldForMs: 60_000,
+    raiseFencingToken: async () => ++lease.currentFencingToken,
   };
   const entries = group.databases.map(entryOf);
-  const orders: string[] = [];
-  let ended = false;
+  const orders: PromotionOrder[] = [];
+  const events: string[] = [];
   const runner = TakeoverRunner.create({
     self: 'front-1',
     coordinatorLease: lease as unknown as CoordinatorLease,
     codec: databaseCodec,
-    promote: async ({database}) => {
-      orders.push(database);
+    promote: async order => {
+      orders.push(order);
       return 'done';
     },
     directory: () => new Map(entries.map(entry => [entry.id, entry])),
     serviceOf: name => ({name, maxConnections: 16, syncReplicas: 1}),
     leaderOf: () => entries[0],
     serviceNames: () => ['orders'],
-    // Called while the attempt pauses the replicas.
-    termOf: () => {
-      lease.tenure = 2;
-      return 1;
-    },
+    termOf: () => 1,
     collectVotes: () => Promise.resolve([false]),
     leadership: {
       isEnabled: false,
       latestRecord: () => undefined,
     } as unknown as Leadership,
-    log: event => {
-      if (event === 'takeover_ended') ended = true;
-    },
+    log: event => events.push(event),
+    ...overrides,
   });
   t.teardown(async () => {
     runner.close();
     await group.stop();
   });
+  return {runner, lease, entries, orders, events};
+}
+
+// Guards against the loss of acknowledged commits: another front that held the
+// lease between may have let the replicas receive the log again.
+test('an attempt orders nothing in a later tenure of the coordinator lease', async t => {
+  const group = await StandinGroup.start('orders', ZONES);
+  const {runner, lease, entries, orders, events} = createRunner(t, group, {
+    // Called while the attempt pauses the replicas.
+    termOf: () => {
+      lease.tenure = 2;
+      return 1;
+    },
+  });
   runner.reportSuspect('orders', entries[0].id);
-  await until(() => ended || orders.length > 0);
+  await until(() => events.includes('takeover_ended') || orders.length > 0);
   t.deepEqual(orders, []);
 });
+
+// Guards against the loss of acknowledged commits: the platform may execute an
+// order that confirms the primary late, after another database was promoted.
+test('an order after an unanswered confirmation of the primary makes it void', async t => {
+  const group = await StandinGroup.start('orders', ZONES);
+  for (const replica of group.databases.slice(1)) replica.pause(3);
+  const sent: PromotionOrder[] = [];
+  const {runner, lease, entries} = createRunner(t, group, {
+    promote: async order => {
+      sent.push(order);
+      return 'unknown';
+    },
+  });
+  lease.heldForMs = 1_000;
+  await until(() => sent.length === 1);
+  t.is(sent[0].database, entries[0].id);
+  await group.databases[0].crash();
+  const isOfOther = ({database}: PromotionOrder): boolean =>
+    database !== entries[0].id;
+  const reports = setInterval(
+    () => runner.reportSuspect('orders', entries[0].id),
+    50,
+  );
+  await until(() => sent.some(isOfOther));
+  clearInterval(reports);
+  const confirmations = sent.filter(order => !isOfOther(order));
+  const [next] = sent.filter(isOfOther);
+  const highest = Math.max(...confirmations.map(o => o.fencingToken));
+  t.true(next.fencingToken > highest);
+});
+
+// Guards against the loss of acknowledged commits: a promotion that was accepted
+// but is not seen may take effect after the replicas receive the log again.
+test('replicas resume after a promotion that is not seen only once the primary is confirmed', async t => {
+  const group = await StandinGroup.start('orders', ZONES);
+  const {entries, orders, events, runner} = createRunner(t, group);
+  runner.reportSuspect('orders', entries[0].id);
+  await until(() => events.includes('replicas_resumed'), 15_000);
+  const databases = orders.map(({database}) => database);
+  t.deepEqual(databases, [entries[1].id, entries[0].id]);
+  t.true(orders[1].fencingToken > orders[0].fencingToken);
+});
