Soak: faults of the platform, of the lease's holder and of primaries, and recovery

New kinds: kill and freeze the holder of the coordinator lease, silence a primary or all replicas of a service, lose or delay promotion orders, a busy or silent store. At the end each service must acknowledge a write within 12 s and no replica may be paused (RECOVER).

--- a/soak/fault_schedule.ts
+++ b/soak/fault_schedule.ts
@@ -27,6 +27,22 @@
   removeFrontEntry: 'remove_front_entry',
   /** A spare front joins and leaves, so that holders change twice. */
   addFront: 'add_front',
+  /** As `kill`, of the front that holds the coordinator lease. */
+  killHolder: 'kill_holder',
+  /** As `freeze`, of the front that holds the coordinator lease. */
+  freezeHolder: 'freeze_holder',
+  /** The primary of the database's service neither reads nor answers. */
+  silencePrimary: 'silence_primary',
+  /** The replicas of the database's service neither read nor answer. */
+  silenceReplicas: 'silence_replicas',
+  /** The platform neither executes nor answers promotion orders. */
+  losePromotions: 'lose_promotions',
+  /** The platform executes promotion orders late and does not answer. */
+  delayPromotions: 'delay_promotions',
+  /** The store refuses all calls. */
+  busyStore: 'busy_store',
+  /** The store answers no call. */
+  silentStore: 'silent_store',
 } as const;
 export type FaultKind = (typeof FaultKind)[keyof typeof FaultKind];
 
@@ -73,6 +89,34 @@
   },
   {kind: 'remove_front_entry', weight: 1, of: 'fronts', durationMs: [0, 0]},
   {kind: 'add_front', weight: 2, of: 'spares', durationMs: [2_000, 5_000]},
+  {kind: 'kill_holder', weight: 2, of: 'fronts', durationMs: [0, 0]},
+  {kind: 'freeze_holder', weight: 2, of: 'fronts', durationMs: [500, 4_000]},
+  {
+    kind: 'silence_primary',
+    weight: 3,
+    of: 'databases',
+    durationMs: [600, 3_000],
+  },
+  {
+    kind: 'silence_replicas',
+    weight: 1,
+    of: 'databases',
+    durationMs: [300, 2_500],
+  },
+  {
+    kind: 'lose_promotions',
+    weight: 2,
+    of: 'fronts',
+    durationMs: [1_000, 6_000],
+  },
+  {
+    kind: 'delay_promotions',
+    weight: 1,
+    of: 'fronts',
+    durationMs: [1_000, 4_000],
+  },
+  {kind: 'busy_store', weight: 1, of: 'fronts', durationMs: [500, 4_000]},
+  {kind: 'silent_store', weight: 1, of: 'fronts', durationMs: [500, 3_000]},
 ];
 /** Pause between two faults, which may overlap. */
 const PAUSE_MS = [200, 1_400] as const;
--- a/soak/faults.ts
+++ b/soak/faults.ts
@@ -3,6 +3,8 @@
 import {FaultKind, ScheduledFault} from './fault_schedule.js';
 import {FrontProcess} from './front_process.js';
 import {FLEET_PREFIX, World} from './world.js';
+import {StandinDatabase} from '../test/platform/standin_database.js';
+import {PromotionMode, StoreFaultMode} from '../test/platform/standin_store.js';
 
 const pause = (ms: number): Promise<void> =>
   new Promise(resolve => setTimeout(resolve, ms));
@@ -17,6 +19,58 @@
   front.start();
 }
 
+async function freeze(
+  front: FrontProcess,
+  {durationMs}: ScheduledFault,
+): Promise<void> {
+  front.signal('SIGSTOP');
+  await pause(durationMs);
+  front.signal('SIGCONT');
+}
+
+async function silence(
+  databases: readonly StandinDatabase[],
+  {durationMs}: ScheduledFault,
+): Promise<void> {
+  for (const database of databases) database.isUnresponsive = true;
+  await pause(durationMs);
+  for (const database of databases) {
+    database.isUnresponsive = false;
+    // What it has not read is lost, so its connections are of no use.
+    for (const socket of database.sockets) socket.destroy();
+  }
+}
+
+/** The group of the fault's database, by role of its databases. */
+function groupOf(
+  world: World,
+  {target}: ScheduledFault,
+  isPrimary: boolean,
+): readonly StandinDatabase[] {
+  const {group} = world.databases[target];
+  return group.databases.filter(d => (d === group.primary) === isPrimary);
+}
+
+async function withPromotions(
+  {store}: World,
+  {durationMs}: ScheduledFault,
+  mode: PromotionMode,
+): Promise<void> {
+  store.promotionMode = mode;
+  await pause(durationMs);
+  store.promotionMode = PromotionMode.executed;
+}
+
+async function withStoreFault(
+  {store}: World,
+  {durationMs}: ScheduledFault,
+  mode: StoreFaultMode,
+): Promise<void> {
+  store.faultMode = mode;
+  await pause(durationMs);
+  store.faultMode = StoreFaultMode.none;
+}
+
 const EFFECTS: Readonly<Record<FaultKind, Effect>> = {
   kill: (world, fault) => killAndStart(frontOf(world, fault)),
   kill_twice: async (world, fault) => {
@@ -29,25 +83,14 @@
     await front.end('SIGTERM');
     front.start();
   },
-  freeze: async (world, fault) => {
-    const front = frontOf(world, fault);
-    front.signal('SIGSTOP');
-    await pause(fault.durationMs);
-    front.signal('SIGCONT');
-  },
+  freeze: (world, fault) => freeze(frontOf(world, fault), fault),
   cut_peers: async (world, fault) => frontOf(world, fault).cutPeers(),
   silence_peers: async (world, fault) => frontOf(world, fault).silencePeers(),
   cut_database: async (world, {target}) => {
     for (const socket of world.databases[target].sockets) socket.destroy();
   },
-  silence_database: async (world, {target, durationMs}) => {
-    const database = world.databases[target];
-    database.isUnresponsive = true;
-    await pause(durationMs);
-    database.isUnresponsive = false;
-    // What it has not read is lost, so its connections are of no use.
-    for (const socket of database.sockets) socket.destroy();
-  },
+  silence_database: (world, fault) =>
+    silence([world.databases[fault.target]], fault),
   restart_database: async (world, {target, durationMs}) => {
     const database = world.databases[target];
     if (!database.isRunning) return;
@@ -72,6 +115,26 @@
     await pause(durationMs);
     await spare.end('SIGTERM');
   },
+  kill_holder: async world => {
+    const holder = world.leaseHolder;
+    if (holder) await killAndStart(holder);
+  },
+  freeze_holder: async (world, fault) => {
+    const holder = world.leaseHolder;
+    if (holder) await freeze(holder, fault);
+  },
+  silence_primary: (world, fault) =>
+    silence(groupOf(world, fault, true), fault),
+  silence_replicas: (world, fault) =>
+    silence(groupOf(world, fault, false), fault),
+  lose_promotions: (world, fault) =>
+    withPromotions(world, fault, PromotionMode.lost),
+  delay_promotions: (world, fault) =>
+    withPromotions(world, fault, PromotionMode.late),
+  busy_store: (world, fault) =>
+    withStoreFault(world, fault, StoreFaultMode.busy),
+  silent_store: (world, fault) =>
+    withStoreFault(world, fault, StoreFaultMode.silent),
 };
 
 /**
--- a/soak/soak_run.ts
+++ b/soak/soak_run.ts
@@ -37,6 +37,11 @@
 
 /** Time for what is under way at the end to reach the databases. */
 const SETTLE_MS = 3_000;
+/**
+ * Time after the last fault in which each service must acknowledge writes
+ * again; more than an order whose outcome is unknown may take.
+ */
+const RECOVERY_LIMIT_MS = 12_000;
 const PROGRESS_INTERVAL_MS = 1_000;
 const CALLER_SEED_FACTOR = 10_000;
 
@@ -87,11 +92,15 @@
   mkdirSync(folder, {recursive: true});
   const recorder = new Recorder(folder);
   const judge = StatementJudge.create(recorder.report);
+  // The writes that tell whether a service has recovered are not judged.
+  let isProbing = false;
   const world = await World.start({
     frontCount: options.fronts,
     program: options.program,
     folder,
-    onEvent: event => judge.observe(event),
+    onEvent: event => {
+      if (!isProbing) judge.observe(event);
+    },
     onFailure: (kind, details) =>
       recorder.report({rule: 'PROCESS', kind, details}),
   });
@@ -120,6 +129,14 @@
   await Promise.all(callers);
   clearInterval(progressTimer);
   await world.untilLed();
+  isProbing = true;
+  for (const service of await world.unrecoveredServices(RECOVERY_LIMIT_MS)) {
+    const databases = world.databases
+      .filter(({group}) => group.service === service)
+      .map(({id, pausedAtTerm, isPrimary}) => ({id, pausedAtTerm, isPrimary}));
+    const details = {service, databases};
+    recorder.report({rule: 'RECOVER', kind: 'service', details});
+  }
   await pause(SETTLE_MS);
   for (const {service, primary} of world.groups) {
     const attempts = recorder.attemptsByService.get(service) ?? [];
--- a/soak/world.ts
+++ b/soak/world.ts
@@ -1,5 +1,10 @@
 /** The platform of a run: store, services, and fronts as processes. */
-import {operatorConfig, until, ZONES} from '../test/platform/fleet_fixture.js';
+import {
+  operatorConfig,
+  until,
+  WireClient,
+  ZONES,
+} from '../test/platform/fleet_fixture.js';
 import {
   StandinDatabase,
   StandinGroup,
@@ -115,6 +120,48 @@
     return this.groups.flatMap(group => group.databases);
   }
 
+  /** The front that holds the coordinator lease, according to the store. */
+  get leaseHolder(): FrontProcess | undefined {
+    const item = this.store.get(`${FLEET_PREFIX}duty`);
+    const name = item && Buffer.from(item.value, 'base64').toString();
+    return [...this.fronts, ...this.spares].find(
+      front => front.name === name && front.isRunning,
+    );
+  }
+
+  /**
+   * Waits until a write of each service is acknowledged and no replica is
+   * paused. Resolves to the services that have not recovered in time.
+   */
+  async unrecoveredServices(limitMs: number): Promise<string[]> {
+    const endMs = performance.now() + limitMs;
+    const results = await Promise.all(
+      this.groups.map(async group => {
+        while (performance.now() < endMs) {
+          const isPaused = group.databases.some(database => database.isPaused);
+          if (!isPaused && (await this.canWrite(group.service))) return [];
+          await new Promise(resolve => setTimeout(resolve, READY_POLL_MS));
+        }
+        return [group.service];
+      }),
+    );
+    return results.flat();
+  }
+
+  private async canWrite(service: string): Promise<boolean> {
+    const [{host, callerPort}] = this.fronts;
+    const {client, answer} = await WireClient.start(
+      callerPort,
+      `${service}-primary`,
+      `${CUSTOMERS[0]}-key`,
+      host,
+    );
+    const written =
+      answer.state === 'I' ? await client.query('WRITE recovery v') : answer;
+    client.close();
+    return written.done !== undefined;
+  }
+
   /** Waits until each service has a primary that runs. */
   async untilLed(): Promise<void> {
     await until(
