Pass over entries of fronts that cannot be used

An item under the fronts' prefix with a port of 99999 counted as a front. The first call to it threw ERR_SOCKET_BAD_PORT while its link was connecting, and each later call waited for that link for good (run of both: rejected; no end in 2 s), the statements of callers among them if it ranked as a database's holder. An item that names another front than its key replaced that front.

decodeMember cast what it had parsed and checked the types of four fields; it now checks every field, its range, and that the name is that of the key.

--- a/src/front/front_list.ts
+++ b/src/front/front_list.ts
@@ -12,17 +12,34 @@
   readonly member: FrontMember;
 }
 
-/** Decodes a front's entry; undefined when it is invalid. */
-function decodeMember(text: string): FrontMember | undefined {
+const MAX_PORT = 65_535;
+/** A host name or IP address. */
+const HOST_PATTERN = /^[!-~]{1,253}$/;
+
+/** Whether a parsed value is the entry of the front `vm`, with usable fields. */
+function isMember(value: unknown, vm: string): value is FrontMember {
+  if (typeof value !== 'object' || value === null) return false;
+  const member = value as Partial<Record<keyof FrontMember, unknown>>;
+  const {host, port, leaving} = member;
+  const place = member.place as Partial<FrontMember['place']> | null;
+  return (
+    member.vm === vm &&
+    typeof host === 'string' &&
+    HOST_PATTERN.test(host) &&
+    Number.isInteger(port) &&
+    Number(port) >= 1 &&
+    Number(port) <= MAX_PORT &&
+    typeof leaving === 'boolean' &&
+    typeof place?.zone === 'string' &&
+    typeof place.region === 'string'
+  );
+}
+
+/** Decodes the entry of the front `vm`; undefined when it is invalid. */
+function decodeMember(text: string, vm: string): FrontMember | undefined {
   try {
-    const member = JSON.parse(text) as Partial<FrontMember> | null;
-    const isMember =
-      typeof member?.vm === 'string' &&
-      typeof member.host === 'string' &&
-      typeof member.port === 'number' &&
-      typeof member.place?.zone === 'string' &&
-      typeof member.place.region === 'string';
-    return isMember ? (member as FrontMember) : undefined;
+    const parsed: unknown = JSON.parse(text);
+    return isMember(parsed, vm) ? parsed : undefined;
   } catch {
     // The caller logs the invalid entry.
     return undefined;
@@ -112,7 +129,8 @@
     const known = this.entries.get(key);
     const text = item.value.toString('utf8');
     if (known?.text === text) return known;
-    const member = decodeMember(text);
+    const vm = key.slice(frontEntryKey(this.prefix, '').length);
+    const member = decodeMember(text, vm);
     if (!member) this.log('front_entry_invalid', {key});
     return member && {text, member};
   }
