Refuse leader records of an era that cannot exist

Where the platform does not fence, a record with an era of 1e308 got the revision Infinity, stayed the newest whatever the holder of the lease wrote after it, and no other database could lead its service. An era must be a whole number that qualified revisions can hold; else the record is logged as invalid, as one without a service is.

--- a/src/core/leader_record.ts
+++ b/src/core/leader_record.ts
@@ -6,7 +6,7 @@
  * the store in which it was written, so that its age is known even if the store
  * was restored from a copy since.
  */
-import {qualifyRevision, revisionInEra} from './store_revision.js';
+import {isEra, qualifyRevision, revisionInEra} from './store_revision.js';
 
 /** The database that may lead a service. */
 export interface LeaderRecord {
@@ -38,16 +38,15 @@
   try {
     const parsed = JSON.parse(text) as
       (Partial<LeaderRecord> & {readonly era?: unknown}) | null;
-    const {service, database, settled, era} = parsed ?? {};
+    const {service, database, settled, era = 0} = parsed ?? {};
     const isRecord =
-      typeof service === 'string' && typeof database === 'string';
+      typeof service === 'string' && typeof database === 'string' && isEra(era);
     if (!isRecord) return undefined;
-    const writtenInEra = typeof era === 'number' ? era : 0;
     return {
       service,
       database,
       settled: settled === true,
-      revision: qualifyRevision(writtenInEra, revisionInEra(revision)),
+      revision: qualifyRevision(era, revisionInEra(revision)),
     };
   } catch {
     // An invalid record permits and forbids nothing; the caller logs it.
--- a/src/core/store_revision.ts
+++ b/src/core/store_revision.ts
@@ -6,10 +6,14 @@
  * never names two states.
  */
 
-/**
- * Revisions of one era. Qualified revisions are exact up to era 8,191.
- */
+/** Revisions of one era. */
 const REVISIONS_PER_ERA = 2 ** 40;
+/** Highest era whose qualified revisions are exact. */
+const MAX_ERA = 8_191;
+
+/** Whether a value is an era that a store can have. */
+export const isEra = (value: unknown): value is number =>
+  Number.isInteger(value) && Number(value) >= 0 && Number(value) <= MAX_ERA;
 
 /** Returns the qualified form of a revision of an era. */
 export const qualifyRevision = (era: number, revision: number): number =>
--- a/test/front/odd_items.test.ts
+++ b/test/front/odd_items.test.ts
@@ -1,6 +1,7 @@
 /** Odd items among those that fronts write to the store. */
 import {fc, testProp} from '@fast-check/ava';
 import test from 'ava';
+import {decodeLeaderRecord} from '../../src/core/leader_record.js';
 import {FrontList, frontEntryKey} from '../../src/front/front_list.js';
 import {StoredItem} from '../../src/store/key_values.js';
 
@@ -67,3 +68,15 @@
   },
   {seed: SEED, numRuns: NUMBER_OF_RUNS},
 );
+
+// Guards against a service that no database may lead any more: a record with an
+// era beyond all others stayed the newest for good.
+test('a leader record with an era that cannot exist is not taken', t => {
+  const record = {service: 'orders', database: 'b', settled: true};
+  for (const era of [-1, 1.5, 1e308, 2 ** 53, 9_000, '2', null, []]) {
+    const text = JSON.stringify({...record, era});
+    t.is(decodeLeaderRecord(text, 5), undefined, text);
+  }
+  t.is(decodeLeaderRecord(JSON.stringify(record), 5)?.revision, 5);
+  t.is(decodeLeaderRecord('['.repeat(NESTING_DEPTH), 5), undefined);
+});
