Go on following the store after a change that throws

One change that threw while it was applied, whatever the decoder that did not expect it, ended the process by an unhandled rejection: nothing caught it in the loop that follows the store. A process that starts again reads the same item and ends again. The loop now logs it with its origin (store_feed_error) and lists the store anew, since the exception may have come between two changes. Until a list can be applied whole, the view ages and the front refuses, as without a store. The test ends with an unhandled rejection before, and passes.

--- a/src/front/store_feed.ts
+++ b/src/front/store_feed.ts
@@ -198,9 +198,7 @@
   async run(): Promise<void> {
     let isListed = false;
     while (!this.isStopped) {
-      const outcome = isListed
-        ? await this.nextChanges()
-        : await this.listAll();
+      const outcome = await this.step(isListed);
       if (outcome === 'ok') {
         isListed = true;
         await pause(WATCH_PAUSE_MS);
@@ -214,6 +212,21 @@
     }
   }
 
+  /**
+   * Lists the store or applies its next changes. What throws is a fault of this
+   * program; since it may have been thrown between two changes, the store is
+   * listed anew, until then the view ages.
+   */
+  private async step(isListed: boolean): Promise<'ok' | 'failed' | 'list'> {
+    try {
+      return isListed ? await this.nextChanges() : await this.listAll();
+    } catch (error) {
+      this.options.log('store_feed_error', {text: (error as Error).stack});
+      this.recordFailure('apply', (error as Error).message);
+      return 'list';
+    }
+  }
+
   stop(): void {
     this.isStopped = true;
     this.changeRelay.suspend();
--- a/test/front/store_feed.test.ts
+++ b/test/front/store_feed.test.ts
@@ -1,10 +1,10 @@
-/** A front's view of a store that returns from an older copy. */
+/** A front's view of a store that returns from an older copy, or holds what throws. */
 import {mock} from 'node:test';
 import test from 'ava';
 import {ok} from 'neverthrow';
 import {FrontConfig} from '../../src/core/front_config.js';
 import {qualifyRevision} from '../../src/core/store_revision.js';
-import {StoreFeed} from '../../src/front/store_feed.js';
+import {StoreFeed, StoreLayout} from '../../src/front/store_feed.js';
 import {KeyValueStore, StoredItem} from '../../src/store/key_values.js';
 import {advance} from '../fixtures/virtual_time.js';
 
@@ -12,7 +12,10 @@
 const MAX_AGE_MS = 4_800;
 
 /** A store of one configuration; each call lists or watches `state`. */
-function createFeed() {
+function createFeed(
+  decodeConfig: StoreLayout['decodeConfig'] = bytes =>
+    ok({version: Number(bytes.toString())} as FrontConfig),
+) {
   const state = {era: 1, revision: 10, version: 3};
   const items = (): StoredItem[] => [
     {
@@ -39,8 +42,7 @@
       configKey: CONFIG_KEY,
       databasePrefix: 'db/',
       fleetPrefix: 'own/',
-      decodeConfig: bytes =>
-        ok({version: Number(bytes.toString())} as FrontConfig),
+      decodeConfig,
       decodeDatabase: () => undefined,
     },
     regionOfZone: new Map(),
@@ -79,3 +81,27 @@
     t.true(feed.isFresh);
   },
 );
+
+// Guards against a process that ends, or follows the store no more, because
+// applying one change throws.
+test.serial(
+  'a change that throws does not end the following of later ones',
+  async t => {
+    const {state, feed} = createFeed(bytes => {
+      const version = Number(bytes.toString());
+      if (version === 4) throw new RangeError('odd');
+      return ok({version} as FrontConfig);
+    });
+    t.teardown(() => feed.stop());
+    void feed.run();
+    await advance(500);
+    t.is(feed.config?.version, 3);
+    Object.assign(state, {revision: 11, version: 4});
+    await advance(MAX_AGE_MS + 1_000);
+    t.false(feed.isFresh);
+    Object.assign(state, {revision: 12, version: 5});
+    await advance(2_000);
+    t.is(feed.config?.version, 5);
+    t.true(feed.isFresh);
+  },
+);
