End only the connection of a peer that sends odd bytes

Cause: the first messages were cast to their types and read; the exception came in the handler of a stream event, which nothing catches. Others like it: a message nested deeper than the stack bears, in the decoder; a request that the JSON-RPC server rejects, as an unhandled rejection.

The hello, its nonce and the welcome are decoded field by field, and have 4 KiB at most before the proof instead of 4 MiB.

--- a/src/front/peer_link.ts
+++ b/src/front/peer_link.ts
@@ -8,10 +8,11 @@
 import {JsonLog} from './json_log.js';
 import {
   createProof,
+  decodeNonce,
+  decodeWelcome,
   Hello,
   openChannel,
   PeerChannel,
-  Welcome,
 } from './peer_protocol.js';
 import {ProcessIdentity} from '../core/process_ids.js';
 
@@ -154,7 +155,9 @@
       if (socket !== this.socket) return;
       this.lastSeenAtMs = performance.now();
       if (nonce === undefined) {
-        nonce = String((message as {nonce?: unknown}).nonce);
+        nonce = decodeNonce(message);
+        if (nonce === undefined)
+          return this.disconnect('no hello of another front');
         const hello: Hello = {
           from: self.vm,
           to: target.vm,
@@ -163,9 +166,11 @@
         };
         channel.send(hello);
       } else if (this.state === 'connecting') {
+        const welcome = decodeWelcome(message);
+        if (!welcome) return this.disconnect('no welcome of another front');
         clearTimeout(connectTimer);
         this.onConnected(channel);
-        this.peerProcess = (message as Welcome).process;
+        this.peerProcess = welcome.process;
         log('peer_connected', {peer: target.vm, process: this.peerProcess});
       } else this.client?.receive(message as never);
     });
--- a/src/front/peer_service.ts
+++ b/src/front/peer_service.ts
@@ -7,8 +7,11 @@
 import {JsonLog} from './json_log.js';
 import {
   createProof,
+  decodeHello,
   Hello,
   isValidProof,
+  MAX_HELLO_BYTES,
+  MAX_MESSAGE_BYTES,
   openChannel,
   Welcome,
 } from './peer_protocol.js';
@@ -43,7 +46,7 @@
 }
 
 function acceptPeer(socket: Socket, options: PeerServiceOptions): void {
-  const {self, secret, methods, log} = options;
+  const {self, methods, log} = options;
   const nonce = randomBytes(NONCE_BYTES).toString('hex');
   let from: WorkOrigin | undefined;
   let rpc: JSONRPCServer | undefined;
@@ -58,33 +61,47 @@
     log('peer_gone', logFieldsOf(from));
     options.onDisconnect(from);
   });
-  const channel = openChannel(socket, message => {
+  const receive = (message: unknown): void => {
     if (rpc) {
-      void rpc.receive(message as never).then(answer => {
-        if (answer) channel.send(answer);
-      });
+      Promise.resolve(rpc.receive(message as never))
+        .then(answer => {
+          if (answer) channel.send(answer);
+        })
+        .catch((error: Error) => socket.destroy(error));
       return;
     }
-    const hello = message as Partial<Hello>;
-    const expected = createProof(secret(), nonce, String(hello.from), self.vm);
-    if (hello.to !== self.vm || !isValidProof(String(hello.proof), expected)) {
-      log('peer_refused', {peer: hello.from, to: hello.to});
+    const hello = decodeHello(message);
+    if (!hello || !isProved(hello, nonce, options)) {
+      log('peer_refused', {peer: hello?.from, to: hello?.to});
       return void socket.destroy();
     }
     clearTimeout(helloTimer);
     from = {
-      vm: String(hello.from),
-      process: String(hello.process ?? ''),
+      vm: hello.from,
+      process: hello.process ?? '',
       connection: options.newId(),
     };
     rpc = createRpc(methods, from, log);
     log('peer_accepted', logFieldsOf(from));
     const welcome: Welcome = {welcome: true, process: self.process};
     channel.send(welcome);
-  });
+  };
+  const channel = openChannel(socket, receive, () =>
+    rpc ? MAX_MESSAGE_BYTES : MAX_HELLO_BYTES,
+  );
   channel.send({nonce});
 }
 
+/** Whether a hello is for this front and proves the fleet's secret. */
+function isProved(
+  {from, to, proof}: Hello,
+  nonce: string,
+  {self, secret}: PeerServiceOptions,
+): boolean {
+  const expected = createProof(secret(), nonce, from, self.vm);
+  return to === self.vm && isValidProof(proof, expected);
+}
+
 const logFieldsOf = ({vm, process, connection}: WorkOrigin): object => ({
   peer: vm,
   process,
