--- a/test/platform/codec.test.ts
+++ b/test/platform/codec.test.ts
@@ -82,6 +82,19 @@
   t.is(paused?.term, 4);
   t.is(paused?.primaryTerm, 3);
   t.is(paused?.pausedAtTerm, 4);
+  t.is(databaseCodec.parseReport('replica 3 2.90 -')?.pausedAtTerm, 0);
+});
+
+// Guards against a PAUSE at a term such as 1e+300, and against a replica that is
+// paused at a term above all others for good.
+test('a status row with a term that cannot exist is not taken', t => {
+  for (const term of ['1e300', '-1', '1.5', 'Infinity', '9'.repeat(16), 'x']) {
+    const rows = [`replica ${term} 3.1 0`, `replica 3 3.1 ${term}`];
+    for (const row of [...rows, `replica 3 ${term}.1 0`])
+      t.is(databaseCodec.parseReport(row), undefined, row);
+  }
+  for (const row of ['', 'replica', 'lord 3 3.1 0', '__proto__ 3 3.1 0'])
+    t.is(databaseCodec.parseReport(row), undefined, row);
 });
 
 test('encodes answers to callers', t => {
