Take an unknown error code of a database as a failed statement

A code such as __proto__ or toString was looked up in an object and yielded what every object has; the caller got 'ERROR undefined', and rules that ask what a fault promises found nothing.

--- a/test/platform/codec.test.ts
+++ b/test/platform/codec.test.ts
@@ -85,6 +85,17 @@
   t.is(databaseCodec.parseReport('replica 3 2.90 -')?.pausedAtTerm, 0);
 });
 
+// Guards against answers with the code undefined: names that every object has
+// were found in the table of codes.
+test('an error with an unknown code counts as a failed statement', t => {
+  for (const code of ['__proto__', 'toString', 'constructor', '', 'NEW']) {
+    const [message] = databaseMessages(`ERROR ${code} text\r\n`);
+    t.deepEqual(message, {kind: 'error', fault: 'failed', text: 'text'}, code);
+  }
+  const [busy] = databaseMessages('ERROR NOSTMT text\r\n');
+  t.deepEqual(busy, {kind: 'error', fault: 'busy', text: 'text'});
+});
+
 // Guards against a PAUSE at a term such as 1e+300, and against a replica that is
 // paused at a term above all others for good.
 test('a status row with a term that cannot exist is not taken', t => {
