--- a/test/platform/codec.test.ts
+++ b/test/platform/codec.test.ts
@@ -261,6 +261,50 @@
   t.is(config.idleTransactionMs, 3_000);
 });
 
+/** Paths in the configuration, and values that cannot stand there. */
+const ODD_FIELDS: ReadonlyArray<readonly [string, readonly unknown[]]> = [
+  ['version', [-1, 1.5, 1e308, 2 ** 53, '7', null]],
+  ['routes', [null, {}, 'x', [null], [7]]],
+  ['routes.0.host', [7, null, {}, []]],
+  ['routes.0.kind', [7, null, {toString: null}]],
+  ['routes.0.timeout_ms', ['800', -1, null, []]],
+  ['routes.0.public', ['yes', 1]],
+  ['services', [null, {}, [null]]],
+  ['services.0.name', [7, null]],
+  ['services.0.max_conns', ['16', -1]],
+  ['tenants', [{}, 'x', [null]]],
+  ['tenants.0.api_keys', ['k', [7], {}]],
+  ['tenants.0.rate_per_s', ['97', -1, null]],
+  ['limits', [7, 'x']],
+  ['limits.tx_idle_ms', ['3000', -1]],
+];
+
+/** Returns the configuration with the value at a path replaced. */
+function configurationWith(path: string, value: unknown): Buffer {
+  const copy = structuredClone(CONFIGURATION) as Record<string, unknown>;
+  const names = path.split('.');
+  const last = names.pop() ?? '';
+  let parent = copy;
+  for (const name of names) parent = parent[name] as Record<string, unknown>;
+  parent[last] = value;
+  return Buffer.from(JSON.stringify(copy));
+}
+
+// Guards against limits and rates that are no numbers, and against a version
+// that no later one exceeds.
+test('a configuration with a field that cannot be used is rejected', t => {
+  for (const [path, values] of ODD_FIELDS) {
+    for (const value of values) {
+      const decoded = decodeConfiguration(configurationWith(path, value));
+      t.true(decoded.isErr(), `${path} ${JSON.stringify(value)}`);
+    }
+  }
+  const proto = decodeConfiguration(
+    configurationWith('routes.0.kind', '__proto__'),
+  )._unsafeUnwrap();
+  t.is([...proto.routes.values()][0].freshness, 'primary');
+});
+
 const SETTINGS = `
 node_name: "front-quito-norte-1"
 ip: "10.1.0.26"
