Check the lease once more before a replica is paused or resumed

A front that was frozen between its check of the lease and the end of the handshake sent PAUSE or RESUME after it woke, in the tenure of another holder. Such a RESUME lets a replica acknowledge commits that the promotion under way lacks; such a PAUSE hangs commits. The check was made before the connection was opened, which takes a round trip and waits for a slot of the database. It is now made again when the connection is open, just before the statement is written. The test fails before (the replicas receive) and passes.

Also: the test of a new holder for a platform without fencing.

--- a/src/front/control_link.ts
+++ b/src/front/control_link.ts
@@ -14,12 +14,14 @@
 
 /**
  * Opens a connection, runs one statement and closes. Resolves to undefined when
- * the connection or the statement fails.
+ * the connection or the statement fails. `mayRun` is called just before the
+ * statement is sent; if it returns false, the statement is not sent.
  */
 export function runControlStatement(
   entry: KnownDatabase,
   codec: DatabaseCodec,
   statement: InternalStatement,
+  mayRun: () => boolean = () => true,
   timeoutMs = ORDER_TIMEOUT_MS,
 ): Promise<DatabaseReport | undefined> {
   return new Promise(resolve => {
@@ -34,7 +36,7 @@
       {host, port, service, customer: INTERNAL_CUSTOMER, instance: id},
       codec,
       fault => {
-        if (fault !== undefined) return finish(undefined);
+        if (fault !== undefined || !mayRun()) return finish(undefined);
         link.run([codec.internalStatement(statement)], (_, answer) =>
           finish(
             answer.ok ? codec.parseReport(answer.rows[0] ?? '') : undefined,
--- a/src/front/replica_pause.ts
+++ b/src/front/replica_pause.ts
@@ -17,30 +17,41 @@
 
 /**
  * Pauses replicas at a term; at a higher one if the replicas know of a primary
- * whose term is not below it, as a pause would have no effect then.
+ * whose term is not below it, as a pause would have no effect then. `mayPause`
+ * is called just before each replica is paused.
  */
 export async function pauseReplicas(
   replicas: readonly KnownDatabase[],
   term: number,
   codec: DatabaseCodec,
+  mayPause: () => boolean,
 ): Promise<ReplicaPause> {
-  const reports = await pauseAt(term, replicas, codec);
+  const reports = await pauseAt(term, replicas, codec, mayPause);
   const primaryTerms = reports.map(({report}) => report.primaryTerm);
   const primaryTerm = Math.max(0, ...primaryTerms);
   if (primaryTerm < term) return {term, reports};
   const newTerm = primaryTerm + 1;
-  return {term: newTerm, reports: await pauseAt(newTerm, replicas, codec)};
+  return {
+    term: newTerm,
+    reports: await pauseAt(newTerm, replicas, codec, mayPause),
+  };
 }
 
 async function pauseAt(
   term: number,
   replicas: readonly KnownDatabase[],
   codec: DatabaseCodec,
+  mayPause: () => boolean,
 ): Promise<readonly ReplicaReport[]> {
   const replies = await Promise.all(
     replicas.map(async entry => {
       const statement = {kind: 'pause', term} as const;
-      const report = await runControlStatement(entry, codec, statement);
+      const report = await runControlStatement(
+        entry,
+        codec,
+        statement,
+        mayPause,
+      );
       return report && {entry, report};
     }),
   );
--- a/src/front/replica_resumer.ts
+++ b/src/front/replica_resumer.ts
@@ -79,8 +79,9 @@
     await Promise.all(
       replicasOf(service, leader).map(async entry => {
         const statement = {kind: 'resume'} as const;
-        const report = isTenureOf(service)
-          ? await runControlStatement(entry, codec, statement)
+        const mayRun = (): boolean => isTenureOf(service);
+        const report = mayRun()
+          ? await runControlStatement(entry, codec, statement, mayRun)
           : undefined;
         const isReceiving = report?.pausedAtTerm === 0;
         (isReceiving ? receiving : unanswered).push(entry.id);
--- a/src/front/takeover_runner.ts
+++ b/src/front/takeover_runner.ts
@@ -398,7 +398,9 @@
     const {codec, log, serviceOf} = this.options;
     const replicas = this.replicasOf(service, leader?.id);
     const expectedTerm = await this.nextTerm(service, replicas);
-    const paused = await pauseReplicas(replicas, expectedTerm, codec);
+    const paused = await pauseReplicas(replicas, expectedTerm, codec, () =>
+      this.isTenureOf(service),
+    );
     const {term, reports} = paused;
     if (term > expectedTerm)
       log('takeover_term_outdated', {service, term, expectedTerm});
--- a/test/platform/paused_replicas.test.ts
+++ b/test/platform/paused_replicas.test.ts
@@ -14,6 +14,7 @@
   WireClient,
   ZONES,
 } from './fleet_fixture.js';
+import {FrontSettings} from '../../src/front/front_settings.js';
 import {StandinDatabase, StandinGroup} from './standin_database.js';
 import {StandinStore} from './standin_store.js';
 
@@ -32,13 +33,14 @@
 async function startBehindPause(
   t: ExecutionContext,
   prepare: (group: StandinGroup, store: StandinStore) => void = () => undefined,
+  settings: Partial<FrontSettings> = {},
 ): Promise<{group: StandinGroup; store: StandinStore; front: RunningFront}> {
   const group = await StandinGroup.start('orders', ZONES);
   pauseReplicas(group);
   const store = await StandinStore.start([group]);
   store.put('op/config', operatorConfig('orders'));
   prepare(group, store);
-  const front = await startFront('front-1', ZONES[0], store);
+  const front = await startFront('front-1', ZONES[0], store, settings);
   t.teardown(async () => {
     await front.front.stop();
     await group.stop();
@@ -74,6 +76,16 @@
   t.truthy((await writeOnce(session)).done);
 });
 
+// Guards against the same where the platform does not fence a former primary.
+test('a new holder resumes paused replicas on a platform without fencing', async t => {
+  const {group, front} = await startBehindPause(t, () => undefined, {
+    isFenced: false,
+  });
+  await until(() => haveResumed(group), RESUME_LIMIT_MS);
+  const session = await openSession(front, 'primary', 'ana-key');
+  t.truthy((await writeOnce(session)).done);
+});
+
 // Guards against commits that a late order would undo: before replicas receive
 // again, the present primary is confirmed, and no order may be unanswered.
 test('replicas stay paused until the platform has confirmed the primary', async t => {
--- a/test/platform/takeover.test.ts
+++ b/test/platform/takeover.test.ts
@@ -4,6 +4,8 @@
 import {KnownDatabase} from '../../src/core/directory.js';
 import {CoordinatorLease} from '../../src/front/coordinator_lease.js';
 import {Leadership} from '../../src/front/leadership.js';
+import {ReplicaResumer} from '../../src/front/replica_resumer.js';
+import {UnconfirmedOrders} from '../../src/front/unconfirmed_orders.js';
 import {PromotionOrder} from '../../src/front/promoter.js';
 import {
   TakeoverOptions,
@@ -167,3 +169,33 @@
   t.deepEqual(databases, [entries[1].id, entries[0].id]);
   t.true(orders[1].fencingToken > orders[0].fencingToken);
 });
+
+// Guards against the loss of acknowledged commits: a front that was frozen while
+// it connected let the replicas receive in the tenure of another one.
+test('an order to resume is not sent once the lease was lost while connecting', async t => {
+  const group = await StandinGroup.start('orders', ZONES);
+  t.teardown(() => group.stop());
+  const replicas = group.databases.slice(1);
+  for (const replica of replicas) replica.pause(3);
+  let isConnecting = false;
+  const resumer = ReplicaResumer.create({
+    self: 'front-1',
+    coordinatorLease: {heldForMs: 60_000} as CoordinatorLease,
+    codec: {
+      ...databaseCodec,
+      start: (...target) => {
+        isConnecting = true;
+        return databaseCodec.start(...target);
+      },
+    },
+    promote: async () => 'done',
+    leadership: {isEnabled: false} as Leadership,
+    orders: UnconfirmedOrders.create(),
+    replicasOf: () => replicas.map(entryOf),
+    isTenureOf: () => !isConnecting,
+    onReceiving: () => t.fail(),
+    log: () => undefined,
+  });
+  t.false(await resumer.resume('orders', entryOf(group.databases[0])));
+  t.true(replicas.every(({isPaused}) => isPaused));
+});
