Check a change of primary that the holder itself gave up once

The report to itself counts as told now if it holds the lease.

A check that throws is logged and repeated; it would have been an unhandled rejection.

--- a/src/front/front.ts
+++ b/src/front/front.ts
@@ -665,13 +665,13 @@
     }
   }
 
-  /** Resolves to whether another front that holds the lease has answered. */
+  /** Resolves to whether the front that holds the lease knows the report. */
   private async tellHolder(report: SuspectReport): Promise<boolean> {
     const {holder} = this.coordinatorLease;
     if (holder === undefined) return false;
     if (holder === this.settings.vm) {
       this.handleSuspect(report);
-      return false;
+      return this.coordinatorLease.isHeld;
     }
     const link = this.dispatcher.link(holder);
     if (!link) return false;
--- a/src/front/resume_supervisor.ts
+++ b/src/front/resume_supervisor.ts
@@ -84,9 +84,10 @@
     const count = MAX_RUNNING_CHECKS - this.running;
     for (const check of this.checks.take(nowMs, count, this.options.isBusy)) {
       this.running++;
-      void this.check(check)
-        .then(result => this.checks.record(check, result, performance.now()))
-        .finally(() => this.running--);
+      void this.checkSafely(check).then(result => {
+        this.running--;
+        this.checks.record(check, result, performance.now());
+      });
     }
   }
 
@@ -108,6 +109,17 @@
     }
   }
 
+  /** Never rejects; a check that throws is repeated. */
+  private async checkSafely(check: ResumeCheck): Promise<ResumeCheckResult> {
+    try {
+      return await this.check(check);
+    } catch (error) {
+      const text = (error as Error).stack;
+      this.options.log('resume_check_error', {service: check.service, text});
+      return ResumeCheckResult.unanswered;
+    }
+  }
+
   private async check({service}: ResumeCheck): Promise<ResumeCheckResult> {
     const {codec, leaderOf, replicasOf, resume, log} = this.options;
     const leader = leaderOf(service);
--- a/test/platform/paused_replicas.test.ts
+++ b/test/platform/paused_replicas.test.ts
@@ -147,3 +147,23 @@
   await until(() => !replica.isPaused, RESUME_LIMIT_MS);
   t.pass();
 });
+
+// Guards against checks without end: a front that had given up a change of
+// primary, and held the lease again, told itself so with each round of reports.
+test('a change of primary that the holder itself has given up is checked once', async t => {
+  const fleet = await startFleet(['norte']);
+  t.teardown(() => fleet.stop());
+  const {group, fronts} = fleet;
+  await until(() => fronts[0].events('duty_taken').length > 0);
+  const {takeoverRunner} = fronts[0].front as unknown as {
+    takeoverRunner: {abandoned: Set<string>};
+  };
+  // Longer than the checks at the begin of a tenure take.
+  await new Promise(resolve => setTimeout(resolve, 1_000));
+  const [, replica] = group.databases;
+  const before = replica.connectionsOpened;
+  takeoverRunner.abandoned.add('orders');
+  await new Promise(resolve => setTimeout(resolve, 1_500));
+  t.is(replica.connectionsOpened - before, 1);
+  t.is(takeoverRunner.abandoned.size, 0);
+});
