--- a/test/soak.test.ts
+++ b/test/soak.test.ts
@@ -3,10 +3,10 @@
 import {tmpdir} from 'node:os';
 import {join} from 'node:path';
 import {fileURLToPath} from 'node:url';
-import test from 'ava';
+import test, {ExecutionContext} from 'ava';
 import {Attempt, judgeCommits, Outcome} from '../soak/commit_judge.js';
 import {drawSchedule} from '../soak/fault_schedule.js';
-import {hasPassed, runSoak} from '../soak/soak_run.js';
+import {hasPassed, runSoak, SoakOptions} from '../soak/soak_run.js';
 import {SentStatement, StatementJudge} from '../soak/statement_judge.js';
 import {DatabaseEvent, RanStatement} from './platform/standin_session.js';
 
@@ -234,16 +234,15 @@
   t.deepEqual([...new Set(kinds)], ['kill']);
 });
 
-// Guards against a front that was started again under its name and ran
-// statements of transactions that its former process had opened.
-test('fronts that are killed and started again break no rule', async t => {
+/** Runs a seed for `minutes` and expects that it breaks no rule. */
+async function expectPassed(
+  t: ExecutionContext,
+  options: Pick<SoakOptions, 'seed' | 'minutes' | 'callersPerFront' | 'kinds'>,
+): Promise<void> {
   const folder = mkdtempSync(join(tmpdir(), 'mustardpass-soak-'));
   const result = await runSoak({
-    seed: 1,
-    minutes: 0.35,
+    ...options,
     fronts: 4,
-    callersPerFront: 10,
-    kinds: ['kill', 'kill_twice'],
     program: fileURLToPath(new URL('../platform/main.js', import.meta.url)),
     folder,
   });
@@ -251,4 +250,38 @@
   t.deepEqual(result.findings, {});
   t.true(hasPassed(result));
   rmSync(folder, {recursive: true});
-});
+}
+
+// Guards against a front that was started again under its name and ran
+// statements of transactions that its former process had opened.
+test.serial('fronts that are killed and started again break no rule', t =>
+  expectPassed(t, {
+    seed: 1,
+    minutes: 0.35,
+    callersPerFront: 10,
+    kinds: ['kill', 'kill_twice'],
+  }),
+);
+
+// Guards against services of which no write is acknowledged any more, because a
+// change of primary was given up and nobody resumed the replicas.
+test.serial('services recover from changes of primary that are given up', t =>
+  expectPassed(t, {
+    seed: 101,
+    minutes: 0.5,
+    callersPerFront: 6,
+    kinds: [
+      'kill_holder',
+      'freeze_holder',
+      'silence_primary',
+      'silence_replicas',
+      'lose_promotions',
+      'delay_promotions',
+      'busy_store',
+      'silent_store',
+      'kill',
+      'freeze',
+      'terminate',
+    ],
+  }),
+);
