--- a/test/platform/odd_peers.test.ts
+++ b/test/platform/odd_peers.test.ts
@@ -3,14 +3,13 @@
  * sender has proved that it belongs to the fleet, and from a front to which this
  * one connects.
  */
-import {connect, createServer, Socket} from 'node:net';
+import {connect, createServer, Server, Socket} from 'node:net';
 import {fc} from '@fast-check/ava';
 import test, {ExecutionContext} from 'ava';
 import {Packr} from 'msgpackr';
 import {PeerLink} from '../../src/front/peer_link.js';
 import {createProof, openChannel} from '../../src/front/peer_protocol.js';
 import {servePeers} from '../../src/front/peer_service.js';
-import {Server} from 'node:net';
 
 const HOST = '127.0.0.1';
 const SECRET = 'secret';
