Model an unanswered confirmation of the primary, with a mutant

The model carried out the order that confirms the primary at once, so the fault of (such an order without an answer was not counted, and the next one had its token) could not occur in it. It may now stay unanswered. A pause that nobody ends is no state that must never be reached, and the model checks only those; the soak judges it.

With an earlier promotion still open, the safe rules break too: both are carried out late, the promotion first, and commits that the other replica alone received between them are lost. This was suspected; the model shows it.

--- a/model/check.ts
+++ b/model/check.ts
@@ -104,8 +104,11 @@
 const takeover = (
   name: string,
   changes: Partial<typeof SAFE_TAKEOVER_RULES> = {},
+  isNewHolder = false,
 ): Check =>
-  createCheck(takeoverModel(name, {...SAFE_TAKEOVER_RULES, ...changes}));
+  createCheck(
+    takeoverModel(name, {...SAFE_TAKEOVER_RULES, ...changes}, isNewHolder),
+  );
 
 const lanes = (
   name: string,
@@ -126,6 +129,7 @@
   config('configuration'),
   config('configuration, restored platform', RESTORABLE_CONFIG_RULES),
   takeover('takeover on a platform'),
+  takeover('takeover by a new holder', {}, true),
   takeover('takeover without fencing', UNFENCED_TAKEOVER_RULES),
   lanes('transactions over fronts'),
   // Comparing the transactions suffices if only the lanes' ids repeat.
@@ -262,6 +266,11 @@
   takeover('replicas receive while an order is unconfirmed', {
     resumesWhileUnconfirmed: true,
   }),
+  takeover(
+    'an unanswered confirmation of the primary is not counted',
+    {countsConfirmations: false},
+    true,
+  ),
   takeover('orders of earlier lease holders are ignored', {
     expectsEarlierOrders: false,
   }),
--- a/model/takeover_model.ts
+++ b/model/takeover_model.ts
@@ -24,6 +24,8 @@
 interface PromotionOrder {
   readonly database: number;
   readonly fencingToken: number;
+  /** Whether it confirms the primary, rather than promotes a replica. */
+  readonly isConfirmation: boolean;
 }
 
 /** State of the databases, the platform and the current lease holder. */
@@ -64,7 +66,8 @@
         | 'abandon'
         | 'changeHolder'
         | 'observe'
-        | 'confirmPrimary';
+        | 'confirmPrimary'
+        | 'loseConfirmation';
     }
   | {readonly type: 'deliver' | 'stop'; readonly database: number}
   | {readonly type: 'execute'; readonly order: number};
@@ -76,6 +79,14 @@
   readonly resumesWhileUnconfirmed: boolean;
   /** Whether an order after an unconfirmed one has a higher fencing token. */
   readonly raisesFencingToken: boolean;
+  /** Whether that includes an unanswered order that confirms the primary. */
+  readonly countsConfirmations: boolean;
+  /**
+   * Whether an order that confirms the primary may stay unanswered while an
+   * earlier order may still be executed. The product sends it then; that this
+   * loses commits is a known fault, see KNOWN-RED.txt.
+   */
+  readonly confirmsBesideOrders: boolean;
   /**
    * Whether a new lease holder assumes that earlier holders have left
    * unconfirmed orders.
@@ -100,6 +111,8 @@
   takeover: SAFE_TAKEOVER,
   resumesWhileUnconfirmed: false,
   raisesFencingToken: true,
+  countsConfirmations: true,
+  confirmsBesideOrders: false,
   expectsEarlierOrders: true,
   checksFencingTokens: true,
   waitsForOrders: false,
@@ -117,9 +130,11 @@
 const MAX_ORDERS = 2;
 const NO_STOPPED_LOGS = [undefined, undefined, undefined];
 
+/** `isNewHolder`: begins with a holder that knows nothing of earlier orders. */
 export function takeoverModel(
   name: string,
   rules: TakeoverModelRules,
+  isNewHolder = false,
 ): Model<TakeoverSystem, TakeoverEvent> {
   return {
     name,
@@ -133,8 +148,8 @@
       orders: [],
       fencingToken: 1,
       highestFencingToken: 0,
-      hasUnconfirmedOrder: false,
-      holderChanges: 0,
+      hasUnconfirmedOrder: isNewHolder,
+      holderChanges: isNewHolder ? 1 : 0,
     },
     enabled: system => enabledEvents(system, rules),
     step: (system, event) => step(system, event, rules),
@@ -176,6 +191,11 @@
     if (mayBecomePrimary(system, system.primary, rules)) {
       events.push({type: 'confirmPrimary'});
     }
+    const mayConfirm =
+      system.orders.length === 0 ||
+      (rules.confirmsBesideOrders && system.orders.length < MAX_ORDERS);
+    if (!rules.waitsForOrders && mayConfirm)
+      events.push({type: 'loseConfirmation'});
   }
   if (system.holderChanges === 0) events.push({type: 'changeHolder'});
   return events;
@@ -307,6 +327,12 @@
         highestFencingToken: system.fencingToken + 1,
         hasUnconfirmedOrder: false,
       };
+    case 'loseConfirmation': {
+      const fencingToken = system.fencingToken + 1;
+      const database = system.primary;
+      const order = {database, fencingToken, isConfirmation: true};
+      return {...system, fencingToken, orders: [...system.orders, order]};
+    }
   }
 }
 
@@ -348,7 +374,10 @@
 ): TakeoverSystem {
   const database = chooseDatabase(system, rules);
   if (database === undefined) return system;
-  const isRaised = system.hasUnconfirmedOrder && rules.raisesFencingToken;
+  const isForgotten =
+    system.orders.at(-1)?.isConfirmation === true && !rules.countsConfirmations;
+  const isRaised =
+    system.hasUnconfirmedOrder && rules.raisesFencingToken && !isForgotten;
   const fencingToken = isRaised ? system.fencingToken + 1 : system.fencingToken;
   return {
     ...system,
@@ -356,7 +385,7 @@
     hasUnconfirmedOrder: true,
     // Before another order, the replicas must be stopped and read again.
     stoppedLengths: NO_STOPPED_LOGS,
-    orders: [...system.orders, {database, fencingToken}],
+    orders: [...system.orders, {database, fencingToken, isConfirmation: false}],
   };
 }
 
