Front: one function that pauses

replica_resumer.ts had written again what takeover_runner.ts, leadership.ts and store_feed.ts each had; it stands in timeout.ts now. No change in behaviour.

--- a/src/front/leadership.ts
+++ b/src/front/leadership.ts
@@ -20,6 +20,7 @@
 import {runControlStatement} from './control_link.js';
 import {CoordinatorLease} from './coordinator_lease.js';
 import {JsonLog} from './json_log.js';
+import {pause} from './timeout.js';
 import {DatabaseCodec} from './wire_types.js';
 
 export interface LeadershipOptions {
@@ -65,9 +66,6 @@
 /** How far the clocks of two VMs may drift apart while a view ages. */
 const CLOCK_DRIFT_MS = 150;
 
-const pause = (ms: number): Promise<void> =>
-  new Promise(resolve => setTimeout(resolve, ms));
-
 /**
  * The leader records that this front knows: each names the database that may be
  * the primary of a service.
--- a/src/front/replica_resumer.ts
+++ b/src/front/replica_resumer.ts
@@ -11,6 +11,7 @@
 import {Leadership} from './leadership.js';
 import {Promote} from './promoter.js';
 import {UnconfirmedOrders, UNCONFIRMED_ORDER_MS} from './unconfirmed_orders.js';
+import {pause} from './timeout.js';
 import {DatabaseCodec} from './wire_types.js';
 
 export interface ReplicaResumerOptions {
@@ -32,9 +33,6 @@
 /** Time from an accepted order until the database acts as primary. */
 const PROMOTION_DELAY_MS = 1_300;
 
-const pause = (ms: number): Promise<void> =>
-  new Promise(resolve => setTimeout(resolve, ms));
-
 /** Resumes replicas once no earlier promotion order can be executed. */
 export class ReplicaResumer {
   private constructor(private readonly options: ReplicaResumerOptions) {}
--- a/src/front/store_feed.ts
+++ b/src/front/store_feed.ts
@@ -24,7 +24,7 @@
 import {ChangeRelay, FollowRequest, RelayedChanges} from './change_relay.js';
 import {DirectoryTracker} from './directory_tracker.js';
 import {JsonLog} from './json_log.js';
-import {withTimeout} from './timeout.js';
+import {pause, withTimeout} from './timeout.js';
 
 /** Keys in the store and decoders of their values. */
 export interface StoreLayout {
@@ -105,9 +105,6 @@
   wallMs: Date.now(),
 });
 
-const pause = (ms: number): Promise<void> =>
-  new Promise(resolve => setTimeout(resolve, ms));
-
 /** This front's view of the store. */
 export class StoreFeed {
   readonly config$ = new BehaviorSubject<FrontConfig | undefined>(undefined);
--- a/src/front/takeover_runner.ts
+++ b/src/front/takeover_runner.ts
@@ -24,6 +24,7 @@
 import {ReplicaResumer} from './replica_resumer.js';
 import {ResumeSupervisor} from './resume_supervisor.js';
 import {UnconfirmedOrders} from './unconfirmed_orders.js';
+import {pause} from './timeout.js';
 import {DatabaseCodec} from './wire_types.js';
 
 export interface TakeoverOptions {
@@ -72,9 +73,6 @@
  */
 const RETRY_PAUSE_MS = 400;
 
-const pause = (ms: number): Promise<void> =>
-  new Promise(resolve => setTimeout(resolve, ms));
-
 /**
  * Why a takeover starts; logged. `leaving`: the primary is being removed from
  * service. `none`: the service has no registered primary.
--- a/src/front/timeout.ts
+++ b/src/front/timeout.ts
@@ -1,4 +1,4 @@
-/** Time limits for promises. */
+/** Time limits for promises, and pauses. */
 
 /** Rejects if `promise` does not settle in time; does not cancel its work. */
 export function withTimeout<T>(promise: Promise<T>, ms: number): Promise<T> {
@@ -8,3 +8,7 @@
   });
   return Promise.race([promise, timeout]).finally(() => clearTimeout(timer));
 }
+
+/** Resolves after `ms`. */
+export const pause = (ms: number): Promise<void> =>
+  new Promise(resolve => setTimeout(resolve, ms));
