--- a/src/front/front_list.ts
+++ b/src/front/front_list.ts
@@ -1,6 +1,7 @@
 /** Decodes the registered fronts from the fronts' items in the store. */
 import {FrontMember, Fronts} from '../core/fronts.js';
 import {StoredItem} from '../store/key_values.js';
+import {isPort} from './front_settings.js';
 import {JsonLog} from './json_log.js';
 
 /** Key of a front's entry; with an empty VM, the prefix of all entries. */
@@ -12,7 +13,6 @@
   readonly member: FrontMember;
 }
 
-const MAX_PORT = 65_535;
 /** A host name or IP address. */
 const HOST_PATTERN = /^[!-~]{1,253}$/;
 
@@ -26,9 +26,7 @@
     member.vm === vm &&
     typeof host === 'string' &&
     HOST_PATTERN.test(host) &&
-    Number.isInteger(port) &&
-    Number(port) >= 1 &&
-    Number(port) <= MAX_PORT &&
+    isPort(port) &&
     typeof leaving === 'boolean' &&
     typeof place?.zone === 'string' &&
     typeof place.region === 'string'
--- a/src/front/front_settings.ts
+++ b/src/front/front_settings.ts
@@ -7,6 +7,12 @@
   readonly port: number;
 }
 
+const MAX_PORT = 65_535;
+
+/** Whether a value is a port that something can listen on. */
+export const isPort = (value: unknown): value is number =>
+  Number.isInteger(value) && Number(value) >= 1 && Number(value) <= MAX_PORT;
+
 export interface FrontSettings {
   readonly vm: string;
   /** Address of this VM for other fronts. */
