--- a/test/platform/codec.test.ts
+++ b/test/platform/codec.test.ts
@@ -348,3 +348,22 @@
   t.regex(error, /zone is 7/);
   t.true(parseSettings('a: [').isErr());
 });
+
+// Guards against a process that ends after a reload: a port that cannot exist
+// threw in the first call to the store, in a timer that nothing catches.
+test('a settings file with an address or number that cannot exist is rejected', t => {
+  const odd: ReadonlyArray<readonly [string, string]> = [
+    ['10.200.1.7:8466', '10.200.1.7:84660'],
+    ['10.200.1.7:8466', '10.200.1.7:0'],
+    ['10.200.0.2:8466', '999.1.1.1:80'],
+    ['10.1.0.26:8465', '....:80'],
+    ['- 7560', '- 75600'],
+    ['- 7560', '- 7560.5'],
+    ['grace_s: 6', 'grace_s: .inf'],
+    ['revoke_ms: 5000', 'revoke_ms: .nan'],
+  ];
+  for (const [valid, wrong] of odd) {
+    const text = SETTINGS.replace(valid, wrong);
+    t.true(parseSettings(text).isErr(), wrong);
+  }
+});
