--- a/src/front/front.ts
+++ b/src/front/front.ts
@@ -46,7 +46,8 @@
 import {Router} from './router.js';
 import {StoreEra} from './store_era.js';
 import {Relay, StoreFeed, StoreLayout} from './store_feed.js';
-import {PauseReport, TakeoverRunner} from './takeover_runner.js';
+import {SuspectReport, SuspectReporter} from './suspect_reporter.js';
+import {TakeoverRunner} from './takeover_runner.js';
 import {withTimeout} from './timeout.js';
 import {CallerCodec, DatabaseCodec} from './wire_types.js';
 
@@ -78,7 +79,6 @@
 const VOTE_TIMEOUT_MS = 700;
 /** A database that answered within this time counts as reachable unprobed. */
 const RECENT_ANSWER_MS = 150;
-const SUSPECT_REPORT_INTERVAL_MS = 150;
 /**
  * Maximum number of fronts asked in one round to lend tokens; low, because each
  * call crosses the fleet.
@@ -98,15 +98,6 @@
 /** Part of the grace period that is reserved for closing. */
 const CLOSE_RESERVE_MS = 600;
 
-/** What a front tells the holder of the coordinator lease. */
-interface SuspectReport {
-  readonly service: string;
-  /** The suspect primary. */
-  readonly database: string;
-  /** Set if the replicas may be paused, rather than the primary be lost. */
-  readonly pause?: PauseReport;
-}
-
 export class Front {
   private readonly lifecycle = Lifecycle.create();
   private readonly self: ProcessIdentity;
@@ -121,6 +112,7 @@
   private readonly storeEra: StoreEra;
   private readonly leaderRecovery: LeaderRecovery;
   private readonly takeoverRunner: TakeoverRunner;
+  private readonly suspectReporter: SuspectReporter;
   private readonly metrics = FrontMetrics.create();
   private readonly sessionHost: SessionHost;
   private isStopping = false;
@@ -186,6 +178,7 @@
     this.storeEra = this.createStoreEra();
     this.leaderRecovery = this.createLeaderRecovery();
     this.takeoverRunner = this.createTakeoverRunner();
+    this.suspectReporter = this.createSuspectReporter();
     this.sessionHost = this.createSessionHost();
   }
 
@@ -454,6 +447,25 @@
     });
   }
 
+  private createSuspectReporter(): SuspectReporter {
+    const {coordinatorLease, dispatcher, takeoverRunner} = this;
+    return SuspectReporter.create({
+      self: this.settings.vm,
+      holder: () => coordinatorLease.holder,
+      isLeaseHeld: () => coordinatorLease.isHeld,
+      workers: () => dispatcher.workersByDatabase,
+      directory: () => this.feed.directory,
+      leaderOf: service => this.router.leader(service),
+      takeoverRunner,
+      send: async (vm, report) => {
+        const link = dispatcher.link(vm);
+        await link?.call(PeerMethodName.suspect, report);
+        return link !== undefined;
+      },
+      log: this.ports.log,
+    });
+  }
+
   private async collectVotes(database: string): Promise<readonly boolean[]> {
     const {vm} = this.settings;
     const others = [...this.fronts().values()]
@@ -529,7 +541,8 @@
         dispatcher.localPositionSamples(p.database),
       [PeerMethodName.follow]: (request: FollowRequest) =>
         this.feed.follow(request),
-      [PeerMethodName.suspect]: (p: SuspectReport) => this.handleSuspect(p),
+      [PeerMethodName.suspect]: (report: SuspectReport) =>
+        this.suspectReporter.handle(report),
     };
   }
 
@@ -553,11 +566,7 @@
     if (ports.metrics) lifecycle.own(await this.serveMetrics(), closeServer);
     lifecycle.own(await this.serveCallers(), closeServer);
     lifecycle.own(this.subscribeToChanges(), s => s.unsubscribe());
-    const suspectTimer = setInterval(
-      () => this.reportSuspects(),
-      SUSPECT_REPORT_INTERVAL_MS,
-    );
-    lifecycle.own(suspectTimer, timer => clearInterval(timer));
+    lifecycle.own(this.suspectReporter, reporter => reporter.close());
     const sampleTimer = setInterval(
       () => void this.router.refreshSamples(),
       SAMPLE_INTERVAL_MS,
@@ -640,56 +649,6 @@
       resident_bytes: process.memoryUsage.rss(),
     };
   }
-
-  /**
-   * Reports suspect and stalled primaries to the holder of the coordinator
-   * lease, and services that this front has left in a change of primary.
-   */
-  private reportSuspects(): void {
-    const {takeoverRunner} = this;
-    for (const [id, worker] of this.dispatcher.workersByDatabase) {
-      if (!worker.isSuspect && !worker.isStalled) continue;
-      const service = this.feed.directory.get(id)?.service;
-      if (service === undefined) continue;
-      if (this.router.leader(service)?.id !== id) continue;
-      if (worker.isSuspect) void this.tellHolder({service, database: id});
-      const pause = PauseReport.stalled;
-      if (worker.isStalled)
-        void this.tellHolder({service, database: id, pause});
-    }
-    for (const service of takeoverRunner.abandonedServices) {
-      const pause = PauseReport.abandoned;
-      void this.tellHolder({service, database: '', pause}).then(isTold => {
-        if (isTold) takeoverRunner.forgetAbandoned(service);
-      });
-    }
-  }
-
-  /** Resolves to whether the front that holds the lease knows the report. */
-  private async tellHolder(report: SuspectReport): Promise<boolean> {
-    const {holder} = this.coordinatorLease;
-    if (holder === undefined) return false;
-    if (holder === this.settings.vm) {
-      this.handleSuspect(report);
-      return this.coordinatorLease.isHeld;
-    }
-    const link = this.dispatcher.link(holder);
-    if (!link) return false;
-    try {
-      await link.call(PeerMethodName.suspect, report);
-      return true;
-    } catch (error) {
-      const text = (error as Error).message;
-      this.ports.log('suspect_untold', {holder, text});
-      return false;
-    }
-  }
-
-  private handleSuspect({service, database, pause}: SuspectReport): void {
-    if (pause === undefined)
-      this.takeoverRunner.reportSuspect(service, database);
-    else this.takeoverRunner.reportPause(service, pause);
-  }
 }
 
 function listen<T extends Server>(server: T, address: Address): Promise<T> {
