Keep the signs of a stalled primary beside those of a lost one

The worker of a database held when its commits got no answer; DatabaseHealth, which holds when it last answered, does now. The supervisor and the resumer ask a primary for its lead with one function, and due checks are sorted rather than filtered twice.

--- a/src/core/resume_checks.ts
+++ b/src/core/resume_checks.ts
@@ -87,13 +87,10 @@
     count: number,
     isBusy: (service: string) => boolean,
   ): readonly ResumeCheck[] {
-    const due = [...this.requested.values()].filter(
-      ({service, dueAtMs}) => dueAtMs <= nowMs && !isBusy(service),
-    );
-    const taken = [
-      ...due.filter(({isUrgent}) => isUrgent),
-      ...due.filter(({isUrgent}) => !isUrgent),
-    ].slice(0, count);
+    const taken = [...this.requested.values()]
+      .filter(({service, dueAtMs}) => dueAtMs <= nowMs && !isBusy(service))
+      .sort((a, b) => Number(b.isUrgent) - Number(a.isUrgent))
+      .slice(0, count);
     for (const {service} of taken) this.requested.delete(service);
     return taken;
   }
--- a/src/front/control_link.ts
+++ b/src/front/control_link.ts
@@ -48,3 +48,12 @@
     );
   });
 }
+
+/** Queries a database for whether it is the primary. */
+export async function reportsLead(
+  entry: KnownDatabase,
+  codec: DatabaseCodec,
+): Promise<boolean> {
+  const report = await runControlStatement(entry, codec, {kind: 'status'});
+  return report?.isLeader === true;
+}
--- a/src/front/database_health.ts
+++ b/src/front/database_health.ts
@@ -16,12 +16,19 @@
   readonly onUnreachable: () => void;
 }
 
+/**
+ * How long a primary counts as stalled after a commit that got no answer in
+ * time, unless another one is answered.
+ */
+const STALLED_MS = 1_000;
+
 /** Reachability of one database as seen from this VM. */
 export class DatabaseHealth {
   /** When the database last answered, on the monotonic clock. */
   lastSeenAtMs = 0;
   private unreachableSinceMs: number | undefined;
   private isProbing = false;
+  private stalledUntilMs = 0;
 
   private constructor(private readonly options: DatabaseHealthOptions) {}
 
@@ -39,6 +46,16 @@
     return this.isProbing || this.isUnreachable;
   }
 
+  /** Whether commits that were sent lately have got no answer in time. */
+  get isStalled(): boolean {
+    return performance.now() < this.stalledUntilMs;
+  }
+
+  /** Records whether a commit was answered with success, or not in time. */
+  recordCommit(isAnswered: boolean): void {
+    this.stalledUntilMs = isAnswered ? 0 : performance.now() + STALLED_MS;
+  }
+
   /** Records an answer of any kind; the database is reachable again. */
   recordAnswer(): void {
     this.lastSeenAtMs = performance.now();
--- a/src/front/database_worker.ts
+++ b/src/front/database_worker.ts
@@ -74,11 +74,6 @@
 const MAX_SAMPLE_AGE_MS = 200;
 /** Idle time after which a front that is not the holder closes a connection. */
 const NON_HOLDER_IDLE_MS = 1_500;
-/**
- * How long a primary counts as stalled after a commit that got no answer in
- * time, unless another one is answered.
- */
-const STALLED_MS = 1_000;
 /** Weight of the newest measurement in the moving average of service times. */
 const SERVICE_TIME_SMOOTHING = 0.1;
 const INITIAL_SERVICE_MS = 15;
@@ -152,7 +147,6 @@
   private readonly health: DatabaseHealth;
   private pendingSample: Promise<PositionSample | undefined> | undefined;
   private isClosed = false;
-  private stalledUntilMs = 0;
   /** Set while there is work or the connection budget is reduced. */
   private checkTimer: NodeJS.Timeout | undefined;
 
@@ -206,7 +200,7 @@
 
   /** Whether commits that were sent lately have got no answer in time. */
   get isStalled(): boolean {
-    return performance.now() < this.stalledUntilMs;
+    return this.health.isStalled;
   }
 
   /** Whether there is neither work nor an open transaction. */
@@ -663,10 +657,9 @@
   ): void {
     this.inFlight--;
     this.recordServiceTime(job);
-    if (job.work.access === Access.write) {
+    if (job.work.access === Access.write)
       this.recordSample(job.sentAtMs, answer);
-      if (answer.ok) this.stalledUntilMs = 0;
-    }
+    this.recordCommit(job, answer);
     this.finish(job, this.replyOf(answer, {state: TransactionState.idle}));
     this.release(connection, answer.state);
     this.startQueuedJobs();
@@ -737,7 +730,7 @@
     this.recordServiceTime(job);
     const isLost = !answer.ok && answer.fault === Fault.lost;
     const isCommit = job.work.access === Access.commit;
-    if (isCommit && answer.ok) this.stalledUntilMs = 0;
+    this.recordCommit(job, answer);
     const hasNotRun = isFirst && !answer.ok && provesNotRun(answer.fault);
     const isStillOpen =
       !isLost &&
@@ -940,11 +933,14 @@
       state: inLane ? TransactionState.failed : TransactionState.idle,
     });
     connection?.link.close('no answer in time');
-    if (isCommitting(job.work))
-      this.stalledUntilMs = performance.now() + STALLED_MS;
+    if (isCommitting(job.work)) this.health.recordCommit(false);
     this.suspect('no answer in time');
   }
 
+  private recordCommit({work}: Job, answer: StepAnswer): void {
+    if (answer.ok && isCommitting(work)) this.health.recordCommit(true);
+  }
+
   private recordServiceTime(job: Job): void {
     const tookMs = performance.now() - job.sentAtMs;
     this.serviceMs += SERVICE_TIME_SMOOTHING * (tookMs - this.serviceMs);
--- a/src/front/replica_resumer.ts
+++ b/src/front/replica_resumer.ts
@@ -1,11 +1,10 @@
 /**
  * Lets the replicas of a service receive the log again after a takeover attempt
- * that promoted none of them. A promotion order that is executed afterwards
- * would undo commits acknowledged since, so such orders are made void first.
+ * that promoted none of them.
  */
 import {KnownDatabase} from '../core/directory.js';
 import {isPromotionAllowed} from '../core/leader_record.js';
-import {runControlStatement} from './control_link.js';
+import {reportsLead, runControlStatement} from './control_link.js';
 import {CoordinatorLease} from './coordinator_lease.js';
 import {JsonLog} from './json_log.js';
 import {Leadership} from './leadership.js';
@@ -104,11 +103,11 @@
     service: string,
     leader: KnownDatabase,
   ): Promise<string | undefined> {
-    const {coordinatorLease, promote, self, log, orders, isTenureOf} =
+    const {coordinatorLease, promote, self, log, orders, isTenureOf, codec} =
       this.options;
     const fencingToken = await coordinatorLease.raiseFencingToken();
     if (fencingToken === undefined) return 'fencing token not raised';
-    if (!(await this.reportsLead(leader)))
+    if (!(await reportsLead(leader, codec)))
       return 'primary does not report its lead';
     if (!isTenureOf(service)) return 'lease lost';
     const database = leader.id;
@@ -127,7 +126,7 @@
     if (outcome === 'unknown') orders.requireHigherToken(service);
     if (outcome !== 'done') return 'primary not confirmed';
     await pause(PROMOTION_DELAY_MS);
-    if (!(await this.reportsLead(leader)))
+    if (!(await reportsLead(leader, codec)))
       return 'primary no longer reports its lead';
     orders.clear(service);
     return undefined;
@@ -163,11 +162,4 @@
     const record = this.options.leadership.latestRecord(service);
     return record?.database === database && record.settled;
   }
-
-  /** Queries a database for whether it is the primary. */
-  private async reportsLead(entry: KnownDatabase): Promise<boolean> {
-    const {codec} = this.options;
-    const report = await runControlStatement(entry, codec, {kind: 'status'});
-    return report?.isLeader === true;
-  }
 }
--- a/src/front/resume_supervisor.ts
+++ b/src/front/resume_supervisor.ts
@@ -9,7 +9,7 @@
   ResumeCheckResult,
   ResumeChecks,
 } from '../core/resume_checks.js';
-import {runControlStatement} from './control_link.js';
+import {reportsLead, runControlStatement} from './control_link.js';
 import {JsonLog} from './json_log.js';
 import {DatabaseCodec} from './wire_types.js';
 
@@ -139,9 +139,8 @@
     log('replicas_found_paused', {service, leader: leader?.id, paused: names});
     // A service without a usable primary gets another one, which ends the pause.
     if (!leader || leader.leaving) return ResumeCheckResult.paused;
-    const leaderReport = await query(leader);
     const mayResume =
-      leaderReport?.isLeader === true && !this.options.isBusy(service);
+      (await reportsLead(leader, codec)) && !this.options.isBusy(service);
     return mayResume && (await resume(service, leader))
       ? ResumeCheckResult.receiving
       : ResumeCheckResult.paused;
