--- a/soak/faults.ts
+++ b/soak/faults.ts
@@ -4,7 +4,8 @@
 import {FrontProcess} from './front_process.js';
 import {FLEET_PREFIX, World} from './world.js';
 import {StandinDatabase} from '../test/platform/standin_database.js';
-import {PromotionMode, StoreFaultMode} from '../test/platform/standin_store.js';
+import {PromotionMode} from '../test/platform/standin_promotions.js';
+import {StoreFaultMode} from '../test/platform/standin_store.js';
 
 const pause = (ms: number): Promise<void> =>
   new Promise(resolve => setTimeout(resolve, ms));
@@ -56,9 +57,9 @@
   {durationMs}: ScheduledFault,
   mode: PromotionMode,
 ): Promise<void> {
-  store.promotionMode = mode;
+  store.promotions.mode = mode;
   await pause(durationMs);
-  store.promotionMode = PromotionMode.executed;
+  store.promotions.mode = PromotionMode.executed;
 }
 
 async function withStoreFault(
--- a/test/platform/paused_replicas.test.ts
+++ b/test/platform/paused_replicas.test.ts
@@ -90,16 +90,16 @@
 // again, the present primary is confirmed, and no order may be unanswered.
 test('replicas stay paused until the platform has confirmed the primary', async t => {
   const {group, store, front} = await startBehindPause(t, (_, created) => {
-    created.promotionMode = 'lost';
+    created.promotions.mode = 'lost';
   });
-  await until(() => store.promotions.length >= 2);
+  await until(() => store.promotions.received.length >= 2);
   t.deepEqual(
-    store.promotions.filter(({id}) => id !== group.databases[0].id),
+    store.promotions.received.filter(({id}) => id !== group.databases[0].id),
     [],
   );
   t.true(replicasOf(group).every(({isPaused}) => isPaused));
   t.true(front.events('resume_withheld').length > 0);
-  store.promotionMode = 'executed';
+  store.promotions.mode = 'executed';
   await until(() => haveResumed(group), RESUME_LIMIT_MS);
 });
 
--- a/test/platform/standin_store.ts
+++ b/test/platform/standin_store.ts
@@ -2,6 +2,7 @@
 import {createServer, IncomingMessage, Server, ServerResponse} from 'node:http';
 import {Copies} from '../../src/standin/copies.js';
 import {StandinGroup} from './standin_database.js';
+import {StandinPromotions} from './standin_promotions.js';
 
 interface Item {
   readonly key: string;
@@ -47,35 +48,14 @@
 export type StoreFaultMode =
   (typeof StoreFaultMode)[keyof typeof StoreFaultMode];
 
-/** What becomes of promotion orders; set by tests. */
-export const PromotionMode = {
-  executed: 'executed',
-  /** Neither executed nor answered. */
-  lost: 'lost',
-  /** Executed `LATE_PROMOTION_MS` after arrival, and not answered. */
-  late: 'late',
-} as const;
-export type PromotionMode = (typeof PromotionMode)[keyof typeof PromotionMode];
-
-const LATE_PROMOTION_MS = 3_000;
-
 /** An in-memory store with watches and leases, served over HTTP. */
 export class StandinStore {
   faultMode: StoreFaultMode = StoreFaultMode.none;
-  promotionMode: PromotionMode = PromotionMode.executed;
   requestCount = 0;
   watchCount = 0;
   port = 0;
-  /**
-   * Promotion orders in order of arrival, also refused ones; `holder` is the
-   * front that the order names as sender.
-   */
-  readonly promotions: Array<{
-    service: string;
-    id: string;
-    holder: string;
-    fencingToken: number;
-  }> = [];
+  /** The platform's promotions, served at the same address. */
+  readonly promotions: StandinPromotions;
   /** Changes the text of items as clients read them. */
   rewriteOnRead: (key: string, text: string) => string = (_, text) => text;
   private revision = 1;
@@ -92,9 +72,10 @@
   private readonly watchers = new Set<() => void>();
   private server: Server | undefined;
   private leaseCount = 0;
-  private highestFencingToken = 0;
 
-  private constructor(private readonly groups: readonly StandinGroup[]) {}
+  private constructor(private readonly groups: readonly StandinGroup[]) {
+    this.promotions = new StandinPromotions(groups);
+  }
 
   static async start(groups: readonly StandinGroup[]): Promise<StandinStore> {
     const store = new StandinStore(groups);
@@ -270,7 +251,8 @@
       this.endLease(id);
       return answer(200, {});
     }
-    if (path === 'POST /promotion') return this.promote(request, body, answer);
+    if (path === 'POST /promotion')
+      return this.promotions.receive(request, body, answer);
     answer(404, {});
   }
 
@@ -387,36 +369,4 @@
       if (item.lease_id === id) this.delete(item.key);
     }
   }
-
-  private promote(
-    request: IncomingMessage,
-    body: object,
-    answer: (status: number, body: object) => void,
-  ): void {
-    const {service, id} = body as {service: string; id: string};
-    const fencingToken = Number(request.headers['mustardpass-fence-token']);
-    const holder = String(request.headers['mustardpass-duty-holder']);
-    this.promotions.push({service, id, holder, fencingToken});
-    if (this.promotionMode === PromotionMode.lost) return;
-    if (this.promotionMode === PromotionMode.late) {
-      setTimeout(
-        () => this.executePromotion(service, id, fencingToken),
-        LATE_PROMOTION_MS,
-      );
-      return;
-    }
-    answer(this.executePromotion(service, id, fencingToken) ? 200 : 409, {});
-  }
-
-  /** Returns whether the order was accepted. */
-  private executePromotion(
-    service: string,
-    id: string,
-    fencingToken: number,
-  ): boolean {
-    if (fencingToken < this.highestFencingToken) return false;
-    this.highestFencingToken = fencingToken;
-    const group = this.groups.find(g => g.service === service);
-    return group?.promote(id) === true;
-  }
 }
