Tests: wait for a new primary of any later term

Cause: the test waited for a primary of term 2 exactly. An election whose grants take longer than 600 ms, as on a busy machine, is repeated with the next term, and then no primary ever has term 2. Such an election is allowed: each claim raises the term.

The new condition is as strict about the role: a primary of a later term than the first. The transcript that follows is compared as before.

--- a/test/clients.test.ts
+++ b/test/clients.test.ts
@@ -10,6 +10,7 @@
   LOCAL_FLEET_BACKEND_PASSWORD,
   waitUntil,
 } from '../src/standin/local_fleet.js';
+import {waitForNewPrimary} from './fixtures/failover.js';
 
 const SERVICE = 'order-books-1';
 const CUSTOMER = 'villacres';
@@ -266,7 +267,7 @@
       await client.query("INSERT INTO t (id) VALUES ('lost')");
       const group = fleet.group(SERVICE);
       group.primary.kill();
-      await waitUntil(() => group.primary.database.status().term === 2);
+      await waitForNewPrimary(group);
       const read = () => client.query("SELECT id FROM t WHERE id = 'lost'");
       const lost = await rejection(read());
       t.is(lost.code, 'MP001');
--- a/test/sessions.test.ts
+++ b/test/sessions.test.ts
@@ -1,6 +1,7 @@
 import test from 'ava';
 import pg from 'pg';
-import {LocalFleet, waitUntil} from '../src/standin/local_fleet.js';
+import {LocalFleet} from '../src/standin/local_fleet.js';
+import {waitForNewPrimary} from './fixtures/failover.js';
 
 const SERVICE = 'order-books-1';
 const CUSTOMER = 'villacres';
@@ -155,9 +156,7 @@
       );
       transcript.note('the primary is killed');
       fleet.group(SERVICE).primary.kill();
-      await waitUntil(
-        () => fleet.group(SERVICE).primary.database.status().term === 2,
-      );
+      await waitForNewPrimary(fleet.group(SERVICE));
       await transcript.query(
         'ana',
         ana,
