Finish a change of primary whose order is unanswered

An unanswered promotion was undone by an order that confirms the former primary with a higher token. If that one is unanswered too, and the platform executes both late in the order in which they were sent, the former primary takes the lead back from a database that has acknowledged commits meanwhile.

Cause: two orders for different databases were under way at once, the later one with the higher token. A new holder of the lease did the same, without knowing of the first order.

Now the database of the unanswered order is ordered again, with a higher token each time, until the platform answers; which order is executed, and when, no longer matters. A new holder finishes the change within the 15 s in which an earlier order may be executed, unless fewer replicas are paused or silent than a change needs. An answer, also a refusal, settles earlier orders.

Evidence: takeover.test, 'the primary is not confirmed while ...', 'a new holder finishes ...', 'a change whose order is refused is undone ...', and paused_replicas.test, 'replicas stay paused until the platform has answered an order' fail before and pass now.

Tests that changed, as strict: 'an order after an unanswered confirmation' gets its confirmation after a promotion that was accepted and not seen, as none is sent beside an unanswered one; a new holder's write is repeated, since a change of primary may refuse one as not run; the silent replica is tested within a tenure, and in a test of its own at a new holder.

Cost: with a silent replica in a group of three, a new holder leaves the other paused until it answers, 15 s at most.

--- a/model/check.ts
+++ b/model/check.ts
@@ -271,6 +271,9 @@
     {countsConfirmations: false},
     true,
   ),
+  takeover('the primary is confirmed while a promotion is unanswered', {
+    confirmsBesideOrders: true,
+  }),
   takeover('orders of earlier lease holders are ignored', {
     expectsEarlierOrders: false,
   }),
--- a/model/takeover_model.ts
+++ b/model/takeover_model.ts
@@ -82,9 +82,8 @@
   /** Whether that includes an unanswered order that confirms the primary. */
   readonly countsConfirmations: boolean;
   /**
-   * Whether an order that confirms the primary may stay unanswered while an
-   * earlier order may still be executed. The product sends it then; that this
-   * loses commits is a known fault, see KNOWN-RED.txt.
+   * Whether an order that confirms the primary may be sent, and stay
+   * unanswered, while an earlier order may still be executed.
    */
   readonly confirmsBesideOrders: boolean;
   /**
--- a/src/front/replica_resumer.ts
+++ b/src/front/replica_resumer.ts
@@ -44,7 +44,9 @@
    * Lets the replicas receive the log again. A promotion order of this front or
    * of an earlier lease holder that is executed afterwards would undo commits
    * acknowledged since. An order to promote the current primary with a higher
-   * fencing token, sent first, makes such an order void. Resolves to whether all
+   * fencing token, sent first, makes such an order void. Not sent while a
+   * promotion of another database is known to be unanswered: executed after it,
+   * the order would make the current primary lead again. Resolves to whether all
    * replicas have confirmed that they receive.
    */
   async resume(
@@ -53,6 +55,8 @@
   ): Promise<boolean> {
     const {leadership, coordinatorLease, orders} = this.options;
     if (leadership.isEnabled) return this.resumeUnfenced(service, leader);
+    if (!isPromotionAllowed(orders.orderOf(service), leader?.id))
+      return this.logWithheld(service, 'an order may still be executed');
     const isUnconfirmed =
       orders.has(service) || coordinatorLease.heldForMs < UNCONFIRMED_ORDER_MS;
     if (leader && isUnconfirmed) {
@@ -128,7 +132,7 @@
     await pause(PROMOTION_DELAY_MS);
     if (!(await reportsLead(leader, codec)))
       return 'primary no longer reports its lead';
-    orders.clear(service);
+    orders.makeVoid(service);
     return undefined;
   }
 
--- a/src/front/resume_supervisor.ts
+++ b/src/front/resume_supervisor.ts
@@ -20,6 +20,8 @@
   readonly leaderOf: (service: string) => KnownDatabase | undefined;
   /** Databases of a service other than `leader`. */
   readonly replicasOf: (service: string, leader?: string) => KnownDatabase[];
+  /** Whether a change of primary can be under way with so many logs stopped. */
+  readonly sufficesForChange: (service: string, stopped: number) => boolean;
   /** Whether a change of primary of a service is under way. */
   readonly isBusy: (service: string) => boolean;
   /**
@@ -38,6 +40,8 @@
 /** Runs the checks that are due; called periodically by its owner. */
 export class ResumeSupervisor {
   private readonly checks = ResumeChecks.create();
+  /** Services in which no order of an earlier holder can be unanswered. */
+  private readonly settled = new Set<string>();
   private running = 0;
   private lastDirectory: Directory | undefined;
   private available = NO_DATABASES;
@@ -59,10 +63,24 @@
    */
   beginTenure(nowMs: number): void {
     this.checks.clear();
+    this.settled.clear();
     for (const service of this.options.serviceNames())
       this.checks.request(service, nowMs);
   }
 
+  /**
+   * Records that no promotion that an earlier holder of the lease has ordered
+   * may still be executed.
+   */
+  recordSettled(service: string): void {
+    this.settled.add(service);
+  }
+
+  /** Whether that has been recorded, or found by a check, in this tenure. */
+  isSettled(service: string): boolean {
+    return this.settled.has(service);
+  }
+
   /** Records that replicas of a service may be paused from now on. */
   recordPause(service: string): void {
     this.checks.request(service, performance.now());
@@ -121,7 +139,8 @@
   }
 
   private async check({service}: ResumeCheck): Promise<ResumeCheckResult> {
-    const {codec, leaderOf, replicasOf, resume, log} = this.options;
+    const {codec, leaderOf, replicasOf, sufficesForChange, resume, log} =
+      this.options;
     const leader = leaderOf(service);
     const replicas = replicasOf(service, leader?.id);
     const query = (entry: KnownDatabase) =>
@@ -130,8 +149,12 @@
     const paused = replicas.filter(
       (_, index) => (reports[index]?.pausedAtTerm ?? 0) > 0,
     );
+    const unanswered = reports.filter(report => report === undefined).length;
+    // An earlier holder orders a promotion only with enough replicas paused.
+    if (!sufficesForChange(service, paused.length + unanswered))
+      this.settled.add(service);
     if (paused.length === 0) {
-      return reports.includes(undefined)
+      return unanswered > 0
         ? ResumeCheckResult.unanswered
         : ResumeCheckResult.receiving;
     }
--- a/src/front/takeover_runner.ts
+++ b/src/front/takeover_runner.ts
@@ -13,6 +13,7 @@
   SAFE_TAKEOVER,
   StoppedLog,
   TakeoverChoice,
+  TakeoverGroup,
 } from '../core/takeover.js';
 import {runControlStatement} from './control_link.js';
 import {isPromotionAllowed} from '../core/leader_record.js';
@@ -23,7 +24,7 @@
 import {pauseReplicas} from './replica_pause.js';
 import {ReplicaResumer} from './replica_resumer.js';
 import {ResumeSupervisor} from './resume_supervisor.js';
-import {UnconfirmedOrders} from './unconfirmed_orders.js';
+import {UnconfirmedOrders, UNCONFIRMED_ORDER_MS} from './unconfirmed_orders.js';
 import {pause} from './timeout.js';
 import {DatabaseCodec} from './wire_types.js';
 
@@ -75,9 +76,10 @@
 
 /**
  * Why a takeover starts; logged. `leaving`: the primary is being removed from
- * service. `none`: the service has no registered primary.
+ * service. `none`: the service has no registered primary. `unfinished`: an
+ * earlier attempt has left an order that may still be executed.
  */
-type TakeoverReason = 'lost' | 'leaving' | 'none';
+type TakeoverReason = 'lost' | 'leaving' | 'none' | 'unfinished';
 
 /** Why replicas of a service may be paused, as fronts tell the lease's holder. */
 export const PauseReport = {
@@ -122,6 +124,10 @@
     this.supervisor = ResumeSupervisor.create({
       ...options,
       replicasOf: (service, leader) => this.replicasOf(service, leader),
+      sufficesForChange: (service, stopped) => {
+        const group = this.groupOf(service, this.options.leaderOf(service)?.id);
+        return stopped >= SAFE_TAKEOVER.logsNeeded(group);
+      },
       isBusy: service => this.running.has(service),
       resume: (service, leader) => this.resumeExclusively(service, leader),
     });
@@ -304,7 +310,9 @@
         );
         if (isOrdered) return this.awaitPromotion(service, choice.database);
       } else if (choice.kind === 'catch_up' || isLate) {
-        await this.resumer.resume(service, leader);
+        if (this.isUnfinished(service, leader))
+          this.resumer.logWithheld(service, 'an order may still be executed');
+        else await this.resumer.resume(service, leader);
         if (isLate) return false;
       }
       const currentLeader = this.options.leaderOf(service);
@@ -312,7 +320,8 @@
         await this.resumer.resume(service, currentLeader);
         return true;
       }
-      if (await this.hasLeaderRecovered(service, leader, reason)) {
+      const mayUndo = !this.isUnfinished(service, leader);
+      if (mayUndo && (await this.hasLeaderRecovered(service, leader, reason))) {
         await this.resumer.resume(service, leader);
         return false;
       }
@@ -321,18 +330,50 @@
     }
   }
 
+  /**
+   * Whether the platform may still execute a promotion of another database than
+   * `leader`. The change is finished then rather than undone: an order that
+   * confirms `leader` may stay unanswered too and be executed after that
+   * promotion, and commits acknowledged between would be lost.
+   */
+  private isUnfinished(
+    service: string,
+    leader: KnownDatabase | undefined,
+  ): boolean {
+    const {leadership, coordinatorLease} = this.options;
+    if (leadership.isEnabled) return false;
+    if (!isPromotionAllowed(this.orders.orderOf(service), leader?.id))
+      return true;
+    const isNewHolder = coordinatorLease.heldForMs < UNCONFIRMED_ORDER_MS;
+    return isNewHolder && !this.supervisor.isSettled(service);
+  }
+
+  /** Records that the platform has answered an order with the highest token. */
+  private recordAnswer(service: string): void {
+    if (this.options.leadership.isEnabled) return;
+    this.orders.makeVoid(service);
+    this.supervisor.recordSettled(service);
+  }
+
   /** Ends an attempt after the lease was lost; its replicas stay paused. */
   private abandon(service: string): false {
     this.abandoned.add(service);
     return this.resumer.logWithheld(service, 'lease lost');
   }
 
-  /** Lets replicas receive again, unless a change of primary is under way. */
+  /**
+   * Lets replicas receive again, unless a change of primary is under way; goes
+   * on with one that is unfinished.
+   */
   private async resumeExclusively(
     service: string,
     leader: KnownDatabase,
   ): Promise<boolean> {
     if (this.running.has(service)) return false;
+    if (this.isUnfinished(service, leader)) {
+      this.start(service, 'unfinished');
+      return false;
+    }
     this.running.add(service);
     this.tenures.set(service, this.options.coordinatorLease.tenure);
     try {
@@ -379,6 +420,12 @@
     return !(await this.isLeaderLost(service, leader));
   }
 
+  private groupOf(service: string, leader?: string): TakeoverGroup {
+    const size = this.replicasOf(service, leader).length + 1;
+    const syncReplicas = this.options.serviceOf(service)?.syncReplicas ?? 0;
+    return {size, syncReplicas};
+  }
+
   private replicasOf(service: string, leader?: string): KnownDatabase[] {
     return databasesOf(this.options.directory(), service).filter(
       entry => entry.id !== leader,
@@ -393,7 +440,7 @@
     service: string,
     leader: KnownDatabase | undefined,
   ): Promise<TakeoverChoice> {
-    const {codec, log, serviceOf} = this.options;
+    const {codec, log} = this.options;
     const replicas = this.replicasOf(service, leader?.id);
     const expectedTerm = await this.nextTerm(service, replicas);
     const paused = await pauseReplicas(replicas, expectedTerm, codec, () =>
@@ -415,15 +462,13 @@
       const {position} = report;
       logs.push({database: entry.id, position, leaving: entry.leaving});
     }
-    const size = replicas.length + 1;
-    const syncReplicas = serviceOf(service)?.syncReplicas ?? 0;
-    const group = {size, syncReplicas};
+    const group = this.groupOf(service, leader?.id);
     const preferred = this.orders.orderOf(service)?.database;
     const choice = chooseTakeover(group, logs, SAFE_TAKEOVER, preferred);
     log('takeover_choice', {
       service,
       term,
-      size,
+      size: group.size,
       logs: logs.map(
         stopped =>
           `${stopped.database}=${stopped.position.term}.${stopped.position.offset}`,
@@ -520,8 +565,11 @@
     switch (outcome) {
       case 'done':
         this.orders.clear(service);
+        this.recordAnswer(service);
         return true;
       case 'refused':
+        // The platform has seen this token or a higher one.
+        this.recordAnswer(service);
         await coordinatorLease.raiseFencingToken();
         return false;
       case 'unknown':
--- a/src/front/unconfirmed_orders.ts
+++ b/src/front/unconfirmed_orders.ts
@@ -16,10 +16,7 @@
    * later order with a higher fencing token has made it void.
    */
   private readonly services = new Set<string>();
-  /**
-   * The order that may still be executed where the platform does not check
-   * fencing tokens, by service.
-   */
+  /** The promotion that the platform may still execute, by service. */
   private readonly orders = new Map<string, UnconfirmedOrder>();
 
   private constructor() {}
@@ -53,6 +50,15 @@
     this.services.delete(service);
   }
 
+  /**
+   * Records that a platform with fencing has answered an order: it executes no
+   * order with a lower token any more.
+   */
+  makeVoid(service: string): void {
+    this.clear(service);
+    this.orders.delete(service);
+  }
+
   /** Whether an order of this front may still take effect. */
   has(service: string): boolean {
     return this.services.has(service);
