Check a stalled service once its last check is five seconds old

What callers saw: writes of a service whose replicas were paused soon after a check had found all of them receiving hung until a second commit ran out of its time limit (4 s in the tests) before anybody looked.

Cause: reports of a stall were dropped for 5 s after a clean check, and a front reports one only for a second after a commit that got no answer.

Now such a report makes the check due at the end of the 5 s. No check comes sooner than before, so that signs of overload add no load.

Evidence: resume_checks.test, 'signs of a stall that come soon after a clean check are not forgotten', failed before. 'signs of a stall cause no check for five seconds' asked that no check be pending; it asks now that none can be taken before the 5 s are over, and exactly one then.

--- a/src/core/resume_checks.ts
+++ b/src/core/resume_checks.ts
@@ -12,7 +12,7 @@
 const MAX_REPEAT_MS = 5_000;
 /**
  * How long after a check found nothing the signs of a stalled primary cause no
- * other check. Such signs also come from overload, which a check adds to.
+ * other one: it is due then. Such signs also come from overload, which a check adds to.
  */
 const QUIET_AFTER_CHECK_MS = 5_000;
 
@@ -63,13 +63,13 @@
 
   /**
    * Requests a check ahead of others, because commits of a service get no
-   * answer.
+   * answer. Soon after a check that found nothing it is due later.
    */
   requestForStall(service: string, nowMs: number): void {
     const receivingAtMs = this.receivingAtMs.get(service) ?? -Infinity;
-    if (nowMs - receivingAtMs < QUIET_AFTER_CHECK_MS) return;
+    const dueAtMs = Math.max(nowMs, receivingAtMs + QUIET_AFTER_CHECK_MS);
     const repeatMs = MIN_REPEAT_MS;
-    this.add({service, dueAtMs: nowMs, repeatMs, isUrgent: true});
+    this.add({service, dueAtMs, repeatMs, isUrgent: true});
   }
 
   /** Discards what is known, as another front may have acted since. */
