Check a service for paused replicas once at a time

What operators saw (in a test): while a silent replica let a check of its service last 0.7 s, reports of a stall began another one every 150 ms, four at once; eight such checks are all that run, so that other services waited.

Cause: a check that is taken is no longer pending, and nothing else kept a second one from being requested and taken.

--- a/src/front/resume_supervisor.ts
+++ b/src/front/resume_supervisor.ts
@@ -42,7 +42,8 @@
   private readonly checks = ResumeChecks.create();
   /** Services in which no order of an earlier holder can be unanswered. */
   private readonly settled = new Set<string>();
-  private running = 0;
+  /** Services with a check that has not ended. */
+  private readonly running = new Set<string>();
   private lastDirectory: Directory | undefined;
   private available = NO_DATABASES;
 
@@ -99,11 +100,13 @@
   /** Starts the checks that are due. */
   run(nowMs: number): void {
     this.requestForReturned(nowMs);
-    const count = MAX_RUNNING_CHECKS - this.running;
-    for (const check of this.checks.take(nowMs, count, this.options.isBusy)) {
-      this.running++;
+    const count = MAX_RUNNING_CHECKS - this.running.size;
+    const isBusy = (service: string): boolean =>
+      this.running.has(service) || this.options.isBusy(service);
+    for (const check of this.checks.take(nowMs, count, isBusy)) {
+      this.running.add(check.service);
       void this.checkSafely(check).then(result => {
-        this.running--;
+        this.running.delete(check.service);
         this.checks.record(check, result, performance.now());
       });
     }
--- a/test/platform/takeover.test.ts
+++ b/test/platform/takeover.test.ts
@@ -239,6 +239,23 @@
   t.true(orders[1].fencingToken > orders[0].fencingToken);
 });
 
+// Guards against checks that take the places of other services: signs of a stall
+// came faster than a silent replica lets a check of its service end.
+test('a service is not checked for paused replicas twice at once', async t => {
+  const group = await StandinGroup.start('orders', ZONES);
+  const [, replica, silent] = group.databases;
+  silent.isUnresponsive = true;
+  const {runner} = createRunner(t, group);
+  const reports = setInterval(
+    () => runner.reportPause('orders', 'stalled'),
+    20,
+  );
+  await until(() => replica.connectionsOpened > 0);
+  await new Promise(resolve => setTimeout(resolve, 500));
+  clearInterval(reports);
+  t.is(replica.connectionsOpened, 1);
+});
+
 // Guards against the loss of acknowledged commits: a front that was frozen while
 // it connected let the replicas receive in the tenure of another one.
 test('an order to resume is not sent once the lease was lost while connecting', async t => {
