Check the fields of calls and replies between fronts

Such a sender has proved the fleet's secret, so it is a front of another version or one with a fault of its own.

Cause: parameters and replies were cast to the types of the methods.

Now src/front/peer_messages.ts decodes each of them: a field that is used must have its type and range, nothing is converted. A call that fails is refused and logged (peer_method_failed, without the value); a reply that fails counts as none.

--- a/src/front/dispatcher.ts
+++ b/src/front/dispatcher.ts
@@ -27,6 +27,7 @@
 import {IdSource, ProcessIdentity, WorkOrigin} from '../core/process_ids.js';
 import {JsonLog, originFields} from './json_log.js';
 import {PeerLink, PeerUnavailableError} from './peer_link.js';
+import {decodeReply, decodeSamples} from './peer_messages.js';
 import {DatabaseCodec} from './wire_types.js';
 
 export interface DispatcherOptions {
@@ -241,13 +242,11 @@
       return this.worker(database)?.positionSamples() ?? [];
     }
     const requestedAtMs = performance.now();
-    const call = this.link(holder.vm)?.call<SampleByAge[]>(
-      PeerMethodName.marks,
-      {
-        database,
-      },
-    );
-    return call ? fromSamplesByAge(await call, requestedAtMs) : [];
+    const params = {database};
+    const call = this.link(holder.vm)?.call(PeerMethodName.marks, params);
+    return call
+      ? fromSamplesByAge(decodeSamples(await call), requestedAtMs)
+      : [];
   }
 
   /** Returns this front's position samples by age, to send to another front. */
@@ -394,8 +393,8 @@
       );
     });
     try {
-      const call = link.call<Reply>(PeerMethodName.run, work);
-      return await Promise.race([call, timeout]);
+      const call = link.call(PeerMethodName.run, work);
+      return decodeReply(await Promise.race([call, timeout]));
     } catch (error) {
       const sent = !(error instanceof PeerUnavailableError) || error.wasSent;
       const text = (error as Error).message;
--- a/src/front/front.ts
+++ b/src/front/front.ts
@@ -14,22 +14,19 @@
 import {FrontConfig} from '../core/front_config.js';
 import {Fronts} from '../core/fronts.js';
 import {maxConfigAgeMs} from '../core/freshness.js';
-import {StoredLeaderRecord} from '../core/leader_record.js';
 import {
   createIdSource,
   IdSource,
   ProcessIdentity,
-  WorkOrigin,
 } from '../core/process_ids.js';
-import {LentInterval, Rate} from '../core/rates.js';
-import {Reply, Work} from '../core/work.js';
+import {Rate} from '../core/rates.js';
+import {Reply} from '../core/work.js';
 import {relayFor} from '../core/relay.js';
 import {Lifecycle} from '../proxy/lifecycle.js';
-import {LendRequest, RateLimiter} from '../proxy/rate_limiter.js';
+import {RateLimiter} from '../proxy/rate_limiter.js';
 import {KeyValueStore} from '../store/key_values.js';
 import {Accrual} from './accrual.js';
 import {CallerSession, SessionHost} from './caller_session.js';
-import {FollowRequest, RelayedChanges} from './change_relay.js';
 import {runControlStatement} from './control_link.js';
 import {Dispatcher, PeerMethodName} from './dispatcher.js';
 import {CoordinatorLease} from './coordinator_lease.js';
@@ -39,6 +36,19 @@
 import {FrontMetrics} from './front_metrics.js';
 import {Address, FrontSettings} from './front_settings.js';
 import {JsonLog} from './json_log.js';
+import {
+  decodeAnnouncedRecord,
+  decodeCancel,
+  decodeDatabase,
+  decodeFollowRequest,
+  decodeLaneEnd,
+  decodeLendRequest,
+  decodeLentIntervals,
+  decodeRelayedChanges,
+  decodeSuspectReport,
+  decodeVote,
+  decodeWork,
+} from './peer_messages.js';
 import {PeerMethod, servePeers} from './peer_service.js';
 import {Promote} from './promoter.js';
 import {RateShares} from './rate_shares.js';
@@ -46,7 +56,7 @@
 import {Router} from './router.js';
 import {StoreEra} from './store_era.js';
 import {Relay, StoreFeed, StoreLayout} from './store_feed.js';
-import {SuspectReport, SuspectReporter} from './suspect_reporter.js';
+import {SuspectReporter} from './suspect_reporter.js';
 import {TakeoverRunner} from './takeover_runner.js';
 import {withTimeout} from './timeout.js';
 import {CallerCodec, DatabaseCodec} from './wire_types.js';
@@ -273,8 +283,8 @@
     const vm = relayFor(this.fronts(), self, place.region, isUsable);
     const link = vm === undefined ? undefined : this.dispatcher.link(vm);
     if (vm === undefined || !link) return undefined;
-    const follow: Relay['follow'] = request =>
-      link.longPoll<RelayedChanges>(PeerMethodName.follow, request);
+    const follow: Relay['follow'] = async request =>
+      decodeRelayedChanges(await link.longPoll(PeerMethodName.follow, request));
     return {vm, follow};
   }
 
@@ -339,8 +349,8 @@
       requestTokens: async (peer, request) => {
         const link = this.dispatcher.link(peer);
         if (!link) return [];
-        const call = link.call<LentInterval[]>(PeerMethodName.lend, request);
-        return withTimeout(call, LEND_TIMEOUT_MS);
+        const call = link.call(PeerMethodName.lend, request);
+        return decodeLentIntervals(await withTimeout(call, LEND_TIMEOUT_MS));
       },
       share: customer => this.shares.shareOf(customer),
       sharesChangeToken: () => this.shares.changeToken,
@@ -486,8 +496,8 @@
   ): Promise<boolean | undefined> {
     try {
       const link = this.dispatcher.link(peer);
-      const call = link?.call<boolean>(PeerMethodName.probe, {database});
-      return call && (await withTimeout(call, VOTE_TIMEOUT_MS));
+      const call = link?.call(PeerMethodName.probe, {database});
+      return call && decodeVote(await withTimeout(call, VOTE_TIMEOUT_MS));
     } catch {
       // A peer that does not answer abstains.
       return undefined;
@@ -523,26 +533,30 @@
     const {dispatcher} = this;
     return {
       [PeerMethodName.ping]: () => true,
-      [PeerMethodName.leader]: (record: StoredLeaderRecord) => {
-        this.leadership.receiveRecord(record);
+      [PeerMethodName.leader]: params => {
+        this.leadership.receiveRecord(decodeAnnouncedRecord(params));
         return true;
       },
-      [PeerMethodName.run]: (work: Work, from: WorkOrigin): Promise<Reply> =>
-        dispatcher.runForPeer(work, from),
-      [PeerMethodName.cancel]: (p: {database: string; key: string}) =>
-        dispatcher.cancelLocally(p.database, p.key),
-      [PeerMethodName.endLane]: (p: {database: string; lane: string}) =>
-        dispatcher.endLocalLane(p.database, p.lane),
-      [PeerMethodName.lend]: (request: LendRequest) =>
-        this.rateLimiter.lend(request),
-      [PeerMethodName.probe]: (p: {database: string}) =>
-        this.canReach(p.database),
-      [PeerMethodName.marks]: (p: {database: string}) =>
-        dispatcher.localPositionSamples(p.database),
-      [PeerMethodName.follow]: (request: FollowRequest) =>
-        this.feed.follow(request),
-      [PeerMethodName.suspect]: (report: SuspectReport) =>
-        this.suspectReporter.handle(report),
+      [PeerMethodName.run]: (params, from): Promise<Reply> =>
+        dispatcher.runForPeer(decodeWork(params), from),
+      [PeerMethodName.cancel]: params => {
+        const {database, key} = decodeCancel(params);
+        dispatcher.cancelLocally(database, key);
+      },
+      [PeerMethodName.endLane]: params => {
+        const {database, lane} = decodeLaneEnd(params);
+        dispatcher.endLocalLane(database, lane);
+      },
+      [PeerMethodName.lend]: params =>
+        this.rateLimiter.lend(decodeLendRequest(params)),
+      [PeerMethodName.probe]: params =>
+        this.canReach(decodeDatabase(params).database),
+      [PeerMethodName.marks]: params =>
+        dispatcher.localPositionSamples(decodeDatabase(params).database),
+      [PeerMethodName.follow]: params =>
+        this.feed.follow(decodeFollowRequest(params)),
+      [PeerMethodName.suspect]: params =>
+        this.suspectReporter.handle(decodeSuspectReport(params)),
     };
   }
 
--- a/src/front/peer_link.ts
+++ b/src/front/peer_link.ts
@@ -94,15 +94,18 @@
     return current.host === target.host && current.port === target.port;
   }
 
-  /** Calls a method; rejects as soon as the connection is lost. */
-  async call<T>(method: string, params: unknown): Promise<T> {
+  /**
+   * Calls a method; rejects as soon as the connection is lost. The caller checks
+   * the reply.
+   */
+  async call(method: string, params: unknown): Promise<unknown> {
     await this.ensureConnected();
     const {client} = this;
     if (!client) throw new PeerUnavailableError('not connected', false);
     this.unanswered++;
     this.startSilenceCheck();
     try {
-      return (await client.request(method, params)) as T;
+      return await client.request(method, params);
     } finally {
       this.unanswered--;
     }
@@ -112,10 +115,10 @@
    * Calls a method that answers only when it has news. A missing answer is no
    * sign of failure here, so the caller must set a time limit.
    */
-  async longPoll<T>(method: string, params: unknown): Promise<T> {
+  async longPoll(method: string, params: unknown): Promise<unknown> {
     await this.ensureConnected();
     if (!this.client) throw new PeerUnavailableError('not connected', false);
-    return (await this.client.request(method, params)) as T;
+    return await this.client.request(method, params);
   }
 
   /** Sends a notification if the peer is connected; drops it otherwise. */
--- a/src/front/peer_service.ts
+++ b/src/front/peer_service.ts
@@ -16,8 +16,11 @@
   Welcome,
 } from './peer_protocol.js';
 
-/** A method that peers may call; `from` is the caller and its connection. */
-export type PeerMethod = (params: never, from: WorkOrigin) => unknown;
+/**
+ * A method that peers may call; `from` is the caller and its connection. It
+ * checks the parameters, and throws if they cannot be used.
+ */
+export type PeerMethod = (params: unknown, from: WorkOrigin) => unknown;
 
 export interface PeerServiceOptions {
   /** This process. */
@@ -118,7 +121,7 @@
       log('peer_method_failed', {peer: from.vm, text, error: String(error)}),
   });
   for (const [name, method] of Object.entries(methods)) {
-    rpc.addMethod(name, params => method(params as never, from));
+    rpc.addMethod(name, params => method(params, from));
   }
   return rpc;
 }
--- a/test/platform/lane_fixture.ts
+++ b/test/platform/lane_fixture.ts
@@ -3,13 +3,10 @@
 import {databaseCodec} from '../../platform/wire.js';
 import {Directory, putEntry} from '../../src/core/directory.js';
 import {FrontMember} from '../../src/core/fronts.js';
-import {
-  createIdSource,
-  ProcessIdentity,
-  WorkOrigin,
-} from '../../src/core/process_ids.js';
+import {createIdSource, ProcessIdentity} from '../../src/core/process_ids.js';
 import {Access, ExecutionMode, Reply, Work} from '../../src/core/work.js';
 import {Dispatcher, PeerMethodName} from '../../src/front/dispatcher.js';
+import {decodeLaneEnd, decodeWork} from '../../src/front/peer_messages.js';
 import {servePeers} from '../../src/front/peer_service.js';
 import {freePort} from './fleet_fixture.js';
 import {StandinDatabase, StandinGroup} from './standin_database.js';
@@ -121,10 +118,12 @@
         newId,
         secret: () => SECRET,
         methods: {
-          [PeerMethodName.run]: (work: Work, from: WorkOrigin) =>
-            dispatcher.runForPeer(work, from),
-          [PeerMethodName.endLane]: (p: {database: string; lane: string}) =>
-            dispatcher.endLocalLane(p.database, p.lane),
+          [PeerMethodName.run]: (params, from) =>
+            dispatcher.runForPeer(decodeWork(params), from),
+          [PeerMethodName.endLane]: params => {
+            const {database, lane} = decodeLaneEnd(params);
+            dispatcher.endLocalLane(database, lane);
+          },
         },
         onDisconnect: ({connection}) => dispatcher.endLanesOf(connection),
         log,
