Accept no proof that is made with an empty secret

What could happen: until a front has read the fleet's secret from the store, it took a proof made with an empty one, which anybody can make, and then ran the calls that came over that connection.

Cause: the proof was compared with that of whatever text was known, also none.

Now such a front refuses each hello.

Evidence: odd_peers.test, 'a front that does not know the secret accepts no proof', fails without the check.

--- a/src/front/peer_service.ts
+++ b/src/front/peer_service.ts
@@ -95,14 +95,18 @@
   channel.send({nonce});
 }
 
-/** Whether a hello is for this front and proves the fleet's secret. */
+/**
+ * Whether a hello is for this front and proves the fleet's secret. Nothing does
+ * as long as this front does not know the secret.
+ */
 function isProved(
   {from, to, proof}: Hello,
   nonce: string,
   {self, secret}: PeerServiceOptions,
 ): boolean {
-  const expected = createProof(secret(), nonce, from, self.vm);
-  return to === self.vm && isValidProof(proof, expected);
+  const known = secret();
+  if (known === '' || to !== self.vm) return false;
+  return isValidProof(proof, createProof(known, nonce, from, self.vm));
 }
 
 const logFieldsOf = ({vm, process, connection}: WorkOrigin): object => ({
--- a/test/platform/odd_peers.test.ts
+++ b/test/platform/odd_peers.test.ts
@@ -42,13 +42,13 @@
 ];
 
 /** Serves the port for other fronts; `log` holds its events. */
-async function startService(t: ExecutionContext) {
+async function startService(t: ExecutionContext, secret = SECRET) {
   const log: Array<{event: string; length: number}> = [];
   const server: Server = await servePeers({
     self: {vm: 'b', process: 'p2'},
     address: {host: HOST, port: 0},
     newId: () => 'id',
-    secret: () => SECRET,
+    secret: () => secret,
     methods: {echo: (params: unknown) => params},
     onDisconnect: () => undefined,
     log: (event, fields) =>
@@ -65,7 +65,7 @@
     const created = PeerLink.create({
       self: {vm: 'a', process: 'p1'},
       target: {vm: 'b', host: HOST, port},
-      secret: () => SECRET,
+      secret: () => secret,
       log: () => undefined,
     });
     t.teardown(() => created.close());
@@ -181,3 +181,10 @@
     }
   }
 });
+
+// Guards against calls of anybody: a front that did not know the secret yet took
+// a proof that was made with an empty one.
+test('a front that does not know the secret accepts no proof', async t => {
+  const {link} = await startService(t, '');
+  await t.throwsAsync(link().call('echo', 'x'));
+});
