Replace an odd item under the key of the fleet's secret

What could happen: another writer leaves an empty or odd item under that key.

Cause: the item's bytes were used unchecked, and any item counted as a secret.

Now only 48 hexadecimal digits, as fronts write them, are taken. A front keeps the secret that it knows, logs secret_invalid once, and the next front that registers replaces the odd item, on condition that it is still the same.

--- a/src/front/registration.ts
+++ b/src/front/registration.ts
@@ -66,6 +66,11 @@
 
 const secretKey = (prefix: string): string => `${prefix}secret`;
 
+/** Whether an item holds a secret as fronts write it. */
+const isSecret = ({value}: StoredItem): boolean =>
+  value.length === 2 * SECRET_BYTES &&
+  /^[0-9a-f]*$/.test(value.toString('latin1'));
+
 /** This front's entry in the store. */
 export class Registration {
   private leaseId = 0;
@@ -73,6 +78,8 @@
   private isStopped = false;
   private isLeaving = false;
   private lastSecret = '';
+  /** The last item that was read for the secret. */
+  private secretItem: StoredItem | undefined;
   /**
    * The entry as last written; undefined before, once its lease has ended, and
    * while it is not known whether a write of it was executed.
@@ -100,8 +107,7 @@
     );
     this.subscription.add(
       options.feed.fleetItems$.subscribe(items => {
-        const item = items.get(secretKey(options.prefix));
-        if (item) this.lastSecret = item.value.toString('utf8');
+        this.readSecret(items.get(secretKey(options.prefix)));
         // The last attempt may have failed because the view was too old.
         if (!this.written) void this.ensureRegistered();
       }),
@@ -155,6 +161,14 @@
     return this.lastSecret;
   }
 
+  /** Takes the secret from its item, unless another writer has left it. */
+  private readSecret(item: StoredItem | undefined): void {
+    if (item === undefined || item === this.secretItem) return;
+    this.secretItem = item;
+    if (isSecret(item)) this.lastSecret = item.value.toString('latin1');
+    else this.options.log('secret_invalid', {revision: item.revision});
+  }
+
   /**
    * Marks the entry as leaving, that is, about to shut down, so that other
    * fronts send no new work here.
@@ -235,15 +249,18 @@
     // Fails writes of earlier processes that the store executes late.
     const condition = {key: this.entryKey, revision: this.presentRevision};
     this.wasMissing ||= condition.revision === 0;
-    const hasSecret = feed.fleetItems$.value.has(secretKey(prefix));
+    const stored = feed.fleetItems$.value.get(secretKey(prefix));
     let result: Result<number, StoreFault> | undefined;
-    if (!hasSecret) {
+    if (!stored || !isSecret(stored)) {
       const text = this.secret || randomBytes(SECRET_BYTES).toString('hex');
       const secret = {key: secretKey(prefix), value: text, leaseId: 0};
       // The entry comes last, because the store returns the revision of the
       // last write.
       result = await store.commit({
-        expected: [{key: secret.key, revision: 0}, condition],
+        expected: [
+          {key: secret.key, revision: stored?.revision ?? 0},
+          condition,
+        ],
         writes: [secret, entry],
         removals: [],
       });
