Check the documents that VMs keep on the platform

What happened (by test): another writer leaves a roster 'null', a list of VMs that is no JSON, or the like. Each VM of the own interface ended ('Cannot read properties of null'), and again at each start, since it reads them then.

Cause: rosters were cast to their type, the list was parsed in a handler that catches nothing, and a port of a VM could be any number.

Now a roster is taken only if it has the form of one, with versions that still have successors; otherwise it counts as lost, and what VMs hold is written back. Of the list of VMs each entry is checked by itself: the others hold. The same schema checks addresses in heartbeats. Logged: roster_rejected, vms_rejected, vm_rejected, without the values.

--- a/src/core/roster.ts
+++ b/src/core/roster.ts
@@ -4,6 +4,20 @@
  * includes it, so the shares in use never add up to more than one.
  */
 
+import {z} from 'zod';
+
+/** Highest version, so that the next ones can be told apart. */
+const MAX_VERSION = 2 ** 50;
+
+const versionSchema = z.number().int().min(0).max(MAX_VERSION);
+
+const rosterSchema = z.object({
+  version: versionSchema,
+  members: z.array(
+    z.object({vm: z.string().min(1).max(255), joinedVersion: versionSchema}),
+  ),
+});
+
 /** The roster as stored on the platform. */
 export interface Roster {
   readonly version: number;
@@ -16,6 +30,10 @@
   readonly joinedVersion: number;
 }
 
+/** Returns a roster from another VM or the platform; undefined if it is none. */
+export const decodeRoster = (received: unknown): Roster | undefined =>
+  rosterSchema.safeParse(received).data;
+
 export const EMPTY_ROSTER: Roster = {version: 0, members: []};
 
 /** Returns the received roster if it is newer, else the held one. */
--- a/src/proxy/config_feed.ts
+++ b/src/proxy/config_feed.ts
@@ -18,9 +18,10 @@
 } from '../core/config.js';
 import {
   EMPTY_ROSTER,
+  Roster,
+  decodeRoster,
   newerRoster,
   restoredRoster,
-  Roster,
 } from '../core/roster.js';
 import {Store, StoreKey, VersionedValue} from '../store/store.js';
 import {Log} from './log.js';
@@ -88,9 +89,11 @@
     this.configs.next(next);
   }
 
-  /** Applies a roster from a peer or the platform if it is newer. */
-  applyRoster(received: Roster): void {
-    const next = newerRoster(this.roster, received);
+  /** Applies a roster from a peer or the platform if valid and newer. */
+  applyRoster(received: unknown): void {
+    const roster = decodeRoster(received);
+    if (!roster) return this.options.log('roster_rejected', {});
+    const next = newerRoster(this.roster, roster);
     if (next !== this.roster) this.rosters.next(next);
   }
 
@@ -141,8 +144,9 @@
   }
 
   private applyStoredRoster({value}: VersionedValue): void {
-    if (value !== '') this.applyRoster(parseJson(value) as Roster);
-    if (storedVersionOf(value) < this.roster.version) void this.restoreRoster();
+    if (value !== '') this.applyRoster(parseJson(value));
+    const {version} = decodeStoredRoster(value);
+    if (version < this.roster.version) void this.restoreRoster();
   }
 
   /**
@@ -166,7 +170,7 @@
     const read = await this.options.store.read(StoreKey.roster);
     if (read.isErr()) return;
     const {value, revision} = read.value;
-    const stored = value === '' ? EMPTY_ROSTER : (parseJson(value) as Roster);
+    const stored = decodeStoredRoster(value);
     const restored = restoredRoster(this.roster, stored);
     if (!restored) return;
     const {version} = restored;
@@ -190,13 +194,16 @@
   }
 }
 
-/** Version of a stored document; 0 if there is none. */
-function storedVersionOf(text: string): number {
-  const parsed = parseJson(text) as {readonly version?: unknown} | undefined;
-  return typeof parsed?.version === 'number' ? parsed.version : 0;
-}
+/** Returns the roster of a stored text; the empty one if it holds none. */
+export const decodeStoredRoster = (text: string): Roster =>
+  decodeRoster(parseJson(text)) ?? EMPTY_ROSTER;
+
+/** Version of a stored configuration; 0 if the text holds no valid one. */
+const storedVersionOf = (text: string): number =>
+  configSchema.safeParse(parseJson(text)).data?.version ?? 0;
 
-function parseJson(text: string): unknown {
+/** Parses JSON; undefined if the text is none. */
+export function parseJson(text: string): unknown {
   try {
     return JSON.parse(text);
   } catch {
--- a/src/proxy/fleet.ts
+++ b/src/proxy/fleet.ts
@@ -25,29 +25,30 @@
   VmAddress,
 } from '../core/membership.js';
 import {Candidate} from '../core/placement.js';
-import {Config} from '../core/config.js';
-import {Roster} from '../core/roster.js';
 import {PeerAddress, PeerClient} from '../peer/client.js';
 import {ConfigFeed} from './config_feed.js';
 import {Log} from './log.js';
 
 const placeSchema = z.object({region: z.string(), zone: z.string()});
 
+/** Schema of the name, address and place of a VM. */
+export const addressSchema = z.object({
+  vm: z.string().min(1).max(255),
+  host: z.string().min(1).max(255),
+  peerPort: z.number().int().min(1).max(65_535),
+  place: placeSchema,
+});
+
 const updateSchema = z.object({
-  address: z.object({
-    vm: z.string(),
-    host: z.string(),
-    peerPort: z.number(),
-    place: placeSchema,
-  }),
-  incarnation: z.number(),
+  address: addressSchema,
+  incarnation: z.number().int(),
   status: z.enum(['alive', 'leaving', 'suspect', 'gone']),
 });
 
 const heartbeatSchema = z.object({
   updates: z.array(updateSchema).min(1).max(64),
-  configVersion: z.number(),
-  rosterVersion: z.number(),
+  configVersion: z.number().int(),
+  rosterVersion: z.number().int(),
   rosterMember: z.string(),
 });
 
@@ -286,12 +287,12 @@
     try {
       if (heartbeat.configVersion > feed.config.version) {
         feed.applyConfig(
-          await client.call<Config>('config.get', {}, FETCH_TIMEOUT_MS),
+          await client.call<unknown>('config.get', {}, FETCH_TIMEOUT_MS),
         );
       }
       if (heartbeat.rosterVersion > feed.roster.version) {
         feed.applyRoster(
-          await client.call<Roster>('roster.get', {}, FETCH_TIMEOUT_MS),
+          await client.call<unknown>('roster.get', {}, FETCH_TIMEOUT_MS),
         );
       }
     } catch {
--- a/src/proxy/membership_feed.ts
+++ b/src/proxy/membership_feed.ts
@@ -6,7 +6,6 @@
 import {z} from 'zod';
 import {ListedVm} from '../core/membership.js';
 import {
-  EMPTY_ROSTER,
   restoredRoster,
   Roster,
   rateShareOf,
@@ -14,20 +13,15 @@
   withoutMembers,
 } from '../core/roster.js';
 import {Store, StoreKey} from '../store/store.js';
-import {ConfigFeed} from './config_feed.js';
-import {Fleet} from './fleet.js';
+import {ConfigFeed, decodeStoredRoster, parseJson} from './config_feed.js';
+import {addressSchema, Fleet} from './fleet.js';
 import {Log} from './log.js';
 
-const listSchema = z.array(
-  z.object({
-    vm: z.string(),
-    host: z.string(),
-    peerPort: z.number(),
-    region: z.string(),
-    zone: z.string(),
-    leaving: z.boolean().default(false),
-  }),
-);
+const listedVmSchema = addressSchema.omit({place: true}).extend({
+  region: z.string(),
+  zone: z.string(),
+  leaving: z.boolean().default(false),
+});
 
 export interface MembershipFeedOptions {
   readonly vm: string;
@@ -96,18 +90,22 @@
     if (read.isOk()) this.applyList(read.value.value);
   }
 
+  /** Applies the valid entries of the platform's list. */
   private applyList(text: string): void {
-    const parsed = listSchema.safeParse(text === '' ? [] : JSON.parse(text));
-    if (!parsed.success) return;
-    const list: ListedVm[] = parsed.data.map(entry => ({
-      address: {
-        vm: entry.vm,
-        host: entry.host,
-        peerPort: entry.peerPort,
-        place: {region: entry.region, zone: entry.zone},
-      },
-      leaving: entry.leaving,
-    }));
+    const entries = text === '' ? [] : parseJson(text);
+    if (!Array.isArray(entries))
+      return this.options.log('vms_rejected', {bytes: text.length});
+    const list: ListedVm[] = [];
+    for (const [index, entry] of entries.entries()) {
+      const parsed = listedVmSchema.safeParse(entry);
+      if (!parsed.success) {
+        this.options.log('vm_rejected', {index});
+        continue;
+      }
+      const {vm, host, peerPort, region, zone, leaving} = parsed.data;
+      const address = {vm, host, peerPort, place: {region, zone}};
+      list.push({address, leaving});
+    }
     this.listedVms = new Set(list.map(entry => entry.address.vm));
     this.options.fleet.mergeListedVms(
       list.filter(entry => entry.address.vm !== this.options.vm),
@@ -179,8 +177,7 @@
       const read = await store.read(StoreKey.roster);
       if (read.isErr()) return;
       const {value, revision} = read.value;
-      const current =
-        value === '' ? EMPTY_ROSTER : (JSON.parse(value) as Roster);
+      const current = decodeStoredRoster(value);
       const restored = restoredRoster(feed.roster, current);
       if (!restored) feed.applyRoster(current);
       const next = change(restored ?? current) ?? restored;
