Check the replies of databases to control queries

What happened (by test): a replica that reports 'null', or a lineage that is no list, as its status ended each VM of the own interface that probed it ('Cannot read properties of null').

Cause: the JSON of a reply was cast to its type, and used in handlers that catch nothing; a DataRow shorter than its header threw in a socket's handler.

Now a reply must have the form of a status or of a response; otherwise the query counts as failed, as one without an answer does.

Evidence: odd_statuses.test, 'odd statuses of a replica end no process', fails before with an uncaught exception; 'a row of random bytes ...' covers the decoding of rows.

--- a/src/proxy/control_link.ts
+++ b/src/proxy/control_link.ts
@@ -4,19 +4,38 @@
  */
 import {err, ok, Result} from 'neverthrow';
 import {serialize} from 'pg-protocol';
+import {z} from 'zod';
 import {failure, Failure} from '../core/errors.js';
 import {DatabaseStatus} from '../core/position.js';
 import {BackendConnection, BackendTarget} from '../pg/backend.js';
 import {bodyOf, FrameCode} from '../pg/wire.js';
 
+const countSchema = z.number().int().min(0);
+
+const statusSchema = z.object({
+  database: z.string(),
+  role: z.enum(['primary', 'replica']),
+  term: countSchema,
+  offset: countSchema,
+  lineage: z.array(z.object({term: countSchema, startOffset: countSchema})),
+  following: z.string().optional(),
+});
+
 /** Response of a database to `raise`, `promote` and `follow`. */
 export interface ControlResponse {
   readonly granted: boolean;
   readonly status?: DatabaseStatus;
 }
 
+const responseSchema = z.object({
+  granted: z.boolean(),
+  status: statusSchema.optional(),
+});
+
 /** Offset in a DataRow body, after the number of columns. */
 const FIRST_COLUMN_OFFSET = 2;
+/** Size of the length of a column. */
+const COLUMN_LENGTH_BYTES = 4;
 
 /** The control connection to one database; reconnects after a failure. */
 export class ControlLink {
@@ -31,7 +50,7 @@
   }
 
   status(timeoutMs: number): Promise<Result<DatabaseStatus, Failure>> {
-    return this.enqueue<DatabaseStatus>('SELECT group_status()', timeoutMs);
+    return this.enqueue(statusSchema, 'SELECT group_status()', timeoutMs);
   }
 
   /**
@@ -44,6 +63,7 @@
     timeoutMs: number,
   ): Promise<Result<ControlResponse, Failure>> {
     return this.enqueue(
+      responseSchema,
       `SELECT group_raise(${term}, '${claimant}')`,
       timeoutMs,
     );
@@ -55,6 +75,7 @@
     timeoutMs: number,
   ): Promise<Result<ControlResponse, Failure>> {
     return this.enqueue(
+      responseSchema,
       `SELECT group_promote(${term}, '${claimant}')`,
       timeoutMs,
     );
@@ -66,6 +87,7 @@
     timeoutMs: number,
   ): Promise<Result<ControlResponse, Failure>> {
     return this.enqueue(
+      responseSchema,
       `SELECT group_follow(${term}, '${primary}')`,
       timeoutMs,
     );
@@ -80,15 +102,17 @@
    * Runs one control query once all earlier queries on this link have finished.
    */
   private enqueue<T>(
+    schema: z.ZodType<T>,
     sql: string,
     timeoutMs: number,
   ): Promise<Result<T, Failure>> {
-    const result = this.queue.then(() => this.run<T>(sql, timeoutMs));
+    const result = this.queue.then(() => this.run(schema, sql, timeoutMs));
     this.queue = result;
     return result;
   }
 
   private async run<T>(
+    schema: z.ZodType<T>,
     sql: string,
     timeoutMs: number,
   ): Promise<Result<T, Failure>> {
@@ -100,7 +124,10 @@
       this.connection = undefined;
       return err(failure('backend_unreachable', 'control query timed out'));
     }
-    return ok(JSON.parse(text) as T);
+    const reply = decode(schema, text);
+    return reply === undefined
+      ? err(failure('backend_unreachable', 'invalid reply to a control query'))
+      : ok(reply);
   }
 
   private async open(
@@ -146,9 +173,21 @@
   });
 }
 
-function firstColumn(frame: Buffer): string {
+/** Returns the first column of a DataRow; undefined if there is none. */
+export function firstColumn(frame: Buffer): string | undefined {
   const body = bodyOf(frame);
+  const start = FIRST_COLUMN_OFFSET + COLUMN_LENGTH_BYTES;
+  if (body.length < start) return undefined;
   const bytes = body.readInt32BE(FIRST_COLUMN_OFFSET);
-  const start = FIRST_COLUMN_OFFSET + 4;
+  if (bytes < 0) return undefined;
   return body.toString('utf8', start, start + bytes);
 }
+
+function decode<T>(schema: z.ZodType<T>, text: string): T | undefined {
+  try {
+    return schema.safeParse(JSON.parse(text)).data;
+  } catch {
+    // The caller reports a reply that is no JSON as invalid.
+    return undefined;
+  }
+}
