Do not write over a configuration that this VM cannot read

Cause: the version of a stored configuration was read from a valid one only.

Now any whole number counts as its version, as before, and only a text without one as lost. odd_documents.test, 'a configuration of a later version of VMs is not replaced', fails on the commit before.

--- a/src/proxy/config_feed.ts
+++ b/src/proxy/config_feed.ts
@@ -198,9 +198,15 @@
 export const decodeStoredRoster = (text: string): Roster =>
   decodeRoster(parseJson(text)) ?? EMPTY_ROSTER;
 
-/** Version of a stored configuration; 0 if the text holds no valid one. */
-const storedVersionOf = (text: string): number =>
-  configSchema.safeParse(parseJson(text)).data?.version ?? 0;
+/**
+ * Version of a stored configuration; 0 if the text holds none. Also of one that
+ * this VM rejects: a VM of a later version may have written it.
+ */
+function storedVersionOf(text: string): number {
+  const parsed = parseJson(text) as {readonly version?: unknown} | undefined;
+  const version = parsed?.version;
+  return Number.isSafeInteger(version) ? Number(version) : 0;
+}
 
 /** Parses JSON; undefined if the text is none. */
 export function parseJson(text: string): unknown {
--- a/test/odd_documents.test.ts
+++ b/test/odd_documents.test.ts
@@ -60,3 +60,17 @@
     t.pass();
   });
 }
+
+// Guards against the loss of a confirmed change: a VM took a configuration that
+// it cannot read for none, and wrote its own older one over it.
+test.serial(
+  'a configuration of a later version of VMs is not replaced',
+  async t => {
+    const fleet = await LocalFleet.create({proxies: 1});
+    t.teardown(() => fleet.close());
+    const text = JSON.stringify({version: 99, services: [], later: true});
+    fleet.platform.put(StoreKey.config, text);
+    await new Promise(resolve => setTimeout(resolve, 500));
+    t.is(fleet.platform.get(StoreKey.config), text);
+  },
+);
