--- a/soak/soak_run.ts
+++ b/soak/soak_run.ts
@@ -39,7 +39,7 @@
 const SETTLE_MS = 3_000;
 /**
  * Time after the last fault in which each service must acknowledge writes
- * again; more than an order whose outcome is unknown may take.
+ * again: the users' bound for recovery.
  */
 const RECOVERY_LIMIT_MS = 12_000;
 const PROGRESS_INTERVAL_MS = 1_000;
