Lines end at CR LF alone, and writers check what a line can carry

Cause: the reader of lines, for callers and databases, searched for the line feed and took the carriage return as optional.

Change: platform/lines.ts is the one reader and the one writer of the format. The writer returns an error for a field that a line cannot carry. Setup statements with fields of others are a type apart from the product's own. Sessions and workers answer and log what cannot be encoded; nothing is sent of it.

--- a/src/front/caller_session.ts
+++ b/src/front/caller_session.ts
@@ -4,6 +4,7 @@
  * at a time, in order of arrival.
  */
 import {Socket} from 'node:net';
+import {Result} from 'neverthrow';
 import {ErrorKind} from '../core/errors.js';
 import {
   admit,
@@ -25,6 +26,7 @@
 import {
   Access,
   Fault,
+  faultReply,
   PreparedStatement,
   provesNotRun,
   Reply,
@@ -519,6 +521,12 @@
     const {transaction} = this;
     if (reply.position) this.position = reply.position;
     if (reply.ok) {
+      const result = this.encodeResult(reply);
+      if (result.isErr()) {
+        const {lane, state} = reply;
+        const fault = faultReply(Fault.lost, result.error, {state});
+        return this.handleReply({...fault, lane}, access);
+      }
       if (transaction) {
         transaction.lane = reply.lane ?? transaction.lane;
         if (access === Access.write) transaction.hasWritten = true;
@@ -529,8 +537,7 @@
         this.lastCommit = laterPosition(this.lastCommit, reply.position);
         this.transaction = undefined;
       }
-      for (const data of reply.rows) this.enqueue({kind: 'row', data});
-      this.enqueue({kind: 'done', signature: reply.signature});
+      this.output += result.value;
       return this.sendReady();
     }
     const hasWritten = transaction?.hasWritten ?? access === Access.write;
@@ -544,6 +551,24 @@
     this.sendReady();
   }
 
+  /** Encodes rows and signature; the error tells what cannot be sent. */
+  private encodeResult({
+    rows,
+    signature,
+  }: Extract<Reply, {ok: true}>): Result<string, string> {
+    const {codec, log} = this.host;
+    const answers: CallerAnswer[] = [
+      ...rows.map(data => ({kind: 'row', data}) as const),
+      {kind: 'done', signature},
+    ];
+    return Result.combine(answers.map(answer => codec.encode(answer)))
+      .map(lines => lines.join(''))
+      .mapErr(text => {
+        log('answer_unsendable', {database: this.database, text});
+        return `the answer cannot be sent: ${text}`;
+      });
+  }
+
   /**
    * Returns the answer for a fault. It says that nothing was committed only
    * where that is certain; a lost write or commit has an unknown outcome.
@@ -612,8 +637,11 @@
     this.enqueue({kind: 'ready', state, position: this.position});
   }
 
+  /** Adds an answer to the output; throws if it cannot be encoded. */
   private enqueue(answer: CallerAnswer): void {
-    this.output += this.host.codec.encode(answer);
+    const encoded = this.host.codec.encode(answer);
+    if (encoded.isErr()) throw new Error(encoded.error);
+    this.output += encoded.value;
   }
 
   private flush(): void {
--- a/src/front/database_link.ts
+++ b/src/front/database_link.ts
@@ -82,9 +82,7 @@
   ) {
     this.decoder = codec.createDecoder();
     socket.setNoDelay(true);
-    socket.on('connect', () =>
-      this.write(codec.start(target.service, target.customer, target.instance)),
-    );
+    socket.on('connect', () => this.sendHandshake());
     socket.on('data', chunk => this.receive(chunk));
     socket.on('error', error => this.endByPeer(error.message));
     socket.on('close', () => this.endByPeer('connection closed'));
@@ -142,6 +140,13 @@
     this.end(text);
   }
 
+  private sendHandshake(): void {
+    const {service, customer, instance} = this.target;
+    const start = this.codec.start(service, customer, instance);
+    if (start.isOk()) this.write(start.value);
+    else this.refuseToOpen(Fault.malformed, start.error);
+  }
+
   private write(text: string): void {
     this.closeUnlessAllowed();
     if (!this.isClosed) this.socket.write(text, WIRE_ENCODING);
@@ -202,14 +207,19 @@
       clearTimeout(this.openTimer);
       onOpened?.(undefined, '');
     } else if (message.kind === 'error') {
-      this.onOpened = undefined;
-      onOpened?.(message.fault, message.text);
-      this.end(message.text);
+      this.refuseToOpen(message.fault, message.text);
     } else {
       this.end('unexpected handshake');
     }
   }
 
+  private refuseToOpen(fault: Fault, text: string): void {
+    const {onOpened} = this;
+    this.onOpened = undefined;
+    onOpened?.(fault, text);
+    this.end(text);
+  }
+
   private endByPeer(text: string): void {
     this.isClosedByPeer ||= !this.isClosed;
     this.end(text);
--- a/src/front/database_worker.ts
+++ b/src/front/database_worker.ts
@@ -3,11 +3,13 @@
  * customer, run on connections that are each bound to one customer, and keep
  * their connection for the length of a transaction.
  */
+import {Result} from 'neverthrow';
 import {KnownDatabase} from '../core/directory.js';
 import {AnswerCounts} from '../core/load/answer_window.js';
 import {Exclusion} from '../core/exclusion.js';
 import {allowsRegion, HOMES_RETRY_DELAY_MS} from '../core/homes.js';
 import {EXPECTED_TAKEOVER_MS} from '../core/leader_wait.js';
+import {Position} from '../core/position.js';
 import {PositionSamples} from '../core/position_samples.js';
 import {IdSource, WorkOrigin} from '../core/process_ids.js';
 import {
@@ -511,15 +513,22 @@
       this.connections.release(connection, TransactionState.idle);
       return this.startQueuedJobs();
     }
-    connection.use = 'busy';
-    connection.job = job;
     const {codec} = this.options;
-    const steps = setupStatements(connection.link, work.session, codec, false);
-    const statement = codec.callerStatement(
-      work.requestId,
-      work.text,
+    const encoded = this.encodeSteps(
+      connection,
+      work,
       work.mode === ExecutionMode.single ? work.after : undefined,
+      false,
     );
+    if (encoded.isErr()) {
+      this.queue.end(job);
+      this.finishUnsendable(job, encoded.error, TransactionState.idle);
+      this.connections.release(connection, TransactionState.idle);
+      return this.startQueuedJobs();
+    }
+    const {steps, statement} = encoded.value;
+    connection.use = 'busy';
+    connection.job = job;
     job.sentAtMs = performance.now();
     if (
       work.mode === ExecutionMode.open ||
@@ -549,6 +558,44 @@
     );
   }
 
+  /**
+   * Encodes a caller's statement and the steps that bring a connection to its
+   * session's state. The error tells what the database cannot be sent.
+   */
+  private encodeSteps(
+    {link}: Connection,
+    {session, requestId, text}: Work,
+    after: Position | undefined,
+    inTransaction: boolean,
+  ): Result<{steps: string[]; statement: string}, string> {
+    const {codec} = this.options;
+    return codec.callerStatement(requestId, text, after).andThen(statement =>
+      setupStatements(link, session, codec, inTransaction).map(steps => ({
+        steps,
+        statement,
+      })),
+    );
+  }
+
+  /** Answers work that the protocol of the database cannot carry. */
+  private finishUnsendable(
+    job: Job,
+    text: string,
+    state: TransactionState,
+  ): void {
+    job.permit?.end(performance.now());
+    this.counts.refused++;
+    this.options.onRefused?.('unsendable');
+    this.options.log('statement_unsendable', {
+      request: job.work.requestId,
+      transaction: job.work.transaction,
+      customer: job.work.customer,
+      database: this.entry.id,
+      text,
+    });
+    this.finish(job, faultReply(Fault.malformed, text, {state}));
+  }
+
   /**
    * Runs steps, of which `mainIndex` is the statement and earlier ones are
    * setup. Closes the connection when a setup step fails, as its state is
@@ -701,10 +748,17 @@
     if (!this.startWhileCold(job, lane.connection, true))
       return this.awaitTurnInLane(job, lane);
     if (lane.isPrimaryOnly) this.queue.recordPrimaryWork(job);
-    const {session, requestId, text} = job.work;
-    const {codec} = this.options;
-    const steps = setupStatements(link, session, codec, true);
-    steps.push(codec.callerStatement(requestId, text));
+    const encoded = this.encodeSteps(
+      lane.connection,
+      job.work,
+      undefined,
+      true,
+    );
+    if (encoded.isErr()) {
+      this.finishUnsendable(job, encoded.error, TransactionState.failed);
+      return this.lanes.release(lane, 'a statement cannot be sent');
+    }
+    const steps = [...encoded.value.steps, encoded.value.statement];
     this.queue.begin(job);
     job.sentAtMs = performance.now();
     lane.connection.job = job;
--- a/src/front/session_setup.ts
+++ b/src/front/session_setup.ts
@@ -1,4 +1,5 @@
 /** Establishes a session's values and prepared statements on a connection. */
+import {err, ok, Result} from 'neverthrow';
 import {
   preparationFor,
   shapeKeyOf,
@@ -6,7 +7,7 @@
 } from '../core/session_state.js';
 import {RequiredSessionState} from '../core/work.js';
 import {DatabaseLink} from './database_link.js';
-import {DatabaseCodec} from './wire_types.js';
+import {DatabaseCodec, SetupStatement} from './wire_types.js';
 
 /** What a connection lacks for a session's statement. */
 function setupOf(
@@ -42,29 +43,27 @@
 /**
  * Returns the statements that bring a connection to the session's state and
  * records that state on the link. Inside a transaction nothing is reset; only
- * missing values and prepared statements are added.
+ * missing values and prepared statements are added. The error tells what the
+ * database cannot be sent; the link is unchanged then.
  */
 export function setupStatements(
   link: DatabaseLink,
   session: RequiredSessionState,
   codec: DatabaseCodec,
   inTransaction: boolean,
-): string[] {
+): Result<string[], string> {
   const {reset, values, prepare} = setupOf(link, session, inTransaction);
-  const statements: string[] = [];
-  if (reset) {
-    statements.push(codec.internalStatement({kind: 'reset'}));
-    link.prepared.clear();
-  }
-  for (const [name, value] of values) {
-    statements.push(codec.internalStatement({kind: 'set', name, value}));
-  }
-  if (prepare) {
-    statements.push(
-      codec.internalStatement({kind: 'prepare', prepared: prepare}),
-    );
-    link.prepared.set(prepare.name, shapeKeyOf(prepare));
-  }
+  const setup: SetupStatement[] = values.map(([name, value]) => ({
+    kind: 'set',
+    name,
+    value,
+  }));
+  if (prepare) setup.push({kind: 'prepare', prepared: prepare});
+  const encoded = Result.combine(setup.map(codec.setupStatement));
+  if (encoded.isErr()) return err(encoded.error);
+  if (reset) link.prepared.clear();
+  if (prepare) link.prepared.set(prepare.name, shapeKeyOf(prepare));
   link.valuesKey = valuesKeyOf(session);
-  return statements;
+  const resets = reset ? [codec.internalStatement({kind: 'reset'})] : [];
+  return ok([...resets, ...encoded.value]);
 }
--- a/src/front/wire_types.ts
+++ b/src/front/wire_types.ts
@@ -3,6 +3,7 @@
  * platform implements. Texts hold one byte per character (latin1), so that any
  * byte passes through unchanged.
  */
+import {Result} from 'neverthrow';
 import {ErrorKind} from '../core/errors.js';
 import {Position} from '../core/position.js';
 import {Fault, PreparedStatement, TransactionState} from '../core/work.js';
@@ -58,13 +59,16 @@
     }
   | {readonly kind: 'malformed'};
 
+/** Statement that gives a connection a part of a session's state. */
+export type SetupStatement =
+  | {readonly kind: 'set'; readonly name: string; readonly value: string}
+  | {readonly kind: 'prepare'; readonly prepared: PreparedStatement};
+
 /** Statement that a front issues itself, unlike one of a caller. */
 export type InternalStatement =
   | {readonly kind: 'begin'; readonly readOnly: boolean}
   | {readonly kind: 'rollback'}
   | {readonly kind: 'reset'}
-  | {readonly kind: 'set'; readonly name: string; readonly value: string}
-  | {readonly kind: 'prepare'; readonly prepared: PreparedStatement}
   | {readonly kind: 'status'}
   | {readonly kind: 'pause'; readonly term: number}
   | {readonly kind: 'resume'}
@@ -91,21 +95,36 @@
 /** Caller side of a platform's protocol. */
 export interface CallerCodec {
   createDecoder(): Decoder<CallerMessage>;
-  encode(answer: CallerAnswer): string;
+  /**
+   * Encodes an answer; the error tells what the protocol cannot carry. An error
+   * for the caller can always be encoded.
+   */
+  encode(answer: CallerAnswer): Result<string, string>;
 }
 
-/** Database side of a platform's protocol. */
+/**
+ * Database side of a platform's protocol. The error of an encoding tells what
+ * the protocol cannot carry; nothing may be sent then.
+ */
 export interface DatabaseCodec {
   createDecoder(): Decoder<DatabaseMessage>;
   /** Encodes the handshake; `instance` is the id of the intended database. */
-  start(service: string, customer: string, instance: string): string;
+  start(
+    service: string,
+    customer: string,
+    instance: string,
+  ): Result<string, string>;
   /**
    * Encodes a caller's statement with its text unchanged. With `after`, the
    * database runs the statement only if its log has reached that position.
    */
-  callerStatement(id: string, text: string, after?: Position): string;
+  callerStatement(
+    id: string,
+    text: string,
+    after?: Position,
+  ): Result<string, string>;
+  setupStatement(statement: SetupStatement): Result<string, string>;
   internalStatement(statement: InternalStatement, after?: Position): string;
-  bye(): string;
   /** Parses the row that answers `status` or `pause`. */
   parseReport(row: string): DatabaseReport | undefined;
 }
--- a/test/platform/codec.test.ts
+++ b/test/platform/codec.test.ts
@@ -7,12 +7,13 @@
 import {decodeConfiguration} from '../../platform/configuration.js';
 import {decodeDatabaseEntry} from '../../platform/directory.js';
 import {parseSettings} from '../../platform/settings.js';
+import {MAX_LINE_BYTES} from '../../platform/lines.js';
 import {
   callerCodec,
   databaseCodec,
-  MAX_LINE_BYTES,
   parsePosition,
 } from '../../platform/wire.js';
+import {CallerAnswer} from '../../src/front/wire_types.js';
 
 const callerMessages = (text: string) =>
   callerCodec.createDecoder().push(Buffer.from(text, 'latin1'));
@@ -41,14 +42,16 @@
 
 test('encodes a statement unchanged except for the requested position', t => {
   t.is(
-    databaseCodec.callerStatement('5c0e7a21d94b36f8', 'READ 1a4', {
-      term: 3,
-      offset: 1207,
-    }),
+    databaseCodec
+      .callerStatement('5c0e7a21d94b36f8', 'READ 1a4', {
+        term: 3,
+        offset: 1207,
+      })
+      ._unsafeUnwrap(),
     'QUERY 5c0e7a21d94b36f8 AFTER 3.1207 READ 1a4\r\n',
   );
   t.is(
-    databaseCodec.start('huvo11a', 'tenant', 'i-7f3a91c2'),
+    databaseCodec.start('huvo11a', 'tenant', 'i-7f3a91c2')._unsafeUnwrap(),
     'START huvo11a tenant i-7f3a91c2\r\n',
   );
 });
@@ -109,17 +112,15 @@
 });
 
 test('encodes answers to callers', t => {
-  t.is(callerCodec.encode({kind: 'ready', state: 'idle'}), 'READY I -\r\n');
+  const encode = (answer: CallerAnswer) =>
+    callerCodec.encode(answer)._unsafeUnwrap();
+  t.is(encode({kind: 'ready', state: 'idle'}), 'READY I -\r\n');
   t.is(
-    callerCodec.encode({
-      kind: 'error',
-      error: 'rate_exceeded',
-      text: 'retry_after_ms=5',
-    }),
+    encode({kind: 'error', error: 'rate_exceeded', text: 'retry_after_ms=5'}),
     'ERROR BUSY retry_after_ms=5\r\n',
   );
   t.is(
-    callerCodec.encode({kind: 'error', error: 'outcome_unknown', text: 'x'}),
+    encode({kind: 'error', error: 'outcome_unknown', text: 'x'}),
     'ERROR INDOUBT x\r\n',
   );
 });
