Names reach databases in UTF-8, or not at all

Cause: names of the configuration were written as Latin-1, of which Node keeps the low byte of each character. The record rules out a mixed-up key (with an ASCII name it holds) and a shared connection (each has its own).

A customer whose name cannot be a field is refused at once (NOAUTH, customer_unusable) and named by config_applied; the rest of the version applies. An empty key lets nobody in.

--- a/src/core/errors.ts
+++ b/src/core/errors.ts
@@ -43,6 +43,8 @@
   key_rejected: defineAnswer('28P01', Outcome.notRun, FATAL),
   key_withdrawn: defineAnswer('28000', Outcome.notRun, FATAL),
   login_limited: defineAnswer('53300', Outcome.notRun, FATAL),
+  /** The customer cannot be named to databases. */
+  customer_unusable: defineAnswer('42602', Outcome.notRun, FATAL),
   service_unknown: defineAnswer('3D000', Outcome.notRun, FATAL),
   service_denied: defineAnswer('42501', Outcome.notRun, FATAL),
   not_ready: defineAnswer('57P03', Outcome.notRun, FATAL),
--- a/src/core/front_config.ts
+++ b/src/core/front_config.ts
@@ -1,6 +1,7 @@
 /**
  * The operators' configuration as a front uses it: routes by the database name
- * that callers request, and customers by key. Immutable; a lower version never
+ * that callers request, and customers by key, both names as callers send them.
+ * Immutable; a lower version never
  * replaces a higher one.
  */
 import {Rate} from './rates.js';
@@ -66,6 +67,13 @@
   readonly customers: ReadonlyMap<string, FrontCustomer>;
   /** Customer names by key. */
   readonly customerOfKey: ReadonlyMap<string, string>;
+  /**
+   * Names of customers that cannot be served, as databases cannot be told the
+   * name; they are not in `customers`.
+   */
+  readonly unusableCustomers?: readonly string[];
+  /** Keys of the customers that cannot be served. */
+  readonly unusableKeys?: ReadonlySet<string>;
   /** Longest idle time inside a transaction. */
   readonly idleTransactionMs: number;
 }
@@ -74,7 +82,8 @@
 export type Admission =
   | {readonly kind: 'admitted'; readonly customer: string}
   | {readonly kind: 'service_unknown'}
-  | {readonly kind: 'key_rejected'};
+  | {readonly kind: 'key_rejected'}
+  | {readonly kind: 'customer_unusable'};
 
 /** Customer name of a caller without a known key on an open route. */
 export const ANONYMOUS = 'anonymous';
@@ -87,6 +96,7 @@
 ): Admission {
   const route = config.routes.get(database);
   if (!route) return {kind: 'service_unknown'};
+  if (config.unusableKeys?.has(key)) return {kind: 'customer_unusable'};
   const customer = config.customerOfKey.get(key);
   if (customer !== undefined) return {kind: 'admitted', customer};
   return route.open
--- a/src/front/caller_session.ts
+++ b/src/front/caller_session.ts
@@ -100,6 +100,12 @@
 /** The socket is paused while more messages than this are queued. */
 const MAX_QUEUED_MESSAGES = 64;
 
+/** Returns the text of a refusal, `text` unless its kind needs another. */
+const refusalText = (error: ErrorKind, text: string): string =>
+  error === 'customer_unusable'
+    ? 'databases cannot be told the name of this customer'
+    : text;
+
 export class CallerSession {
   private readonly decoder;
   private isStarted = false;
@@ -252,7 +258,8 @@
         error,
         version: config.version,
       });
-      this.enqueue({kind: 'error', error, text: message.database});
+      const text = refusalText(error, message.database);
+      this.enqueue({kind: 'error', error, text});
       return this.closeAfterFlush();
     }
     this.isStarted = true;
@@ -358,10 +365,9 @@
         version: config?.version,
         fresh: this.host.isConfigFresh(),
       });
-      return this.sendError(
-        rejection ?? 'not_ready',
-        this.retryDelayText(RETRY_AFTER_MS),
-      );
+      const error = rejection ?? 'not_ready';
+      const retryDelay = this.retryDelayText(RETRY_AFTER_MS);
+      return this.sendError(error, refusalText(error, retryDelay));
     }
     const customer = this.customerOf(config);
     const {transaction} = this;
@@ -422,6 +428,7 @@
   ): ErrorKind | undefined {
     if (!config) return 'not_ready';
     if (!route) return 'service_unknown';
+    if (config.unusableKeys?.has(this.key)) return 'customer_unusable';
     if (!route.open) {
       if (!this.host.isConfigFresh()) return 'stale_configuration';
       if (!config.customerOfKey.has(this.key)) return 'key_withdrawn';
--- a/src/front/store_feed.ts
+++ b/src/front/store_feed.ts
@@ -513,6 +513,7 @@
       version: config.version,
       before: knownVersion,
       revision,
+      unusableCustomers: config.unusableCustomers?.slice(0, MAX_LOGGED_KEYS),
     });
     this.config$.next(config);
   }
--- a/test/platform/wire_texts.test.ts
+++ b/test/platform/wire_texts.test.ts
@@ -2,8 +2,16 @@
  * Texts that callers, databases and other fronts pass through a front: each
  * arrives as it was sent, or is refused.
  */
+import {fc, testProp} from '@fast-check/ava';
 import test from 'ava';
-import {Fleet, openSession, startFleet, WireClient} from './fleet_fixture.js';
+import {databaseCodec} from '../../platform/wire.js';
+import {
+  Fleet,
+  openSession,
+  operatorConfig,
+  startFleet,
+  WireClient,
+} from './fleet_fixture.js';
 import {RanStatement} from './standin_session.js';
 
 /** Records the callers' statements that the databases run. */
@@ -15,6 +23,17 @@
   return statements;
 }
 
+const tenant = (name: string, key: string): Record<string, unknown> => ({
+  name,
+  api_keys: [key],
+  rate_per_s: 500,
+  burst: 500,
+});
+
+/** Returns the UTF-8 bytes of a text, one character for each. */
+const utf8 = (text: string): string =>
+  Buffer.from(text, 'utf8').toString('latin1');
+
 /** Texts that look like line ends or messages to a lenient reader. */
 const ODD_TEXTS = [
   'two\nlines',
@@ -64,3 +83,82 @@
       t.deepEqual((await session.query(`READ ${item}`)).rows, [text]);
   }
 });
+
+/** Customers' names that are alike, but for bits that an encoding may drop. */
+const LIKE_NAMES = [
+  'Zara',
+  '\u015aara',
+  '\u00dara',
+  'Z\u00e1ra',
+  'Zar\u0430',
+  '\u{1f35a}',
+];
+
+// Guards against a customer that databases take for another, because of letters
+// that the encoding of the wire does not have (review/7).
+test('databases are told the names of customers in UTF-8', async t => {
+  const fleet = await startFleet(['norte'], {
+    routes: [{...operatorConfig('orders').routes[0], host: 'pedidos-\u00f1'}],
+    tenants: LIKE_NAMES.map((name, index) =>
+      tenant(name, `clav\u00e9-${index}`),
+    ),
+  });
+  t.teardown(() => fleet.stop());
+  const statements = recordStatements(fleet);
+  for (const [index, name] of LIKE_NAMES.entries()) {
+    const [host, key] = ['pedidos-\u00f1', `clav\u00e9-${index}`].map(utf8);
+    const session = await openSession(fleet.fronts[0], host, key);
+    t.truthy((await session.query('READ item', `r-${index}`)).done);
+    const ran = statements.find(s => s.requestId === `r-${index}`);
+    t.is(ran?.customer, utf8(name));
+  }
+});
+
+// Guards against a customer whose name is read as another name, or as a name
+// and an id.
+test('a customer whose name cannot be sent is refused, and others are served', async t => {
+  const names = ['ana maria', '', 'x\ty', 'x\r\ny', '\ud800', 'x\u2028y'];
+  const fleet = await startFleet(['norte'], {
+    tenants: [
+      tenant('ana', 'ana-key'),
+      ...names.map((name, index) => tenant(name, `key-${index}`)),
+    ],
+  });
+  t.teardown(() => fleet.stop());
+  const [front] = fleet.fronts;
+  const {port} = front.settings.callerAddress;
+  for (const index of names.keys()) {
+    const {answer} = await WireClient.start(port, 'primary', `key-${index}`);
+    t.regex(answer.error ?? '', /^NOAUTH databases cannot be told/);
+  }
+  const {answer} = await WireClient.start(port, 'primary', '');
+  t.is(answer.error, 'NOAUTH primary');
+  const session = await openSession(front, 'primary', 'ana-key');
+  t.truthy((await session.query('READ item')).done);
+  t.deepEqual(
+    front.events('config_applied').map(e => e.unusableCustomers),
+    [names],
+  );
+});
+
+const anyText = fc.oneof(
+  fc.string({unit: 'binary'}),
+  fc.string({unit: fc.constantFrom(' ', 'a', '\r', '\n', '\ud83c', '\udf5a')}),
+);
+
+testProp(
+  'a handshake is read back as the same names, or refused',
+  [anyText, anyText, anyText],
+  (t, service, customer, instance) => {
+    const names = [service, customer, instance];
+    const start = databaseCodec.start(service, customer, instance);
+    if (start.isErr()) {
+      t.regex(start.error, /cannot be sent/);
+      return;
+    }
+    const line = Buffer.from(start.value, 'latin1').toString('utf8');
+    t.true(line.endsWith('\r\n'));
+    t.deepEqual(line.slice(0, -2).split(' '), ['START', ...names]);
+  },
+  {seed: 47, numRuns: 1_000},
+);
