--- a/test/platform/wire_texts.test.ts
+++ b/test/platform/wire_texts.test.ts
@@ -84,6 +84,20 @@
   }
 });
 
+// Guards against a caller's statement that databases take for one which the
+// product issues itself.
+test('a caller cannot use the id of the product’s own statements', async t => {
+  const fleet = await startFleet(['norte']);
+  t.teardown(() => fleet.stop());
+  const statements = recordStatements(fleet);
+  for (const text of ['WRITE item data', 'READ item', 'BEGIN']) {
+    const session = await openSession(fleet.fronts[0], 'primary', 'ana-key');
+    const {error} = await session.query(text, '-');
+    t.regex(error ?? '', /^MALFORMED /);
+  }
+  t.deepEqual(statements, []);
+});
+
 /** Customers' names that are alike, but for bits that an encoding may drop. */
 const LIKE_NAMES = [
   'Zara',
