Refuse customers with a name that the product uses itself

What callers could get: a customer named "anonymous" had no rate limit, and its connections to databases served callers without a key.

Cause: the name for callers without a key is one that a customer may have.

Both names stand in core/front_config.ts.

--- a/src/core/front_config.ts
+++ b/src/core/front_config.ts
@@ -87,6 +87,12 @@
 
 /** Customer name of a caller without a known key on an open route. */
 export const ANONYMOUS = 'anonymous';
+/** Customer name of connections that a front opens for itself. */
+export const INTERNAL_CUSTOMER = 'mustardpass';
+
+/** Whether databases know the product's own connections by a name. */
+export const isReservedCustomer = (name: string): boolean =>
+  name === ANONYMOUS || name === INTERNAL_CUSTOMER;
 
 /** Authenticates a caller by database name and key. */
 export function admit(
--- a/src/front/control_link.ts
+++ b/src/front/control_link.ts
@@ -2,8 +2,8 @@
  * Control statements for a single database: status, pause, resume, step down.
  */
 import {KnownDatabase} from '../core/directory.js';
+import {INTERNAL_CUSTOMER} from '../core/front_config.js';
 import {DatabaseLink} from './database_link.js';
-import {INTERNAL_CUSTOMER} from './database_probe.js';
 import {
   DatabaseCodec,
   DatabaseReport,
--- a/src/front/database_probe.ts
+++ b/src/front/database_probe.ts
@@ -4,9 +4,6 @@
 import {DatabaseLink, LinkTarget} from './database_link.js';
 import {DatabaseCodec} from './wire_types.js';
 
-/** Customer name of connections that a front opens for itself. */
-export const INTERNAL_CUSTOMER = 'mustardpass';
-
 const PROBE_TIMEOUT_MS = 600;
 
 /**
--- a/src/front/database_worker.ts
+++ b/src/front/database_worker.ts
@@ -7,6 +7,7 @@
 import {KnownDatabase} from '../core/directory.js';
 import {AnswerCounts} from '../core/load/answer_window.js';
 import {Exclusion} from '../core/exclusion.js';
+import {INTERNAL_CUSTOMER} from '../core/front_config.js';
 import {allowsRegion, HOMES_RETRY_DELAY_MS} from '../core/homes.js';
 import {EXPECTED_TAKEOVER_MS} from '../core/leader_wait.js';
 import {Position} from '../core/position.js';
@@ -29,11 +30,7 @@
 import {Connection, ConnectionPool} from './connection_pool.js';
 import {DatabaseHealth} from './database_health.js';
 import {LinkTarget, StepAnswer} from './database_link.js';
-import {
-  INTERNAL_CUSTOMER,
-  probeDatabase,
-  samplePosition,
-} from './database_probe.js';
+import {probeDatabase, samplePosition} from './database_probe.js';
 import {JsonLog} from './json_log.js';
 import {PositionSampler} from './position_sampler.js';
 import {setupStatementCount, setupStatements} from './session_setup.js';
--- a/test/platform/wire_texts.test.ts
+++ b/test/platform/wire_texts.test.ts
@@ -155,6 +155,31 @@
   );
 });
 
+// Guards against a customer whose rate is not limited, and whose connections
+// serve callers without a key, since it has the name given to these.
+test('a customer cannot have a name that the product uses itself', async t => {
+  const [route] = operatorConfig('orders').routes;
+  const fleet = await startFleet(['norte'], {
+    routes: [route, {...route, name: 'r-open', host: 'open', public: true}],
+    tenants: [tenant('anonymous', 'key-1'), tenant('mustardpass', 'key-2')],
+  });
+  t.teardown(() => fleet.stop());
+  const statements = recordStatements(fleet);
+  const {port} = fleet.fronts[0].settings.callerAddress;
+  for (const host of ['primary', 'open']) {
+    for (const key of ['key-1', 'key-2']) {
+      const {answer} = await WireClient.start(port, host, key);
+      t.regex(answer.error ?? '', /^NOAUTH databases cannot be told/);
+    }
+  }
+  const session = await openSession(fleet.fronts[0], 'open', '');
+  t.truthy((await session.query('READ item')).done);
+  t.deepEqual(
+    statements.map(({customer}) => customer),
+    ['anonymous'],
+  );
+});
+
 const anyText = fc.oneof(
   fc.string({unit: 'binary'}),
   fc.string({unit: fc.constantFrom(' ', 'a', '\r', '\n', '\ud83c', '\udf5a')}),
