Take one result an answer from a database

What callers could see: the rows or the result of another statement, or success after an error.

Cause: a connection took rows and results in any order up to READY.

Change: after a result only READY is taken; anything else closes the connection, and its statements count as lost.

Result: the test failed before ("DONE s1, ROW x": a complete answer).

--- a/src/front/database_link.ts
+++ b/src/front/database_link.ts
@@ -169,6 +169,8 @@
     if (this.steps.length === 0 || message.kind === 'malformed') {
       return this.end(`unexpected ${message.kind}`);
     }
+    if (this.result && message.kind !== 'ready')
+      return this.end(`unexpected ${message.kind} after the result`);
     switch (message.kind) {
       case 'row':
         this.rows.push(message.data);
--- a/test/platform/database_answers.test.ts
+++ b/test/platform/database_answers.test.ts
@@ -87,6 +87,21 @@
   t.is(answer.position, undefined);
 });
 
+// Guards against two answers that are read as one, the second of which would
+// then be taken for that of the next statement.
+test('an answer with anything but READY after its result counts as lost', async t => {
+  for (const extra of ['ROW x', 'DONE s1', 'ERROR BUSY i-1', 'DONE s9']) {
+    for (const result of ['DONE s1', 'ERROR FAILED i-1']) {
+      const answers = await answersTo(
+        t,
+        `${result}\r\n${extra}\r\nREADY I 3.7\r\n${COMPLETE}`,
+      );
+      t.like(answers[0], {ok: false, fault: 'lost'}, `${result}, ${extra}`);
+      t.like(answers[1], {ok: false, fault: 'lost'}, `${result}, ${extra}`);
+    }
+  }
+});
+
 const field = fc
   .array(
     fc.oneof(
