Never send another front a message that it does not accept

What callers saw: transactions that ended as ABORTED, and statements without an answer, because another caller of the same front got a long answer or had long session values.

Cause: the reader of a link closes it at 4 MiB, the writer had no limit.

Change: sizes are bounded before a message is encoded. Statements that do not fit are refused as not sent, answers that do not fit count as lost, and the holder ends their transaction. The link stays.

--- a/src/front/dispatcher.ts
+++ b/src/front/dispatcher.ts
@@ -35,7 +35,12 @@
 } from '../core/position_samples.js';
 import {IdSource, ProcessIdentity, WorkOrigin} from '../core/process_ids.js';
 import {JsonLog, originFields} from './json_log.js';
-import {PeerLink, PeerUnavailableError} from './peer_link.js';
+import {MAX_CONTENT_BYTES, maxEncodedBytes} from './message_size.js';
+import {
+  MessageTooLongError,
+  PeerLink,
+  PeerUnavailableError,
+} from './peer_link.js';
 import {decodeReply, decodeSamples} from './peer_messages.js';
 import {DatabaseCodec} from './wire_types.js';
 
@@ -160,7 +165,7 @@
   /** Runs another front's work; logs the statements of transactions. */
   async runForPeer(work: Work, origin: WorkOrigin): Promise<Reply> {
     const startedAtMs = performance.now();
-    const reply = await this.runLocally(work, origin);
+    const reply = this.fitReply(work, await this.runLocally(work, origin));
     if (work.transaction === undefined) return reply;
     this.options.log('peer_statement', {
       request: work.requestId,
@@ -177,6 +182,19 @@
     return reply;
   }
 
+  /**
+   * Returns a reply as it can be sent to another front. Work whose reply is too
+   * long for that counts as unanswered, and its transaction ends.
+   */
+  private fitReply(work: Work, reply: Reply): Reply {
+    const bytes = maxEncodedBytes(reply);
+    if (bytes <= MAX_CONTENT_BYTES) return reply;
+    if (reply.lane !== undefined) this.endLocalLane(work.database, reply.lane);
+    this.options.log('reply_too_long', {request: work.requestId, bytes});
+    const text = `answer of ${bytes} bytes is too long to pass between fronts`;
+    return unansweredReply(work, text);
+  }
+
   /** Cancels work that is still queued, here and at the holder. */
   cancel(work: Work): void {
     this.cancelLocally(work.database, work.key);
@@ -494,6 +512,7 @@
         sent,
         text,
       });
+      if (error instanceof MessageTooLongError) return tooLongReply(work, text);
       return sent ? unansweredReply(work, text) : undefined;
     } finally {
       clearTimeout(timer);
@@ -501,16 +520,29 @@
   }
 }
 
+/** Whether work is part of a transaction on a connection of its own. */
+const isInTransaction = ({mode}: Work): boolean =>
+  mode === ExecutionMode.lane ||
+  mode === ExecutionMode.open ||
+  mode === ExecutionMode.openRead;
+
+/** Returns the reply to work that is too long for any other front. */
+const tooLongReply = (work: Work, text: string): Reply => ({
+  ...faultReply(Fault.malformed, `the statement or its session: ${text}`, {
+    state: isInTransaction(work)
+      ? TransactionState.failed
+      : TransactionState.idle,
+  }),
+  lane: work.lane,
+});
+
 /**
  * Returns the reply to work that another front did not answer. That front rolls
  * back the transaction that the work is part of, unless the work is its COMMIT;
  * the outcome of other work is unknown.
  */
 function unansweredReply(work: Work, text: string): Reply {
-  const inTransaction =
-    work.mode === ExecutionMode.lane ||
-    work.mode === ExecutionMode.open ||
-    work.mode === ExecutionMode.openRead;
+  const inTransaction = isInTransaction(work);
   const isRolledBack = inTransaction && work.access !== Access.commit;
   return faultReply(isRolledBack ? Fault.aborted : Fault.lost, text, {
     state: inTransaction ? TransactionState.failed : TransactionState.idle,
--- a/src/front/peer_link.ts
+++ b/src/front/peer_link.ts
@@ -6,6 +6,7 @@
 import {connect, Socket} from 'node:net';
 import {JSONRPCClient} from 'json-rpc-2.0';
 import {JsonLog} from './json_log.js';
+import {MAX_CONTENT_BYTES, maxEncodedBytes} from './message_size.js';
 import {
   createProof,
   decodeNonce,
@@ -42,6 +43,13 @@
   }
 }
 
+/** Thrown for a call that is too long for a connection between fronts. */
+export class MessageTooLongError extends PeerUnavailableError {
+  constructor(bytes: number) {
+    super(`${bytes} bytes are more than ${MAX_CONTENT_BYTES}`, false);
+  }
+}
+
 const CONNECT_TIMEOUT_MS = 400;
 const RECONNECT_PAUSE_MS = 300;
 const CHECK_INTERVAL_MS = 100;
@@ -99,6 +107,8 @@
    * the reply.
    */
   async call(method: string, params: unknown): Promise<unknown> {
+    const bytes = maxEncodedBytes(params);
+    if (bytes > MAX_CONTENT_BYTES) throw new MessageTooLongError(bytes);
     await this.ensureConnected();
     const {client} = this;
     if (!client) throw new PeerUnavailableError('not connected', false);
@@ -123,6 +133,10 @@
 
   /** Sends a notification if the peer is connected; drops it otherwise. */
   notify(method: string, params: unknown): void {
+    if (maxEncodedBytes(params) > MAX_CONTENT_BYTES) {
+      const peer = this.vm;
+      return this.options.log('notification_too_long', {peer, method});
+    }
     this.client?.notify(method, params);
   }
 
--- a/src/front/peer_service.ts
+++ b/src/front/peer_service.ts
@@ -1,10 +1,16 @@
 /** Accepts connections of other fronts and serves their calls. */
 import {randomBytes} from 'node:crypto';
 import {createServer, Server, Socket} from 'node:net';
-import {JSONRPCServer} from 'json-rpc-2.0';
+import {
+  createJSONRPCErrorResponse,
+  JSONRPCErrorCode,
+  JSONRPCResponse,
+  JSONRPCServer,
+} from 'json-rpc-2.0';
 import {Address} from './front_settings.js';
 import {IdSource, ProcessIdentity, WorkOrigin} from '../core/process_ids.js';
 import {JsonLog} from './json_log.js';
+import {MAX_SENT_BYTES, maxEncodedBytes} from './message_size.js';
 import {
   createProof,
   decodeHello,
@@ -68,7 +74,7 @@
     if (rpc) {
       Promise.resolve(rpc.receive(message as never))
         .then(answer => {
-          if (answer) channel.send(answer);
+          if (answer) channel.send(fitAnswer(answer, log));
         })
         .catch((error: Error) => socket.destroy(error));
       return;
@@ -109,6 +115,19 @@
   return isValidProof(proof, createProof(known, nonce, from, self.vm));
 }
 
+/** Returns an answer, or an error in its place if it is too long to be sent. */
+function fitAnswer(answer: JSONRPCResponse, log: JsonLog): JSONRPCResponse {
+  const bytes = maxEncodedBytes(answer);
+  if (bytes <= MAX_SENT_BYTES) return answer;
+  log('peer_answer_too_long', {bytes});
+  const text = `answer of ${bytes} bytes is too long`;
+  return createJSONRPCErrorResponse(
+    answer.id,
+    JSONRPCErrorCode.InternalError,
+    text,
+  );
+}
+
 const logFieldsOf = ({vm, process, connection}: WorkOrigin): object => ({
   peer: vm,
   process,
--- a/test/platform/lanes.test.ts
+++ b/test/platform/lanes.test.ts
@@ -99,3 +99,49 @@
   t.like(await runIn(former, database, ana, 'a2', 'COMMIT'), {ok: false});
   t.true((await runIn(present, database, bea, 'b2', 'COMMIT')).ok);
 });
+
+/** Rows of one answer that is longer than a message between fronts may be. */
+const LONG_ROWS = Array.from({length: 5}, () => 'x'.repeat(1_000_000));
+
+// An answer that was too long for the link between two fronts closed it, which
+// ended the transactions of all other callers behind the same front.
+test('an answer too long for a link ends no transaction of another caller', async t => {
+  const fleet = await startLaneFleet(['front-1']);
+  t.teardown(() => fleet.stop());
+  const {database} = fleet;
+  const first = await fleet.start('front-1');
+  await fleet.start(fleet.holder);
+  const data = LONG_ROWS.join('\r\nROW ');
+  database.log.push({term: 1, offset: 1, item: 'long', data, requestId: ''});
+  const bea = openTransaction('bea');
+  t.true((await runIn(first, database, bea, 'b1', 'WRITE k 2')).ok);
+  const ana = openTransaction('ana');
+  t.true((await runIn(first, database, ana, 'a1', 'WRITE k 1')).ok);
+  const long = await runIn(first, database, ana, 'a2', 'READ long');
+  t.like(long, {ok: false, fault: 'aborted', state: 'failed'});
+  t.regex(long.ok ? '' : long.text, /too long to pass between fronts/);
+  t.like(await runIn(first, database, ana, 'a3', 'COMMIT'), {ok: false});
+  t.true((await runIn(first, database, bea, 'b2', 'COMMIT')).ok);
+  t.deepEqual(
+    database.log.slice(1).map(change => change.requestId),
+    ['b1'],
+  );
+});
+
+// A statement with values that are too long together closed the link, too.
+test('a statement too long for a link is refused and ends no transaction of another caller', async t => {
+  const fleet = await startLaneFleet(['front-1']);
+  t.teardown(() => fleet.stop());
+  const {database} = fleet;
+  const first = await fleet.start('front-1');
+  await fleet.start(fleet.holder);
+  const bea = openTransaction('bea');
+  t.true((await runIn(first, database, bea, 'b1', 'WRITE k 2')).ok);
+  const ana = openTransaction('ana');
+  t.true((await runIn(first, database, ana, 'a1', 'WRITE k 1')).ok);
+  const text = `WRITE k ${'\xff'.repeat(2_200_000)}`;
+  const long = await runIn(first, database, ana, 'a2', text);
+  t.like(long, {ok: false, fault: 'malformed', lane: ana.lane});
+  t.true((await runIn(first, database, bea, 'b2', 'COMMIT')).ok);
+  t.false(hasRun(database, 'a2'));
+});
