Split the name of a lane at its last separator

What callers would see: transactions that end as ABORTED, or whose rollback goes to another front, where the name of a VM contains "|".

Cause: HOLDER|LANE was split at the first separator, in two places.

Change: core/lanes.ts formats and parses the name, for fronts and explain.

Result: the property failed with the former split, and passes.

--- a/src/cli/explain.ts
+++ b/src/cli/explain.ts
@@ -4,7 +4,7 @@
  */
 import {readFileSync} from 'node:fs';
 import {err, ok, Result} from 'neverthrow';
-import {LANE_SEPARATOR} from '../core/lanes.js';
+import {parseLaneName} from '../core/lanes.js';
 
 /** The JSON object of a log line. */
 export type LogLine = Readonly<Record<string, unknown>>;
@@ -76,7 +76,9 @@
   id: string,
   texts: readonly string[],
 ): Explanation | undefined {
-  const candidates = selectLines(texts, text => text.includes(bareLane(id)));
+  const candidates = selectLines(texts, text =>
+    text.includes(parseLaneName(id).lane),
+  );
   for (const subject of Object.values(LogSubject)) {
     const lines = sortByTime(
       candidates.filter(line => isAbout(line, subject, id)),
@@ -171,17 +173,13 @@
  * name with the lane, the holder logs the lane alone; an id may have either
  * form.
  */
-function isSameLane(lane: string, vm: string, id: string): boolean {
-  if (bareLane(lane) !== bareLane(id)) return false;
-  const holderOf = (name: string): string | undefined =>
-    name.includes(LANE_SEPARATOR) ? name.split(LANE_SEPARATOR)[0] : undefined;
-  const wanted = holderOf(id);
-  return wanted === undefined || wanted === (holderOf(lane) ?? vm);
+function isSameLane(name: string, vm: string, id: string): boolean {
+  const logged = parseLaneName(name);
+  const wanted = parseLaneName(id);
+  if (logged.lane !== wanted.lane) return false;
+  return wanted.holder === '' || wanted.holder === (logged.holder || vm);
 }
 
-const bareLane = (lane: string): string =>
-  lane.slice(lane.indexOf(LANE_SEPARATOR) + 1);
-
 /**
  * Returns the lines about the processes, the links between them and the
  * databases of a transaction, from its first line to its last.
--- a/src/core/lanes.ts
+++ b/src/core/lanes.ts
@@ -4,8 +4,20 @@
  */
 import {WorkOrigin} from './process_ids.js';
 
-/** Separates the holder's VM from the lane's id in the name of a lane. */
-export const LANE_SEPARATOR = '|';
+/** Separates the holder's VM from the lane's id, which does not contain it. */
+const LANE_SEPARATOR = '|';
+
+export const formatLaneName = (holder: string, lane: string): string =>
+  `${holder}${LANE_SEPARATOR}${lane}`;
+
+/**
+ * Splits the name of a lane; the holder is empty if the name is a mere id. The
+ * name of a VM may contain the separator.
+ */
+export function parseLaneName(name: string): {holder: string; lane: string} {
+  const at = name.lastIndexOf(LANE_SEPARATOR);
+  return {holder: name.slice(0, Math.max(0, at)), lane: name.slice(at + 1)};
+}
 
 /** A transaction's exclusive use of a connection. */
 export interface OpenLane {
--- a/src/front/dispatcher.ts
+++ b/src/front/dispatcher.ts
@@ -19,7 +19,7 @@
 } from '../core/work.js';
 import {usualLimit} from '../core/connection_budget.js';
 import {HolderHistory} from '../core/holder_history.js';
-import {LANE_SEPARATOR} from '../core/lanes.js';
+import {formatLaneName, parseLaneName} from '../core/lanes.js';
 import {
   DEFAULT_WARM_UP_TOLERANCE,
   frontShare,
@@ -552,9 +552,4 @@
 const withQualifiedLane = (reply: Reply, holder: string): Reply =>
   reply.lane === undefined
     ? reply
-    : {...reply, lane: `${holder}${LANE_SEPARATOR}${reply.lane}`};
-
-function parseLaneName(name: string): {holder: string; lane: string} {
-  const at = name.indexOf(LANE_SEPARATOR);
-  return {holder: name.slice(0, at), lane: name.slice(at + 1)};
-}
+    : {...reply, lane: formatLaneName(holder, reply.lane)};
--- a/test/front/lanes.test.ts
+++ b/test/front/lanes.test.ts
@@ -1,6 +1,12 @@
 /** Tests of the lanes that are open on one database's connections. */
 import test from 'ava';
-import {Lanes, OpenLane} from '../../src/core/lanes.js';
+import {fc, testProp} from '@fast-check/ava';
+import {
+  formatLaneName,
+  Lanes,
+  OpenLane,
+  parseLaneName,
+} from '../../src/core/lanes.js';
 import {createIdSource, WorkOrigin} from '../../src/core/process_ids.js';
 
 const originOf = (connection: string): WorkOrigin => ({
@@ -56,3 +62,16 @@
   const ids = [former(), former(), present(), present()];
   t.is(new Set(ids).size, ids.length);
 });
+
+// Guards against a statement or a rollback that is sent to another front than
+// the holder, since the name of a VM contains the separator.
+testProp(
+  'the name of a lane is read back as its holder and id',
+  [fc.string({unit: fc.constantFrom('|', 'a', '.')}), fc.nat()],
+  (t, holder, count) => {
+    const lane = `p.${count}`;
+    t.deepEqual(parseLaneName(formatLaneName(holder, lane)), {holder, lane});
+    t.deepEqual(parseLaneName(lane), {holder: '', lane});
+  },
+  {seed: 47, numRuns: 300},
+);
