No names with line feeds in the hello of a front

Cause: the proof is for a nonce and two names joined by line feeds, so that one proof is for two pairs of names that contain line feeds.

Change: such a hello is not read. The proof stays as fronts in service know it.

--- a/src/front/peer_protocol.ts
+++ b/src/front/peer_protocol.ts
@@ -30,8 +30,11 @@
   readonly process?: string;
 }
 
+/** No line feeds, which separate the names that a proof is for. */
 const isName = (value: unknown): value is string =>
-  typeof value === 'string' && value.length <= MAX_NAME_LENGTH;
+  typeof value === 'string' &&
+  value.length <= MAX_NAME_LENGTH &&
+  !value.includes('\n');
 
 const isOptionalName = (value: unknown): value is string | undefined =>
   value === undefined || isName(value);
--- a/test/front/peer_channel.test.ts
+++ b/test/front/peer_channel.test.ts
@@ -1,10 +1,13 @@
 /** Messages between fronts: each is read back as it was sent, or not sent. */
 import {Socket} from 'node:net';
 import {fc, testProp} from '@fast-check/ava';
-import test from 'ava';
 import {Packr} from 'msgpackr';
 import {maxEncodedBytes} from '../../src/front/message_size.js';
-import {openChannel} from '../../src/front/peer_protocol.js';
+import {
+  createProof,
+  decodeHello,
+  openChannel,
+} from '../../src/front/peer_protocol.js';
 
 const SEED = 47;
 
@@ -81,3 +84,20 @@
   },
   {seed: SEED, numRuns: 1_000},
 );
+
+// Guards against a proof of one pair of names that is also one of another pair.
+testProp(
+  'a proof is for one pair of names',
+  [fc.string(), fc.string(), fc.string()],
+  (t, first, second, third) => {
+    const pairs = [
+      {from: first, to: `${second}\n${third}`},
+      {from: `${first}\n${second}`, to: third},
+    ];
+    const proofs = pairs
+      .filter(names => decodeHello({...names, proof: 'x'}) !== undefined)
+      .map(({from, to}) => createProof('secret', 'n', from, to));
+    t.is(new Set(proofs).size, proofs.length);
+  },
+  {seed: SEED, numRuns: 300},
+);
