--- a/test/platform/codec.test.ts
+++ b/test/platform/codec.test.ts
@@ -306,6 +306,30 @@
   t.is([...proto.routes.values()][0].freshness, 'primary');
 });
 
+// Guards against names, keys and ids that become equal since each byte that is
+// not UTF-8 is replaced by the same character.
+test('documents that are not valid UTF-8 are not taken', t => {
+  const withBytes = (document: object, bytes: readonly number[]): Buffer => {
+    const [before, after] = JSON.stringify(document).split('HERE');
+    return Buffer.concat([
+      Buffer.from(before),
+      Buffer.from(bytes),
+      Buffer.from(after),
+    ]);
+  };
+  const [tenant] = CONFIGURATION.tenants;
+  const tenants = [{...tenant, name: 'ana-HERE'}];
+  const config = {...CONFIGURATION, tenants};
+  const entry = {...ENTRY, service: 'orders-HERE'};
+  for (const bytes of [[0xff], [0xc3], [0x80], [0xed, 0xa0, 0x80]]) {
+    const decoded = decodeConfiguration(withBytes(config, bytes));
+    t.is(decoded._unsafeUnwrapErr(), 'not valid UTF-8');
+    t.is(decodeDatabaseEntry('i-1', withBytes(entry, bytes)), undefined);
+  }
+  t.true(decodeConfiguration(withBytes(config, [0xc5, 0x9a])).isOk());
+  t.truthy(decodeDatabaseEntry('i-1', withBytes(entry, [0xc5, 0x9a])));
+});
+
 const SETTINGS = `
 node_name: "front-quito-norte-1"
 ip: "10.1.0.26"
