Name the holder of a promotion in UTF-8

What could happen: an exception in place of a promotion, or one in another name, where the name of a VM has letters beyond ASCII.

Cause: Node writes headers as Latin-1, or like the body where that is a string.

--- a/test/platform/codec.test.ts
+++ b/test/platform/codec.test.ts
@@ -405,6 +405,10 @@
     ['- 7560', '- 7560.5'],
     ['grace_s: 6', 'grace_s: .inf'],
     ['revoke_ms: 5000', 'revoke_ms: .nan'],
+    // The name goes into keys of the store and into a header.
+    ['front-quito-norte-1', 'front\\r\\nX: y'],
+    ['front-quito-norte-1', ' front'],
+    ['front-quito-norte-1', 'x'.repeat(151)],
   ];
   for (const [valid, wrong] of odd) {
     const text = SETTINGS.replace(valid, wrong);
--- a/test/platform/store_texts.test.ts
+++ b/test/platform/store_texts.test.ts
@@ -5,6 +5,7 @@
 import {createServer, IncomingMessage, ServerResponse} from 'node:http';
 import {fc} from '@fast-check/ava';
 import test, {ExecutionContext} from 'ava';
+import {createPromoter} from '../../platform/promotion.js';
 import {createStoreClient} from '../../platform/store.js';
 
 const OPTIONS = {seed: 47, numRuns: 200};
@@ -160,3 +161,19 @@
     OPTIONS,
   );
 });
+
+// Guards against a promotion in the name of another front, and against an
+// exception for a name that a header cannot hold.
+test('a promotion names its holder in UTF-8', async t => {
+  const {takeCall, address} = await startRecorder(t);
+  const promote = createPromoter(address);
+  const order = {service: 'pedidos-ñ', database: 'i-1', fencingToken: 3};
+  for (const holder of ['front-1', 'front-ñ', 'front-Ś', 'front 東']) {
+    t.is(await promote({...order, holder}), 'done');
+    const {headers, body} = takeCall()!;
+    const received = String(headers['mustardpass-duty-holder']);
+    t.is(Buffer.from(received, 'latin1').toString('utf8'), holder);
+    t.deepEqual(body, {service: 'pedidos-ñ', id: 'i-1'});
+  }
+  t.is(await promote({...order, holder: 'x\ud800'}), 'not_done');
+});
