Own interface: refuse settings that change how a text is read

What callers could get: texts stored in another form than sent, where they set an encoding other than UTF-8 and were told that it holds; and outcomes told wrongly, where the database splits a text into other statements.

Cause: client_encoding was accepted and ignored; SET LOCAL of settings of the lexer was passed on as a write.

Change: only names of UTF-8 are accepted; the rest is refused with a reason.

Result: the test failed before ("local" where refused is expected).

--- a/src/core/sql.ts
+++ b/src/core/sql.ts
@@ -45,11 +45,32 @@
 /** Settings that common clients send; the proxy accepts and ignores them. */
 const IGNORED_SETTINGS = new Set([
   'application_name',
-  'client_encoding',
   'extra_float_digits',
   'client_min_messages',
 ]);
 
+const CLIENT_ENCODING = 'client_encoding';
+
+/** Names of UTF-8, without the characters that PostgreSQL ignores in them. */
+const UTF8_NAMES = new Set(['utf8', 'unicode']);
+
+/**
+ * Settings with which the database would split a text into other statements
+ * than the parser here.
+ */
+const LEXER_SETTINGS = new Set([
+  CLIENT_ENCODING,
+  'standard_conforming_strings',
+  'backslash_quote',
+]);
+
+/**
+ * Whether a client encoding is UTF-8, the only one in which texts are read here
+ * and by the database. An empty name stands for the default.
+ */
+export const isUtf8Name = (name: string): boolean =>
+  name === '' || UTF8_NAMES.has(name.toLowerCase().replace(/[^a-z0-9]/g, ''));
+
 /** Prefix of the proxy's own session settings. */
 export const SETTING_PREFIX = 'mustardpass.';
 
@@ -148,6 +169,7 @@
     const args = (body.args ?? []) as Tree[];
     return {kind: 'set', name, value: args.map(constantOf).join(',')};
   }
+  if (LEXER_SETTINGS.has(name)) return classifyLexerSetting(name, body);
   if (body.is_local || body.kind === 'VAR_SET_MULTI') return WRITE;
   if (IGNORED_SETTINGS.has(name)) return {kind: 'set', name, value: ''};
   if (body.kind === 'VAR_RESET_ALL') return {kind: 'discard'};
@@ -156,6 +178,13 @@
   );
 }
 
+function classifyLexerSetting(name: string, body: Tree): Statement {
+  const value = ((body.args ?? []) as Tree[]).map(constantOf).join(',');
+  if (name === CLIENT_ENCODING && isUtf8Name(value))
+    return {kind: 'set', name, value: ''};
+  return refused(`SET ${name} would change how statements are read`);
+}
+
 const classifyShow = (name: string): Statement =>
   name.startsWith(SETTING_PREFIX) ? {kind: 'show', name} : READ;
 
--- a/src/proxy/listener.ts
+++ b/src/proxy/listener.ts
@@ -14,7 +14,7 @@
 } from '../core/config.js';
 import {failure, Failure} from '../core/errors.js';
 import {LoginLimiter} from '../core/login_limiter.js';
-import {SETTING_PREFIX} from '../core/sql.js';
+import {isUtf8Name, SETTING_PREFIX} from '../core/sql.js';
 import {
   authenticationOkFrame,
   backendKeyDataFrame,
@@ -245,6 +245,13 @@
   private async start(state: State): Promise<boolean> {
     const host = this.options.sessionHost;
     const service = serviceOf(state);
+    const encoding = state.clientInfo?.parameters.client_encoding ?? '';
+    if (!isUtf8Name(encoding)) {
+      this.reject(
+        failure('not_supported', `client_encoding ${encoding}; use UTF8`),
+      );
+      return true;
+    }
     await this.awaitConfig();
     const config = host.config();
     if (this.socket.destroyed) return true;
--- a/test/sql.test.ts
+++ b/test/sql.test.ts
@@ -65,6 +65,28 @@
   'SET mustardpass.repeatable = on; SELECT 1',
 ];
 
+// Guards against texts that the database reads in another encoding, or splits
+// into other statements, than the proxy.
+test('settings that change how a text is read are refused', t => {
+  for (const scope of ['', 'SESSION ', 'LOCAL ']) {
+    for (const name of ["'LATIN1'", "'SJIS'", 'win1252', "'SQL_ASCII'"]) {
+      t.is(planOf(`SET ${scope}client_encoding = ${name}`).kind, 'refused');
+    }
+    for (const setting of [
+      'standard_conforming_strings = off',
+      "backslash_quote TO 'on'",
+    ]) {
+      t.is(planOf(`SET ${scope}${setting}`).kind, 'refused', setting);
+    }
+  }
+  t.is(planOf("SET NAMES 'LATIN1'").kind, 'refused');
+  t.is(planOf("SELECT 1; SET LOCAL client_encoding = 'SJIS'").kind, 'refused');
+  for (const name of ["'UTF8'", 'utf8', "'utf-8'", "'Unicode'", 'DEFAULT']) {
+    t.is(planOf(`SET client_encoding = ${name}`).kind, 'local', name);
+  }
+  t.is(planOf('RESET client_encoding').kind, 'local');
+});
+
 test('reads without side effects are classified as reads', t => {
   for (const text of READS) {
     const plan = planOf(text);
