Own interface: read each message in one way, or refuse it

What callers could get: the result of another prepared statement (names that are not UTF-8), a statement classified by a text that the database does not read, a commit that nobody confirmed, or an answer that ends early.

Cause: names were decoded lossily; strings without an end and bytes behind the end of a message were accepted; a position that cannot be read counted as none; frames of the types between VMs were relayed from databases.

Change: names are compared by bytes; messages must end where their fields do; an unreadable position and an internal type end the database's connection.

--- a/src/pg/backend.ts
+++ b/src/pg/backend.ts
@@ -12,6 +12,7 @@
   emptyFrame,
   FrameHandler,
   FrameReader,
+  isInternalCode,
   transactionStatusOf,
   TransactionStatus,
   writeFrames,
@@ -173,6 +174,8 @@
   private receive(chunk: Buffer): void {
     this.lastSeenAtMs = Date.now();
     const isValid = this.reader.push(chunk, (code, frame) => {
+      if (this.isClosed) return;
+      if (isInternalCode(code)) return this.destroy();
       if (code === FrameCode.ready) this.handleReady(frame);
       this.handlers.onFrame(code, frame);
     });
--- a/src/pg/wire.ts
+++ b/src/pg/wire.ts
@@ -46,6 +46,10 @@
   batch: 0x40,
 } as const;
 
+/** Whether frames of a type are sent between VMs only. */
+export const isInternalCode = (code: number): boolean =>
+  code === FrameCode.rpc || code === FrameCode.batch;
+
 /** Receives a complete frame, including its header. */
 export type FrameHandler = (code: number, frame: Buffer) => void;
 
@@ -102,11 +106,34 @@
 
 export const bodyOf = (frame: Buffer): Buffer => frame.subarray(HEADER_BYTES);
 
-/** Reads a zero-terminated string; returns it and the offset that follows. */
-export function readCString(buffer: Buffer, offset: number): [string, number] {
+/** A zero-terminated string in a buffer, and the offset that follows it. */
+export interface CString {
+  readonly bytes: Buffer;
+  readonly end: number;
+}
+
+/** Reads a zero-terminated string; undefined if it has no end. */
+export function readCString(
+  buffer: Buffer,
+  offset: number,
+): CString | undefined {
   const end = buffer.indexOf(0, offset);
-  if (end < 0) return [buffer.toString('utf8', offset), buffer.length];
-  return [buffer.toString('utf8', offset, end), end + 1];
+  if (end < 0) return undefined;
+  return {bytes: buffer.subarray(offset, end), end: end + 1};
+}
+
+/** Returns name and value of a ParameterStatus; undefined if malformed. */
+export function parseParameterStatus(
+  frame: Buffer,
+): {readonly name: string; readonly value: string} | undefined {
+  const body = bodyOf(frame);
+  const name = readCString(body, 0);
+  const value = name && readCString(body, name.end);
+  if (!name || value?.end !== body.length) return undefined;
+  return {
+    name: name.bytes.toString('utf8'),
+    value: value.bytes.toString('utf8'),
+  };
 }
 
 /** Prefixes a body with its type byte and length. */
--- a/src/proxy/listener.ts
+++ b/src/proxy/listener.ts
@@ -231,7 +231,8 @@
       return true;
     }
     if (state.hasStarted) {
-      await this.checkKey(readCString(bodyOf(data), 0)[0], state);
+      const key = readCString(bodyOf(data), 0)?.bytes.toString('utf8') ?? '';
+      await this.checkKey(key, state);
       return true;
     }
     if (data.length !== CANCEL_BYTES || data.readUInt32BE(4) !== CANCEL_CODE) {
--- a/src/proxy/local_lane.ts
+++ b/src/proxy/local_lane.ts
@@ -14,9 +14,8 @@
 import {parsePosition, Position, POSITION_PARAMETER} from '../core/position.js';
 import {BackendConnection} from '../pg/backend.js';
 import {
-  bodyOf,
   FrameCode,
-  readCString,
+  parseParameterStatus,
   transactionStatusOf,
 } from '../pg/wire.js';
 import {DatabasePool, PoolRequest} from './database_pool.js';
@@ -271,11 +270,16 @@
     this.sink.onFrame(code, frame);
   }
 
+  /**
+   * Reads a report of a commit's position; returns false for other parameters.
+   * A report that cannot be read ends the connection, since the commit could
+   * not be confirmed.
+   */
   private readPosition(frame: Buffer): boolean {
-    const body = bodyOf(frame);
-    const [name, at] = readCString(body, 0);
-    if (name !== POSITION_PARAMETER) return false;
-    this.commitPosition = parsePosition(readCString(body, at)[0]);
+    const parameter = parseParameterStatus(frame);
+    if (parameter && parameter.name !== POSITION_PARAMETER) return false;
+    this.commitPosition = parameter && parsePosition(parameter.value);
+    if (!this.commitPosition) this.held?.connection.destroy();
     return true;
   }
 
--- a/src/proxy/session.ts
+++ b/src/proxy/session.ts
@@ -230,7 +230,10 @@
     const message = parseFrontendFrame(code, frame);
     if (!message) {
       return this.terminate(
-        failure('protocol_violation', `unexpected message type ${code}`),
+        failure(
+          'protocol_violation',
+          `unexpected or malformed message of type ${code}`,
+        ),
       );
     }
     const result = this.builder.add(message);
--- a/src/standin/backend_session.ts
+++ b/src/standin/backend_session.ts
@@ -16,11 +16,11 @@
   frameOf,
   parameterStatusFrame,
   errorResponseFrame,
-  readCString,
   readyForQueryFrame,
   rowDescriptionFrame,
 } from '../pg/wire.js';
 import {StandinDatabase} from './database.js';
+import {readText} from './frame_text.js';
 import {
   DatabaseSession,
   FindDatabase,
@@ -186,7 +186,7 @@
   private async dispatch({code, body}: Message): Promise<void> {
     switch (code) {
       case FrameCode.query:
-        return this.simpleQuery(readCString(body, 0)[0]);
+        return this.simpleQuery(readText(body, 0)[0]);
       case FrameCode.parse:
         return this.parse(body);
       case FrameCode.bind:
@@ -194,7 +194,7 @@
       case FrameCode.describe:
         return this.describe(body);
       case FrameCode.execute:
-        return this.execute(readCString(body, 0)[0]);
+        return this.execute(readText(body, 0)[0]);
       case FrameCode.close:
         this.send(emptyFrame(FrameCode.closeComplete));
         return;
@@ -312,16 +312,16 @@
   }
 
   private parse(body: Buffer): void {
-    const [name, textAt] = readCString(body, 0);
-    const [text] = readCString(body, textAt);
+    const [name, textAt] = readText(body, 0);
+    const [text] = readText(body, textAt);
     const tag = readTag(text);
     this.statements.set(name, {node: parseStatements(text)[0], tag});
     this.send(emptyFrame(FrameCode.parseComplete));
   }
 
   private bind(body: Buffer): void {
-    const [portal, nameAt] = readCString(body, 0);
-    const [name, formatsAt] = readCString(body, nameAt);
+    const [portal, nameAt] = readText(body, 0);
+    const [name, formatsAt] = readText(body, nameAt);
     const statement = this.statements.get(name);
     if (!statement) {
       throw SqlError.create('26000', `no prepared statement "${name}"`);
@@ -332,7 +332,7 @@
   }
 
   private describe(body: Buffer): void {
-    const [name] = readCString(body, 1);
+    const [name] = readText(body, 1);
     const isStatement = body[0] === 0x53;
     const target = isStatement
       ? this.statements.get(name)
--- a/src/standin/database_server.ts
+++ b/src/standin/database_server.ts
@@ -4,7 +4,8 @@
  */
 import {createServer, Server, Socket} from 'node:net';
 import {PostgresConnection} from 'pg-gateway';
-import {bodyOf, errorResponseFrame, readCString} from '../pg/wire.js';
+import {bodyOf, errorResponseFrame} from '../pg/wire.js';
+import {readText} from './frame_text.js';
 import {BackendSession, delay} from './backend_session.js';
 import {StandinDatabase} from './database.js';
 import {FindDatabase} from './database_session.js';
@@ -162,7 +163,7 @@
     data: Uint8Array,
   ): Promise<boolean> {
     const socket = gateway.detach();
-    const [password] = readCString(bodyOf(Buffer.from(data)), 0);
+    const [password] = readText(bodyOf(Buffer.from(data)), 0);
     const expected = this.options.password;
     if (expected !== undefined && password !== expected) {
       socket.end(errorResponseFrame('FATAL', '28P01', 'password rejected'));
