Own interface: read logins strictly, however their bytes are cut

What callers saw: a login that hangs where startup and password come in one piece, the first statement garbled where it was cut behind the password, a session without the position that its token asked for. What somebody between could do: add a login before TLS began.

Cause: pg-gateway reads all messages of a chunk in the format of the first and keeps what it has read; after a request for TLS it goes on with what came unencrypted. Settings of the startup that failed were ignored, and those in `options` were found anywhere within a text.

--- a/src/pg/wire.ts
+++ b/src/pg/wire.ts
@@ -175,6 +175,10 @@
 export const authenticationOkFrame = (): Buffer =>
   Buffer.from(writer.addInt32(0).flush(FrameCode.authentication));
 
+/** Builds a frame that asks for a password in clear text. */
+export const authenticationPasswordFrame = (): Buffer =>
+  Buffer.from(writer.addInt32(3).flush(FrameCode.authentication));
+
 /** Builds a BackendKeyData frame. */
 export const backendKeyDataFrame = (
   processId: number,
--- a/src/proxy/listener.ts
+++ b/src/proxy/listener.ts
@@ -1,10 +1,10 @@
 /**
  * Accepts connections of callers and handles startup, TLS and key checks before
- * it starts a session. `pg-gateway` parses the startup messages; this module
- * limits the bytes and the duration of a login and the number of connections.
+ * it starts a session. Limits the bytes and the duration of a login and the
+ * number of connections.
  */
 import {createServer, Server, Socket} from 'node:net';
-import {PostgresConnection, State} from 'pg-gateway';
+import {TLSSocket} from 'node:tls';
 import {
   authenticate,
   Config,
@@ -15,16 +15,17 @@
 import {failure, Failure} from '../core/errors.js';
 import {LoginLimiter} from '../core/login_limiter.js';
 import {isUtf8Name, SETTING_PREFIX} from '../core/sql.js';
+import {parseOptions, StartupMessage, StartupReader} from '../pg/startup.js';
 import {
   authenticationOkFrame,
+  authenticationPasswordFrame,
   backendKeyDataFrame,
-  bodyOf,
   failureFrame,
   parameterStatusFrame,
-  readCString,
   readyForQueryFrame,
 } from '../pg/wire.js';
 import {Session, SessionHost} from './session.js';
+import {SessionVariables} from './session_variables.js';
 
 /** Certificate and private key for TLS with callers. */
 export interface CallerTls {
@@ -45,9 +46,9 @@
   readonly onRemoteCancel: (processId: number, secret: number) => void;
 }
 
-/** Request code of a CancelRequest message in the PostgreSQL protocol. */
-const CANCEL_CODE = 80_877_102;
-const CANCEL_BYTES = 16;
+/** Answers to requests for encryption. */
+const SUPPORTED = 'S';
+const NOT_SUPPORTED = 'N';
 const MAX_LOGIN_BYTES = 10_000;
 /** Customer of callers without a key. */
 const ANONYMOUS_CUSTOMER = 'anonymous';
@@ -184,24 +185,35 @@
 
 /** A caller's connection until its login is answered and its session starts. */
 class Login {
-  private readonly gateway: PostgresConnection;
+  private readonly reader = StartupReader.create({
+    maxMessageBytes: MAX_LOGIN_BYTES,
+  });
   private readonly timer: NodeJS.Timeout;
   private bytes = 0;
-  private session: Session | undefined;
+  /** The connection, or TLS over it. */
+  private stream: Socket;
+  private parameters: ReadonlyMap<string, string> = new Map();
+  private isHandling = false;
+  private hasEnded = false;
   private readonly countChunk = (chunk: Buffer): void => this.countBytes(chunk);
+  private readonly onData = (chunk: Buffer): void => {
+    if (this.hasEnded) return;
+    this.reader.push(chunk);
+    void this.advance();
+  };
 
   private constructor(
     private readonly socket: Socket,
     private readonly options: ListenerOptions,
     private readonly hooks: LoginHooks,
   ) {
+    this.stream = socket;
     this.timer = setTimeout(() => this.expire(), options.loginTimeoutMs);
     socket.on('data', this.countChunk);
-    socket.once('close', () => clearTimeout(this.timer));
-    this.gateway = new PostgresConnection(socket, {
-      tls: options.tls,
-      onMessage: (data, state) => this.receive(Buffer.from(data), state),
-      onStartup: state => this.start(state),
+    socket.on('data', this.onData);
+    socket.once('close', () => {
+      this.hasEnded = true;
+      clearTimeout(this.timer);
     });
   }
 
@@ -225,59 +237,91 @@
     if (this.bytes > MAX_LOGIN_BYTES) this.socket.destroy();
   }
 
-  private async receive(data: Buffer, state: State): Promise<boolean> {
-    if (this.session) {
-      this.session.receive(data);
-      return true;
+  /** Handles complete messages, one at a time, until the login has ended. */
+  private async advance(): Promise<void> {
+    if (this.isHandling) return;
+    this.isHandling = true;
+    while (!this.hasEnded) {
+      const message = this.reader.next();
+      if (!message) break;
+      this.stream.pause();
+      await this.handle(message);
+      this.stream.resume();
     }
-    if (state.hasStarted) {
-      const key = readCString(bodyOf(data), 0)?.bytes.toString('utf8') ?? '';
-      await this.checkKey(key, state);
-      return true;
+    this.isHandling = false;
+  }
+
+  private async handle(message: StartupMessage): Promise<void> {
+    switch (message.kind) {
+      case 'tls':
+        return this.startTls();
+      case 'gss':
+        return void this.stream.write(NOT_SUPPORTED);
+      case 'cancel':
+        this.hooks.onCancel(message.processId, message.secret);
+        this.hasEnded = true;
+        return void this.socket.destroy();
+      case 'startup':
+        return this.start(message.parameters);
+      case 'password':
+        return this.checkKey(message.password);
+      case 'invalid':
+        return this.reject(failure('protocol_violation', message.text));
     }
-    if (data.length !== CANCEL_BYTES || data.readUInt32BE(4) !== CANCEL_CODE) {
-      return false;
+  }
+
+  private startTls(): void {
+    const {tls} = this.options;
+    if (!tls || this.stream !== this.socket)
+      return void this.stream.write(NOT_SUPPORTED);
+    // Bytes behind the request came without TLS, perhaps from somebody else.
+    if (this.reader.bufferedBytes > 0) {
+      const text = 'unencrypted bytes behind the request for TLS';
+      return this.reject(failure('protocol_violation', text));
     }
-    this.hooks.onCancel(data.readUInt32BE(8), data.readInt32BE(12));
-    this.socket.destroy();
-    return true;
+    this.socket.write(SUPPORTED);
+    this.socket.off('data', this.onData);
+    this.stream = new TLSSocket(this.socket, {isServer: true, ...tls});
+    this.stream.on('error', () => this.socket.destroy());
+    this.stream.on('data', this.onData);
+    this.socket.resume();
   }
 
-  private async start(state: State): Promise<boolean> {
+  private async start(parameters: ReadonlyMap<string, string>): Promise<void> {
+    this.parameters = parameters;
     const host = this.options.sessionHost;
-    const service = serviceOf(state);
-    const encoding = state.clientInfo?.parameters.client_encoding ?? '';
+    if (!parameters.get('user')) {
+      return this.reject(failure('protocol_violation', 'user is required'));
+    }
+    const encoding = parameters.get('client_encoding') ?? '';
     if (!isUtf8Name(encoding)) {
-      this.reject(
-        failure('not_supported', `client_encoding ${encoding}; use UTF8`),
-      );
-      return true;
+      const text = `client_encoding ${encoding}; use UTF8`;
+      return this.reject(failure('not_supported', text));
     }
     await this.awaitConfig();
-    const config = host.config();
-    if (this.socket.destroyed) return true;
+    if (this.hasEnded) return;
     if (host.isDraining()) {
       this.reject(failure('shutting_down', 'the proxy is shutting down'));
-    } else if (findService(config, service)?.open) {
-      this.startSession({customer: ANONYMOUS_CUSTOMER, key: undefined}, state);
+    } else if (findService(host.config(), this.service)?.open) {
+      this.startSession({customer: ANONYMOUS_CUSTOMER, key: undefined});
     } else {
-      this.gateway.sendAuthenticationCleartextPassword();
+      this.stream.write(authenticationPasswordFrame());
     }
-    return true;
   }
 
   /** Waits until a VM that has just started has its first configuration. */
   private async awaitConfig(): Promise<void> {
     const host = this.options.sessionHost;
-    while (host.config().version === 0 && !this.socket.destroyed) {
+    while (host.config().version === 0 && !this.hasEnded) {
       await new Promise(resolve => setTimeout(resolve, CONFIG_POLL_MS));
     }
   }
 
-  private async checkKey(key: string, state: State): Promise<void> {
-    const user = state.clientInfo?.parameters.user ?? '';
+  private async checkKey(key: string): Promise<void> {
+    const user = this.parameters.get('user') ?? '';
     const address = this.socket.remoteAddress ?? '';
     await this.hooks.limiter.delay(address);
+    if (this.hasEnded) return;
     const config = this.options.sessionHost.config();
     const identity = authenticate(config, user, key);
     if (!identity) {
@@ -286,34 +330,47 @@
         failure('key_rejected', `key of customer "${user}" is not accepted`),
       );
     }
-    const problem = accessProblem(config, identity, serviceOf(state));
+    const problem = accessProblem(config, identity, this.service);
     if (problem) return this.reject(problem);
-    this.startSession(identity, state);
+    this.startSession(identity);
   }
 
   private reject(reason: Failure): void {
-    this.currentSocket.end(failureFrame(reason));
+    this.hasEnded = true;
+    this.stream.end(failureFrame(reason));
   }
 
-  private get currentSocket(): Socket {
-    return this.gateway.secureSocket ?? this.socket;
+  private get service(): string {
+    return this.parameters.get('database') ?? this.parameters.get('user') ?? '';
   }
 
-  private startSession(identity: Identity, state: State): void {
+  private startSession(identity: Identity): void {
+    const {sessionHost} = this.options;
+    const {service, stream} = this;
+    const settings = startupSettings(this.parameters);
+    const variables = SessionVariables.create(
+      service,
+      sessionHost.tokenSecrets,
+    );
+    for (const [name, value] of settings) {
+      const problem = variables.apply(name, value);
+      if (problem) return this.reject(problem);
+    }
+    this.hasEnded = true;
     clearTimeout(this.timer);
     this.socket.off('data', this.countChunk);
-    const socket = this.gateway.detach();
+    stream.off('data', this.onData);
     const id = this.hooks.allocateProcessId();
     const secret = Math.floor(Math.random() * 2 ** 31);
-    this.session = Session.create({
-      socket,
+    const session = Session.create({
+      socket: stream,
       identity,
-      service: serviceOf(state),
-      startupSettings: startupSettings(state),
-      host: this.options.sessionHost,
+      service,
+      variables,
+      host: sessionHost,
     });
-    this.hooks.onSession(this.session, id, secret);
-    socket.write(
+    this.hooks.onSession(session, id, secret);
+    stream.write(
       Buffer.concat([
         authenticationOkFrame(),
         parameterStatusFrame('server_version', '15.0'),
@@ -326,15 +383,12 @@
         readyForQueryFrame('I'),
       ]),
     );
-    socket.resume();
+    // What the caller sent behind its login belongs to the session.
+    const rest = this.reader.takeRest();
+    if (rest.length > 0) session.receive(rest);
   }
 }
 
-const serviceOf = (state: State): string =>
-  state.clientInfo?.parameters.database ??
-  state.clientInfo?.parameters.user ??
-  '';
-
 function accessProblem(
   config: Config,
   identity: Identity,
@@ -352,14 +406,11 @@
 }
 
 /** Returns the proxy settings in the startup parameters and in `options`. */
-function startupSettings(state: State): [string, string][] {
-  const parameters = state.clientInfo?.parameters ?? {user: ''};
-  const direct = Object.entries(parameters);
-  const options = parameters.options ?? '';
-  const inOptions = [...options.matchAll(/(?:-c\s*|--)([\w.]+)=(\S+)/g)].map(
-    match => [match[1], match[2]] as [string, string],
-  );
-  return [...direct, ...inOptions].filter(([name]) =>
+function startupSettings(
+  parameters: ReadonlyMap<string, string>,
+): Array<[string, string]> {
+  const inOptions = parseOptions(parameters.get('options') ?? '');
+  return [...parameters, ...inOptions].filter(([name]) =>
     name.startsWith(SETTING_PREFIX),
   );
 }
--- a/src/proxy/session.ts
+++ b/src/proxy/session.ts
@@ -46,8 +46,8 @@
   readonly socket: Socket;
   readonly identity: Identity;
   readonly service: string;
-  /** Names and values of the settings in the startup message. */
-  readonly startupSettings: readonly [string, string][];
+  /** Settings, those in the startup message already applied. */
+  readonly variables: SessionVariables;
   readonly host: SessionHost;
 }
 
@@ -104,10 +104,7 @@
       maxStatements: MAX_STATEMENTS,
       maxBatchBytes: options.host.maxFrameBytes,
     });
-    this.variables = SessionVariables.create(
-      options.service,
-      options.host.tokenSecrets,
-    );
+    this.variables = options.variables;
     this.output = CallerOutput.create(options.socket, {
       onCongested: () => this.lane?.pause(),
       onDrained: () => this.resumeReading(),
@@ -117,9 +114,6 @@
   /** Starts a session on a socket whose login has been answered. */
   static create(options: SessionOptions): Session {
     const session = new Session(options);
-    for (const [name, value] of options.startupSettings) {
-      session.variables.apply(name, value);
-    }
     const {socket} = options;
     socket.on('data', chunk => session.receive(chunk));
     socket.on('error', () => socket.destroy());
