Own interface: decode documents whole and strictly

What operators could get: a plan for another name, where the network cuts a body within a character.

Cause: bodies were decoded chunk by chunk; values of the store and messages between VMs with replacement of what is not UTF-8 or base64.

Change: core/documents.ts holds the readers of both interfaces.

Result: two tests failed before ('Unrecognized key: "ca��ón"'; a value that is not UTF-8 taken) and pass; 43 tests of six files pass.

--- a/src/peer/lane_messages.ts
+++ b/src/peer/lane_messages.ts
@@ -4,6 +4,7 @@
  * frame after its metadata, and results as unchanged PostgreSQL frames.
  */
 import {z} from 'zod';
+import {parseJson} from '../core/documents.js';
 import {ANSWERS, ErrorKind, Failure} from '../core/errors.js';
 import {LaneBatch, LaneRequest} from '../core/lane.js';
 import {Position} from '../core/position.js';
@@ -113,9 +114,7 @@
 /** Parses an `rpc` frame; returns undefined if it is not a valid message. */
 export function parseLaneMessage(frame: Buffer): LaneMessage | undefined {
   try {
-    const parsed = messageSchema.safeParse(
-      JSON.parse(bodyOf(frame).toString('utf8')),
-    );
+    const parsed = messageSchema.safeParse(parseJson(bodyOf(frame)));
     return parsed.success ? parsed.data : undefined;
   } catch {
     return undefined;
--- a/src/peer/server.ts
+++ b/src/peer/server.ts
@@ -10,6 +10,7 @@
   ServerHttp2Stream,
 } from 'node:http2';
 import {JSONRPCServer} from 'json-rpc-2.0';
+import {decodeUtf8, readAll} from '../core/documents.js';
 import {Executor} from '../core/lane.js';
 import {LaneServer} from './lane_server.js';
 import {serverTls} from './secret.js';
@@ -108,16 +109,11 @@
 export async function readText(
   stream: AsyncIterable<Buffer>,
 ): Promise<string | undefined> {
-  const chunks: Buffer[] = [];
-  let bytes = 0;
   try {
-    for await (const chunk of stream) {
-      bytes += chunk.length;
-      if (bytes > MAX_RPC_BYTES) return undefined;
-      chunks.push(chunk);
-    }
+    const bytes = await readAll(stream, MAX_RPC_BYTES);
+    return bytes && decodeUtf8(bytes);
   } catch {
+    // The caller closes the stream, or reports that the peer did not answer.
     return undefined;
   }
-  return Buffer.concat(chunks).toString('utf8');
 }
--- a/src/proxy/control_link.ts
+++ b/src/proxy/control_link.ts
@@ -2,6 +2,7 @@
  * Calls the group control functions of a database: status, raise, promote and
  * follow.
  */
+import {isUtf8} from 'node:buffer';
 import {err, ok, Result} from 'neverthrow';
 import {serialize} from 'pg-protocol';
 import {z} from 'zod';
@@ -173,14 +174,17 @@
   });
 }
 
-/** Returns the first column of a DataRow; undefined if there is none. */
+/** Returns the first column of a DataRow; undefined if it is no text. */
 export function firstColumn(frame: Buffer): string | undefined {
   const body = bodyOf(frame);
   const start = FIRST_COLUMN_OFFSET + COLUMN_LENGTH_BYTES;
   if (body.length < start) return undefined;
   const bytes = body.readInt32BE(FIRST_COLUMN_OFFSET);
   if (bytes < 0) return undefined;
-  return body.toString('utf8', start, start + bytes);
+  const value = body.subarray(start, start + bytes);
+  return value.length === bytes && isUtf8(value)
+    ? value.toString('utf8')
+    : undefined;
 }
 
 function decode<T>(schema: z.ZodType<T>, text: string): T | undefined {
--- a/src/proxy/operators.ts
+++ b/src/proxy/operators.ts
@@ -5,6 +5,7 @@
 import {timingSafeEqual} from 'node:crypto';
 import {createServer, IncomingMessage, Server, ServerResponse} from 'node:http';
 import {digestKey} from '../core/config.js';
+import {parseJson, readAll} from '../core/documents.js';
 import {IntentErrorKind, Intents} from './intents.js';
 
 export interface OperatorServerOptions {
@@ -155,10 +156,7 @@
     });
 
 async function readJson(req: IncomingMessage): Promise<unknown> {
-  let text = '';
-  for await (const chunk of req) {
-    text += String(chunk);
-    if (text.length > MAX_BODY_BYTES) throw new Error('request is too large');
-  }
-  return JSON.parse(text);
+  const bytes = await readAll(req, MAX_BODY_BYTES);
+  if (!bytes) throw new Error('request is too large');
+  return parseJson(bytes);
 }
--- a/src/store/etcd.ts
+++ b/src/store/etcd.ts
@@ -2,6 +2,7 @@
 import {err, ok, ResultAsync} from 'neverthrow';
 import {Observable} from 'rxjs';
 import {Agent, request} from 'undici';
+import {decodeUtf8, parseBase64, parseJson} from '../core/documents.js';
 import {Store, StoreError, VersionedValue} from './store.js';
 
 interface KeyValue {
@@ -27,8 +28,12 @@
 }
 
 const toBase64 = (text: string): string => Buffer.from(text).toString('base64');
-const fromBase64 = (text: string | undefined): string =>
-  Buffer.from(text ?? '', 'base64').toString('utf8');
+/** Decodes a text; throws for a value that is none. */
+function fromBase64(text = ''): string {
+  const bytes = parseBase64(text);
+  if (!bytes) throw new SyntaxError('not base64');
+  return decodeUtf8(bytes);
+}
 
 /** The value of a key that does not exist. */
 const ABSENT: VersionedValue = {value: '', revision: 0};
@@ -55,8 +60,8 @@
   }
 
   read(key: string): ResultAsync<VersionedValue, StoreError> {
-    return this.call<RangeResponse>('/v3/kv/range', {key: toBase64(key)}).map(
-      response => toVersionedValue(response.kvs?.[0]),
+    return this.call('/v3/kv/range', {key: toBase64(key)}, (body: unknown) =>
+      toVersionedValue((body as RangeResponse).kvs?.[0]),
     );
   }
 
@@ -76,7 +81,8 @@
       ],
       success: [{request_put: {key: toBase64(key), value: toBase64(value)}}],
     };
-    return this.call<TxnResponse>('/v3/kv/txn', body).andThen(response =>
+    const decode = (response: unknown): TxnResponse => response as TxnResponse;
+    return this.call('/v3/kv/txn', body, decode).andThen(response =>
       response.succeeded
         ? ok(Number(response.header.revision))
         : err<number, StoreError>({
@@ -113,14 +119,20 @@
     await this.agent.destroy();
   }
 
-  private call<T>(path: string, body: unknown): ResultAsync<T, StoreError> {
-    return ResultAsync.fromPromise(this.post<T>(path, body), error => ({
+  /** Posts a body and decodes the response; `decode` may throw. */
+  private call<T>(
+    path: string,
+    body: unknown,
+    decode: (response: unknown) => T,
+  ): ResultAsync<T, StoreError> {
+    const response = this.post(path, body).then(decode);
+    return ResultAsync.fromPromise(response, error => ({
       kind: 'unavailable',
       message: (error as Error).message,
     }));
   }
 
-  private async post<T>(path: string, body: unknown): Promise<T> {
+  private async post(path: string, body: unknown): Promise<unknown> {
     const signal = AbortSignal.timeout(this.options.timeoutMs);
     const response = await request(this.options.url + path, {
       method: 'POST',
@@ -132,7 +144,7 @@
       await response.body.dump();
       throw new Error(`platform responded with status ${response.statusCode}`);
     }
-    return (await response.body.json()) as T;
+    return parseJson(Buffer.from(await response.body.arrayBuffer()));
   }
 
   private async stream(
@@ -149,8 +161,9 @@
       bodyTimeout: 0,
     });
     let partialLine = '';
-    for await (const chunk of response.body) {
-      const lines = (partialLine + String(chunk)).split('\n');
+    // Characters may be cut in two.
+    for await (const text of response.body.setEncoding('utf8')) {
+      const lines = (partialLine + String(text)).split('\n');
       partialLine = lines.pop() ?? '';
       lines.filter(Boolean).forEach(onLine);
     }
