A planned stop delivers the answers that are on their way

Cause: a session counted as idle once its answer was handed to the socket, and the socket of an idle session is destroyed.

Change: a session is idle once the socket holds nothing.

--- a/src/front/caller_session.ts
+++ b/src/front/caller_session.ts
@@ -147,11 +147,13 @@
   }
 
   /**
-   * Whether the session has no message, statement or transaction in progress.
+   * Whether the session has no message, statement or transaction in progress,
+   * and no answer of which a part has yet to leave the process.
    */
   get isIdle(): boolean {
     return (
       !this.isBusy &&
+      this.socket.writableLength === 0 &&
       this.queuedMessages.length === 0 &&
       !this.transaction &&
       !this.hasFailed
--- a/test/drain.test.ts
+++ b/test/drain.test.ts
@@ -1,8 +1,13 @@
+import {Socket} from 'node:net';
 import test from 'ava';
 import pg from 'pg';
 import {LocalFleet, waitUntil} from '../src/standin/local_fleet.js';
 
 const SERVICE = 'order-books-1';
+/** How a slow caller reads an answer of many rows. */
+const READ_BYTES = 262_144;
+const READ_PAUSE_MS = 25;
+const ROWS = 40_000;
 
 interface Counts {
   sent: number;
@@ -128,3 +133,30 @@
     }
   },
 );
+
+// Guards against answers that a planned stop cuts off, as their callers read
+// slowly.
+test.serial('a drain delivers the answers that are on their way', async t => {
+  const fleet = await LocalFleet.create({proxies: 2});
+  t.teardown(() => fleet.close());
+  const client = fleet.createClient(0, 'villacres', SERVICE);
+  await client.connect();
+  const {connection} = client as unknown as {connection: {stream: Socket}};
+  const {stream} = connection;
+  let sincePauseBytes = 0;
+  stream.on('data', (chunk: Buffer) => {
+    sincePauseBytes += chunk.length;
+    if (sincePauseBytes < READ_BYTES) return;
+    sincePauseBytes = 0;
+    stream.pause();
+    setTimeout(() => stream.resume(), READ_PAUSE_MS);
+  });
+  client.on('error', () => undefined);
+  const answer = client.query(
+    `SELECT generate_series, repeat('x', 200) AS pad FROM generate_series(1, ${ROWS})`,
+  );
+  await new Promise(resolve => stream.once('data', resolve));
+  const drained = fleet.proxies[0].drain();
+  t.is((await answer).rows.length, ROWS);
+  await drained;
+});
--- /dev/null
+++ b/test/platform/slow_callers.test.ts
@@ -0,0 +1,107 @@
+/** Callers that read slowly or not at all. */
+import {connect, Socket} from 'node:net';
+import test from 'ava';
+import {Fleet, openSession, startFleet, until} from './fleet_fixture.js';
+
+const ROW_BYTES = 900_000;
+const ROWS = 10;
+
+/** Stores an item that the primary returns as several rows. */
+function storeLongItem({group}: Fleet, item: string): void {
+  const row = 'x'.repeat(ROW_BYTES);
+  const data = Array.from({length: ROWS}, () => row).join('\r\nROW ');
+  const log = group.primary?.log ?? [];
+  log.push({term: 1, offset: log.length + 1, item, data, requestId: ''});
+}
+
+/** A caller that reads `chunkBytes` at a time, with a pause after each. */
+class SlowCaller {
+  receivedBytes = 0;
+  isEnded = false;
+  private tail = '';
+
+  private constructor(
+    readonly socket: Socket,
+    chunkBytes: number,
+    pauseMs: number,
+  ) {
+    let sincePauseBytes = 0;
+    socket.on('error', () => undefined);
+    socket.on('close', () => (this.isEnded = true));
+    socket.on('data', chunk => {
+      this.receivedBytes += chunk.length;
+      this.tail = (this.tail + chunk.toString('latin1')).slice(-100);
+      sincePauseBytes += chunk.length;
+      if (sincePauseBytes < chunkBytes) return;
+      sincePauseBytes = 0;
+      socket.pause();
+      setTimeout(() => socket.resume(), pauseMs);
+    });
+  }
+
+  static async start(
+    port: number,
+    chunkBytes: number,
+    pauseMs: number,
+  ): Promise<SlowCaller> {
+    const socket = connect({host: '127.0.0.1', port});
+    const caller = new SlowCaller(socket, chunkBytes, pauseMs);
+    caller.send('START primary ana-key');
+    await until(() => caller.hasReady);
+    return caller;
+  }
+
+  /** Whether the last line that was received is a whole READY. */
+  get hasReady(): boolean {
+    return /(^|\n)READY [ITE] \S+\r\n$/.test(this.tail);
+  }
+
+  send(line: string): void {
+    this.receivedBytes = 0;
+    this.tail = '';
+    this.socket.write(`${line}\r\n`, 'latin1');
+  }
+}
+
+// Guards against answers that are cut off by a planned stop, since a session
+// counted as idle once its answer had been handed to the socket (review/9).
+test('a planned stop delivers the answers that are on their way', async t => {
+  const fleet = await startFleet(['norte']);
+  t.teardown(() => fleet.stop());
+  storeLongItem(fleet, 'long');
+  const [{front, settings}] = fleet.fronts;
+  const {port} = settings.callerAddress;
+  const callers = await Promise.all(
+    [1, 2, 3].map(() => SlowCaller.start(port, 262_144, 25)),
+  );
+  callers.forEach((caller, n) => caller.send(`QUERY q${n} READ long`));
+  await until(() => callers.every(({receivedBytes}) => receivedBytes > 0));
+  const startedAtMs = performance.now();
+  await front.stop();
+  const tookMs = performance.now() - startedAtMs;
+  await until(() => callers.every(({isEnded}) => isEnded));
+  for (const caller of callers) {
+    t.true(caller.hasReady);
+    t.true(caller.receivedBytes > ROWS * ROW_BYTES);
+  }
+  t.true(tookMs < settings.shutdownGraceMs, `${tookMs}`);
+});
+
+test('a caller that does not read does not keep a front past its grace', async t => {
+  const fleet = await startFleet(['norte']);
+  t.teardown(() => fleet.stop());
+  storeLongItem(fleet, 'long');
+  const [front] = fleet.fronts;
+  const {port} = front.settings.callerAddress;
+  const caller = await SlowCaller.start(port, ROW_BYTES, 60_000);
+  caller.send('QUERY q1 READ long');
+  await until(() => caller.receivedBytes > 0);
+  const idle = await openSession(front, 'primary', 'bea-key');
+  const startedAtMs = performance.now();
+  const stopping = front.front.stop();
+  await until(() => idle.isEnded, 500);
+  await stopping;
+  const tookMs = performance.now() - startedAtMs;
+  t.true(tookMs < front.settings.shutdownGraceMs, `${tookMs}`);
+  caller.socket.destroy();
+});
