Soak: callers send texts with line feeds and other odd bytes

Change: values, shapes and data of writes end in turn in bytes that a careless reader takes for the end of a message. The random choices of a seed stay as they were.

--- a/soak/caller.ts
+++ b/soak/caller.ts
@@ -8,6 +8,17 @@
 import {Random} from './random.js';
 import {Finding, SentStatement} from './statement_judge.js';
 
+/** Ends of texts that a careless reader would take for ends of messages. */
+const TEXT_ENDS = [
+  '',
+  '\ncall before delivery',
+  '\nQUERY forged WRITE item1 forged',
+  '\r',
+  '\n',
+  '\xff\x85\0 ',
+  ' \n\r',
+] as const;
+
 /** Names that the sessions of all callers share. */
 const NAMES = ['one', 'two', 'three'] as const;
 const ITEM_COUNT = 40;
@@ -117,13 +128,13 @@
     const {random} = this.options;
     const name = random.pick(NAMES);
     if (random.chance(50)) {
-      const value = `${this.id}-${this.nextId()}`;
+      const value = `${this.id}-${this.nextId()}${this.textEnd}`;
       const {done} = await this.query(`SET ${name} ${value}`);
       if (done !== undefined) this.values.set(name, value);
       return;
     }
     const access = random.pick(['READ', 'WRITE']);
-    const shape = `shape${random.between(1, 5)}`;
+    const shape = `shape${random.between(1, 5)}${this.textEnd}`;
     const {done} = await this.query(`PREPARE ${name} ${access} ${shape}`);
     if (done !== undefined) this.prepared.set(name, `${access} ${shape}`);
   }
@@ -226,7 +237,7 @@
   ): Promise<{id: string; answer: ClientAnswer}> {
     const {front, customer} = this.options;
     const id = this.nextId();
-    const full = isWrite ? `${text} ${id}` : text;
+    const full = isWrite ? `${text} ${id}${this.textEnd}` : text;
     this.host.expect({
       id,
       text: full,
@@ -244,6 +255,11 @@
     return {id, answer};
   }
 
+  /** Taken in turn, so that the random choices of a seed stay as they were. */
+  private get textEnd(): string {
+    return TEXT_ENDS[this.statementCount % TEXT_ENDS.length];
+  }
+
   private nextId(): string {
     return `${this.id}.${++this.statementCount}`;
   }
