Tests: a scripted database survives a reset of its connection

Cause, traced: the accepted sockets of the scripted database had no listener for errors.

Change: a listener, as the other stand-ins have; no check changes.

--- a/test/platform/worker.test.ts
+++ b/test/platform/worker.test.ts
@@ -37,6 +37,8 @@
   const sockets: Socket[] = [];
   const server = createServer(socket => {
     const connection = sockets.push(socket);
+    // A worker may close a connection with an answer that it has not read.
+    socket.on('error', () => undefined);
     createInterface(socket).on('line', line => {
       lines.push(`${connection} ${line}`);
       socket.write(answer(line));
