Start no statement for a caller that leaves its answers unread

Cause: answers were written without regard to what the socket held, and the next statement started at once.

Change: the next statement waits while more than 256 KiB of answers wait; the socket is paused then, and once 64 KiB of whole messages are queued. A transaction of such a session ends after the idle time.

--- a/src/front/caller_session.ts
+++ b/src/front/caller_session.ts
@@ -97,8 +97,11 @@
 /** Retry delay sent to callers when the expected wait is unknown. */
 const RETRY_AFTER_MS = 250;
 const RATE_RETRY_AFTER_MS = 1_000;
-/** The socket is paused while more messages than this are queued. */
+/** The socket is paused while more messages or bytes than these are queued. */
 const MAX_QUEUED_MESSAGES = 64;
+const MAX_QUEUED_BYTES = 65_536;
+/** Bytes of answers that may wait for the caller while a statement starts. */
+const MAX_UNREAD_BYTES = 262_144;
 
 /** Returns the text of a refusal, `text` unless its kind needs another. */
 const refusalText = (error: ErrorKind, text: string): string =>
@@ -123,7 +126,11 @@
     message: CallerMessage;
     atMs: number;
   }> = [];
+  /** At least the bytes of the queued messages. */
+  private queuedBytes = 0;
   private isBusy = false;
+  /** Whether the next statement waits until the caller has read its answers. */
+  private isAwaitingReading = false;
   private hasLeft = false;
   private runningWork: Work | undefined;
   private idleTimer: NodeJS.Timeout | undefined;
@@ -172,7 +179,8 @@
 
   /** Rolls back an open transaction unless one of its statements is running. */
   abortTransaction(reason: string): void {
-    if (!this.transaction || this.isBusy) return;
+    const isRunning = this.isBusy && !this.isAwaitingReading;
+    if (!this.transaction || isRunning) return;
     this.rollBack(reason);
     this.hasFailed = true;
   }
@@ -182,13 +190,43 @@
     for (const message of this.decoder.push(chunk)) {
       this.queuedMessages.push({message, atMs: arrivedAtMs});
     }
-    if (this.queuedMessages.length > MAX_QUEUED_MESSAGES) this.socket.pause();
+    this.queuedBytes += chunk.length;
+    if (this.hasFullQueue) this.socket.pause();
     if (!this.isBusy) void this.processQueue();
   }
 
+  /** An incomplete message alone does not fill the queue: its rest is needed. */
+  private get hasFullQueue(): boolean {
+    const count = this.queuedMessages.length;
+    if (count === 0) return false;
+    return count > MAX_QUEUED_MESSAGES || this.queuedBytes > MAX_QUEUED_BYTES;
+  }
+
+  /** Waits until the caller has read most of the answers that it got. */
+  private async awaitReading(): Promise<void> {
+    const {socket} = this;
+    if (socket.writableLength <= MAX_UNREAD_BYTES) return;
+    const {log} = this.host;
+    const startedAtMs = performance.now();
+    const unreadBytes = socket.writableLength;
+    log('caller_not_reading', {database: this.database, unreadBytes});
+    socket.pause();
+    this.isAwaitingReading = true;
+    this.startIdleTimer();
+    await new Promise<void>(resolve => {
+      socket.once('drain', resolve);
+      socket.once('close', resolve);
+    });
+    clearTimeout(this.idleTimer);
+    this.isAwaitingReading = false;
+    const tookMs = Math.round(performance.now() - startedAtMs);
+    log('caller_has_read', {database: this.database, unreadBytes, tookMs});
+  }
+
   private async processQueue(): Promise<void> {
     this.isBusy = true;
-    for (;;) {
+    while (this.queuedMessages.length > 0 && !this.hasLeft) {
+      await this.awaitReading();
       const next = this.queuedMessages.shift();
       if (!next || this.hasLeft) break;
       clearTimeout(this.idleTimer);
@@ -201,6 +239,7 @@
       this.flush();
     }
     this.isBusy = false;
+    this.queuedBytes = 0;
     if (this.hasLeft) return this.rollBack('caller disconnected');
     if (this.socket.isPaused()) this.socket.resume();
     if (this.host.isStopping()) this.closeIfIdle();
--- a/test/platform/slow_callers.test.ts
+++ b/test/platform/slow_callers.test.ts
@@ -17,6 +17,7 @@
 /** A caller that reads `chunkBytes` at a time, with a pause after each. */
 class SlowCaller {
   receivedBytes = 0;
+  private isReading = true;
   isEnded = false;
   private tail = '';
 
@@ -35,10 +36,21 @@
       if (sincePauseBytes < chunkBytes) return;
       sincePauseBytes = 0;
       socket.pause();
-      setTimeout(() => socket.resume(), pauseMs);
+      setTimeout(() => this.isReading && socket.resume(), pauseMs);
     });
   }
 
+  /** Reads nothing more until `resume` is called. */
+  pause(): void {
+    this.isReading = false;
+    this.socket.pause();
+  }
+
+  resume(): void {
+    this.isReading = true;
+    this.socket.resume();
+  }
+
   static async start(
     port: number,
     chunkBytes: number,
@@ -51,6 +63,11 @@
     return caller;
   }
 
+  /** Sends without waiting for answers; what was received stays counted. */
+  sendMore(lines: readonly string[]): void {
+    this.socket.write(lines.map(line => `${line}\r\n`).join(''), 'latin1');
+  }
+
   /** Whether the last line that was received is a whole READY. */
   get hasReady(): boolean {
     return /(^|\n)READY [ITE] \S+\r\n$/.test(this.tail);
@@ -105,3 +122,89 @@
   t.true(tookMs < front.settings.shutdownGraceMs, `${tookMs}`);
   caller.socket.destroy();
 });
+
+const STATEMENTS = 60;
+const LATE_STATEMENTS = 8;
+
+// Guards against a front that ends for lack of memory, as one caller sends
+// statements and does not read the answers (review/10).
+test('no statement runs for a caller that does not read its answers', async t => {
+  const fleet = await startFleet(['norte']);
+  t.teardown(() => fleet.stop());
+  const [front] = fleet.fronts;
+  const data = 'x'.repeat(ROW_BYTES);
+  const log = fleet.group.primary?.log ?? [];
+  log.push({
+    term: 1,
+    offset: log.length + 1,
+    item: 'wide',
+    data,
+    requestId: '',
+  });
+  const {port} = front.settings.callerAddress;
+  const caller = await SlowCaller.start(port, ROW_BYTES, 0);
+  caller.pause();
+  const numbers = Array.from({length: STATEMENTS}, (_, n) => n);
+  caller.sendMore(numbers.map(n => `QUERY wide-${n} READ wide`));
+  const other = await openSession(front, 'primary', 'bea-key');
+  for (let n = 0; n < 20; n++) {
+    t.truthy((await other.query('READ item')).done);
+    await new Promise(resolve => setTimeout(resolve, 50));
+  }
+  const ran = (): number =>
+    fleet.group.databases
+      .flatMap(database => database.executedStatements)
+      .filter(({requestId}) => requestId.startsWith('wide-')).length;
+  const ranUnread = ran();
+  t.true(ranUnread < STATEMENTS / 2, `${ranUnread}`);
+  t.is(front.events('caller_not_reading').length, 1);
+  caller.socket.destroy();
+  await until(() => front.events('caller_has_read').length === 1);
+  await new Promise(resolve => setTimeout(resolve, 200));
+  t.is(ran(), ranUnread);
+});
+
+test('a caller that reads late gets all answers, in order', async t => {
+  const fleet = await startFleet(['norte']);
+  t.teardown(() => fleet.stop());
+  const [front] = fleet.fronts;
+  const data = 'x'.repeat(ROW_BYTES);
+  const log = fleet.group.primary?.log ?? [];
+  log.push({
+    term: 1,
+    offset: log.length + 1,
+    item: 'wide',
+    data,
+    requestId: '',
+  });
+  const {port} = front.settings.callerAddress;
+  const caller = await SlowCaller.start(port, ROW_BYTES, 0);
+  caller.pause();
+  caller.send('QUERY first READ wide');
+  const numbers = Array.from({length: LATE_STATEMENTS}, (_, n) => n);
+  caller.sendMore(numbers.map(n => `QUERY late-${n} SET value-${n} v`));
+  caller.sendMore(numbers.map(n => `QUERY wide-${n} READ wide`));
+  await until(() => front.events('caller_not_reading').length > 0);
+  caller.resume();
+  const allBytes = (LATE_STATEMENTS + 1) * ROW_BYTES;
+  await until(() => caller.receivedBytes > allBytes && caller.hasReady);
+  await until(() => front.events('caller_has_read').length > 0);
+  t.false(caller.isEnded);
+  caller.socket.destroy();
+});
+
+test('a caller that does not read keeps no transaction', async t => {
+  const fleet = await startFleet(['norte']);
+  t.teardown(() => fleet.stop());
+  const [front] = fleet.fronts;
+  storeLongItem(fleet, 'long');
+  const session = await openSession(front, 'primary', 'ana-key');
+  t.is((await session.query('BEGIN')).state, 'T');
+  t.truthy((await session.query('WRITE item data')).done);
+  session.socket.pause();
+  for (const n of [1, 2, 3]) session.send(`QUERY r${n} READ long`);
+  await until(() => front.events('caller_not_reading').length > 0);
+  await until(() => front.events('transaction_ended').length > 0, 3_000);
+  t.is(front.events('transaction_ended')[0].reason, 'idle for too long');
+  session.close();
+});
