Limit what a session keeps

Cause: values and prepared statements of a session had no limit.

Change: 1,000 of them and 1 MiB together; beyond it TOOLARGE, and the session goes on.

--- a/src/core/session_state.ts
+++ b/src/core/session_state.ts
@@ -15,6 +15,20 @@
   prepared: new Map(),
 };
 
+/** Limits of what one session may keep; a front has many sessions. */
+export const MAX_SESSION_ENTRIES = 1_000;
+export const MAX_SESSION_BYTES = 1_048_576;
+
+/** Whether a state is within the limits of a session. */
+export function isWithinLimits({values, prepared}: SessionState): boolean {
+  if (values.size + prepared.size > MAX_SESSION_ENTRIES) return false;
+  let bytes = 0;
+  for (const [name, value] of values) bytes += name.length + value.length;
+  for (const {name, shape} of prepared.values())
+    bytes += name.length + shape.length;
+  return bytes <= MAX_SESSION_BYTES;
+}
+
 export const setValue = (
   state: SessionState,
   name: string,
--- a/src/front/caller_session.ts
+++ b/src/front/caller_session.ts
@@ -18,6 +18,7 @@
 import {
   deallocate,
   EMPTY_SESSION,
+  isWithinLimits,
   prepare,
   requiredStateFor,
   SessionState,
@@ -320,11 +321,11 @@
     }
     switch (statement.kind) {
       case 'set':
-        this.state = setValue(this.state, statement.name, statement.value);
-        return this.sendDone();
+        return this.changeState(
+          setValue(this.state, statement.name, statement.value),
+        );
       case 'prepare':
-        this.state = prepare(this.state, statement.prepared);
-        return this.sendDone();
+        return this.changeState(prepare(this.state, statement.prepared));
       case 'deallocate':
         this.state = deallocate(this.state, statement.name);
         return this.sendDone();
@@ -354,6 +355,15 @@
     }
   }
 
+  private changeState(next: SessionState): void {
+    if (!isWithinLimits(next)) {
+      const text = 'the session keeps too many or too long values';
+      return this.sendError('request_too_large', text);
+    }
+    this.state = next;
+    this.sendDone();
+  }
+
   private beginTransaction(readOnly: boolean, arrivedAtMs: number): void {
     if (this.transaction) {
       return this.sendError('protocol_violation', 'a transaction is open');
--- a/test/platform/slow_callers.test.ts
+++ b/test/platform/slow_callers.test.ts
@@ -1,6 +1,10 @@
-/** Callers that read slowly or not at all. */
+/** Callers that read slowly or not at all, or make a front keep too much. */
 import {connect, Socket} from 'node:net';
 import test from 'ava';
+import {
+  MAX_SESSION_BYTES,
+  MAX_SESSION_ENTRIES,
+} from '../../src/core/session_state.js';
 import {Fleet, openSession, startFleet, until} from './fleet_fixture.js';
 
 const ROW_BYTES = 900_000;
@@ -208,3 +212,29 @@
   t.is(front.events('transaction_ended')[0].reason, 'idle for too long');
   session.close();
 });
+
+// Guards against a front that ends for lack of memory, as a session keeps ever
+// new values or statements.
+test('a session keeps values and statements up to its limits', async t => {
+  const fleet = await startFleet(['norte']);
+  t.teardown(() => fleet.stop());
+  const [front] = fleet.fronts;
+  const counted = await openSession(front, 'primary', 'ana-key');
+  for (let n = 0; n < MAX_SESSION_ENTRIES; n++) {
+    const text = n % 2 === 0 ? `SET v${n} x` : `PREPARE p${n} READ x`;
+    t.is((await counted.query(text)).done, '-');
+  }
+  t.is((await counted.query('SET v0 y')).done, '-');
+  t.truthy((await counted.query('READ item')).done);
+  const onceMore = await counted.query('SET more x');
+  t.regex(onceMore.error ?? '', /^TOOLARGE /);
+  t.truthy((await counted.query('READ item')).done);
+  const long = await openSession(front, 'primary', 'ana-key');
+  const value = 'x'.repeat(MAX_SESSION_BYTES / 4);
+  for (const name of ['a', 'b', 'c'])
+    t.is((await long.query(`SET ${name} ${value}`)).done, '-');
+  const tooLong = await long.query(`PREPARE d READ ${value}`);
+  t.regex(tooLong.error ?? '', /^TOOLARGE /);
+  t.is((await long.query('SET a x')).done, '-');
+  t.is((await long.query(`PREPARE d READ ${value}`)).done, '-');
+});
