--- a/test/platform/odd_replies.test.ts
+++ b/test/platform/odd_replies.test.ts
@@ -17,9 +17,12 @@
 
 /** A store that answers every call with the body that `reply` holds. */
 async function startOddStore(t: ExecutionContext) {
-  const reply = {body: ''};
-  const server = createServer((_: IncomingMessage, response: ServerResponse) =>
-    response.end(reply.body),
+  const reply: {body: string; era?: string} = {body: ''};
+  const server = createServer(
+    (_: IncomingMessage, response: ServerResponse) => {
+      if (reply.era !== undefined) response.setHeader('Store-Era', reply.era);
+      response.end(reply.body);
+    },
   );
   await new Promise<void>(resolve => server.listen(0, '127.0.0.1', resolve));
   t.teardown(() => {
@@ -100,6 +103,20 @@
   t.is((await client.renew(5)).result._unsafeUnwrap(), 1_000);
 });
 
+// Guards against an era that is read from a text which is no number of one.
+test('only a whole number is taken for an era of the store', async t => {
+  const {reply, client} = await startOddStore(t);
+  reply.body = JSON.stringify(PAGE);
+  const eraOf = async (era: string): Promise<number | undefined> => {
+    reply.era = era;
+    return (await client.listPage('', '')).era;
+  };
+  t.is(await eraOf('0'), 0);
+  t.is(await eraOf('12'), 12);
+  for (const era of ['', ' ', '0x10', '1e3', '1.0', '-1', '1, 2', 'x'])
+    t.is(await eraOf(era), undefined, era);
+});
+
 test('no random body of a reply makes a call reject', async t => {
   const {reply, client} = await startOddStore(t);
   const field = fc.oneof(fc.jsonValue({maxDepth: 2}), fc.constant([ITEM]));
