Own interface: a fault in a login ends its own connection only

Cause: by reading: an exception in a login would have been an unhandled rejection, which ends the process; the library that read logins before caught it. Change: the login's socket is closed. Result: startup and clients tests pass; no exception is known.

--- a/src/proxy/listener.ts
+++ b/src/proxy/listener.ts
@@ -199,7 +199,8 @@
   private readonly onData = (chunk: Buffer): void => {
     if (this.hasEnded) return;
     this.reader.push(chunk);
-    void this.advance();
+    // A fault in a login ends its own connection only.
+    this.advance().catch((error: Error) => this.socket.destroy(error));
   };
 
   private constructor(
