--- a/test/platform/slow_callers.test.ts
+++ b/test/platform/slow_callers.test.ts
@@ -10,10 +10,10 @@
 const ROW_BYTES = 900_000;
 const ROWS = 10;
 
-/** Stores an item that the primary returns as several rows. */
-function storeLongItem({group}: Fleet, item: string): void {
+/** Stores an item that the primary returns as `rowCount` long rows. */
+function storeItem({group}: Fleet, item: string, rowCount: number): void {
   const row = 'x'.repeat(ROW_BYTES);
-  const data = Array.from({length: ROWS}, () => row).join('\r\nROW ');
+  const data = Array.from({length: rowCount}, () => row).join('\r\nROW ');
   const log = group.primary?.log ?? [];
   log.push({term: 1, offset: log.length + 1, item, data, requestId: ''});
 }
@@ -89,7 +89,7 @@
 test('a planned stop delivers the answers that are on their way', async t => {
   const fleet = await startFleet(['norte']);
   t.teardown(() => fleet.stop());
-  storeLongItem(fleet, 'long');
+  storeItem(fleet, 'long', ROWS);
   const [{front, settings}] = fleet.fronts;
   const {port} = settings.callerAddress;
   const callers = await Promise.all(
@@ -111,7 +111,7 @@
 test('a caller that does not read does not keep a front past its grace', async t => {
   const fleet = await startFleet(['norte']);
   t.teardown(() => fleet.stop());
-  storeLongItem(fleet, 'long');
+  storeItem(fleet, 'long', ROWS);
   const [front] = fleet.fronts;
   const {port} = front.settings.callerAddress;
   const caller = await SlowCaller.start(port, ROW_BYTES, 60_000);
@@ -136,15 +136,7 @@
   const fleet = await startFleet(['norte']);
   t.teardown(() => fleet.stop());
   const [front] = fleet.fronts;
-  const data = 'x'.repeat(ROW_BYTES);
-  const log = fleet.group.primary?.log ?? [];
-  log.push({
-    term: 1,
-    offset: log.length + 1,
-    item: 'wide',
-    data,
-    requestId: '',
-  });
+  storeItem(fleet, 'wide', 1);
   const {port} = front.settings.callerAddress;
   const caller = await SlowCaller.start(port, ROW_BYTES, 0);
   caller.pause();
@@ -172,15 +164,7 @@
   const fleet = await startFleet(['norte']);
   t.teardown(() => fleet.stop());
   const [front] = fleet.fronts;
-  const data = 'x'.repeat(ROW_BYTES);
-  const log = fleet.group.primary?.log ?? [];
-  log.push({
-    term: 1,
-    offset: log.length + 1,
-    item: 'wide',
-    data,
-    requestId: '',
-  });
+  storeItem(fleet, 'wide', 1);
   const {port} = front.settings.callerAddress;
   const caller = await SlowCaller.start(port, ROW_BYTES, 0);
   caller.pause();
@@ -201,7 +185,7 @@
   const fleet = await startFleet(['norte']);
   t.teardown(() => fleet.stop());
   const [front] = fleet.fronts;
-  storeLongItem(fleet, 'long');
+  storeItem(fleet, 'long', ROWS);
   const session = await openSession(front, 'primary', 'ana-key');
   t.is((await session.query('BEGIN')).state, 'T');
   t.truthy((await session.query('WRITE item data')).done);
