Tests: changes of primary that lose acknowledged commits (reproduction)

Cause: between the order to promote a database and its effect nothing stops the former primary, or the fronts' use of it, on a platform with fencing. It acknowledges a commit as soon as one replica that is not paused holds it: one that joins, restarts or has no entry. A draining primary is used without a limit in time while a change waits for the log of a replica.

test/platform/primary_change.test.ts: two fronts, callers on three routes, also with transactions; each write for which a caller got a success must be in the log of the promoted database at the promotion, and of the last primary at the end. The undisturbed change is the control. Not written: a primary that is cut off from some fronts only, since the stand-ins don't know which front a connection comes from.

Stand-ins: a database joins, has a slower link, doesn't reach the store, records the arrival of statements; the delay of late orders is a field; a link to the store can be cut.

--- /dev/null
+++ b/test/platform/primary_change.test.ts
@@ -0,0 +1,255 @@
+/**
+ * Changes of primary that are disturbed between the order to promote a database
+ * and its effect: each write for which a caller got a success must be in the
+ * log of the promoted database.
+ */
+import test, {ExecutionContext} from 'ava';
+import {BusyCallers} from './busy_callers.js';
+import {
+  operatorConfig,
+  RunningFront,
+  startFront,
+  until,
+  ZONES,
+} from './fleet_fixture.js';
+import {StandinDatabase, StandinGroup} from './standin_database.js';
+import {StandinLink} from './standin_link.js';
+import {ReceivedPromotion} from './standin_promotions.js';
+import {StandinStore} from './standin_store.js';
+
+/** Time from the platform's acceptance of an order to its effect. */
+const PROMOTION_MS = 1_000;
+/** More than a platform that is late takes until an order has its effect. */
+const LATE_EFFECT_MS = 4_500;
+/** Longer than fronts keep a database whose entry is missing. */
+const LAPSE_MS = 3_600;
+const CHANGE_LIMIT_MS = 15_000;
+/** A draining primary gets no statement later than this. */
+const DRAIN_LIMIT_MS = 5_000;
+const MIN_WRITES = 30;
+
+const pause = (ms: number): Promise<void> =>
+  new Promise(resolve => setTimeout(resolve, ms));
+
+/** Two fronts with callers at work; each front has a link to the store. */
+interface BusyFleet {
+  readonly group: StandinGroup;
+  readonly store: StandinStore;
+  readonly fronts: readonly RunningFront[];
+  readonly links: readonly StandinLink[];
+  readonly callers: BusyCallers;
+}
+
+async function startBusyFleet(
+  t: ExecutionContext,
+  prepare: (group: StandinGroup) => Promise<void> = async () => undefined,
+): Promise<BusyFleet> {
+  const group = await StandinGroup.start('orders', ZONES);
+  group.promotionMs = PROMOTION_MS;
+  await prepare(group);
+  const store = await StandinStore.start([group]);
+  store.put('op/config', operatorConfig('orders'));
+  const fronts: RunningFront[] = [];
+  const links: StandinLink[] = [];
+  for (const [index, zone] of ['norte', 'puerto'].entries()) {
+    const link = await StandinLink.start(store.port);
+    const address = {host: '127.0.0.1', port: link.port};
+    const name = `front-${index + 1}`;
+    const overrides = {storeAddress: address, promotionAddress: address};
+    links.push(link);
+    fronts.push(await startFront(name, zone, store, overrides));
+  }
+  await until(() => fronts.every(({front}) => front.isReady));
+  const callers = BusyCallers.start(group, fronts);
+  t.teardown(async () => {
+    await callers.stop();
+    await Promise.all(fronts.map(({front}) => front.stop()));
+    for (const link of links) link.cut();
+    await group.stop();
+    await store.stop();
+  });
+  await until(() => callers.succeeded.size >= MIN_WRITES);
+  return {group, store, fronts, links, callers};
+}
+
+const drain = ({group, store}: BusyFleet): void => {
+  group.databases[0].isDraining = true;
+  store.registerDatabases();
+};
+
+/** Waits for the first order to promote a replica, and returns it. */
+async function untilOrdered({
+  store,
+  group,
+}: BusyFleet): Promise<ReceivedPromotion> {
+  const find = (): ReceivedPromotion | undefined =>
+    store.promotions.received.find(({id}) => id !== group.databases[0].id);
+  await until(() => find() !== undefined, CHANGE_LIMIT_MS);
+  return find() as ReceivedPromotion;
+}
+
+async function join({group, store}: BusyFleet): Promise<void> {
+  await group.join('norte');
+  store.registerDatabases();
+}
+
+/** Restarts the replicas other than the one that was ordered to lead. */
+async function restartReplicas(
+  {group, store}: BusyFleet,
+  ordered: ReceivedPromotion,
+): Promise<void> {
+  const isRestarted = ({isPrimary, id}: StandinDatabase): boolean =>
+    !isPrimary && id !== ordered.id;
+  for (const replica of group.databases.filter(isRestarted)) {
+    await replica.crash();
+    await replica.start();
+  }
+  store.registerDatabases();
+}
+
+/** Ends a front whose lease and registration go on until they expire. */
+function endWithoutRelease(
+  t: ExecutionContext,
+  {fronts, links}: BusyFleet,
+  name: string,
+): void {
+  const index = fronts.findIndex(({settings}) => settings.vm === name);
+  links[index].cut();
+  const ended = fronts[index].front.stop();
+  t.teardown(() => ended);
+}
+
+/** Waits until a promotion has had its effect and writes succeed after it. */
+async function untilChanged({group, callers}: BusyFleet): Promise<void> {
+  await until(() => group.promotedAtMs < Infinity, CHANGE_LIMIT_MS);
+  await untilServed(callers, group.promotedAtMs);
+}
+
+const untilServed = (callers: BusyCallers, sinceMs: number): Promise<void> =>
+  until(() => callers.lastSuccessSentMs > sinceMs, CHANGE_LIMIT_MS);
+
+function assertNothingLost(t: ExecutionContext, {callers}: BusyFleet): void {
+  const {lost, succeeded} = callers;
+  t.true(succeeded.size >= MIN_WRITES);
+  t.is(lost.length, 0, `${lost.length} of ${succeeded.size} lost`);
+}
+
+// Guards against losses by a change of primary as such.
+test('a planned change that nothing disturbs loses no acknowledged commit', async t => {
+  const fleet = await startBusyFleet(t);
+  drain(fleet);
+  await untilChanged(fleet);
+  assertNothingLost(t, fleet);
+});
+
+// Guards against commits that the former primary acknowledges once a replica
+// that was not counted holds them.
+test('a replica that joins during a planned change costs no acknowledged commit', async t => {
+  const fleet = await startBusyFleet(t);
+  drain(fleet);
+  await untilOrdered(fleet);
+  await join(fleet);
+  await untilChanged(fleet);
+  assertNothingLost(t, fleet);
+});
+
+// Guards against commits that the former primary acknowledges once a restart
+// has ended the pause of a replica.
+test('replicas that restart during a planned change cost no acknowledged commit', async t => {
+  const fleet = await startBusyFleet(t);
+  drain(fleet);
+  await restartReplicas(fleet, await untilOrdered(fleet));
+  await untilChanged(fleet);
+  assertNothingLost(t, fleet);
+});
+
+// Guards against a count of logs that leaves out a database that receives: its
+// entry has lapsed, and it alone holds the newest commits.
+test('a live replica without an entry costs no acknowledged commit', async t => {
+  const fleet = await startBusyFleet(t, async group => {
+    await group.join('norte');
+    for (const slower of group.databases.slice(1, 3)) slower.linkDelayMs = 60;
+  });
+  const {group, store} = fleet;
+  const unlisted = group.databases[3];
+  unlisted.reachesStore = false;
+  store.remove(`servers/${unlisted.id}`);
+  await pause(LAPSE_MS);
+  drain(fleet);
+  // A change may also wait until the entry is back.
+  const timer = setTimeout(() => {
+    unlisted.reachesStore = true;
+    store.registerDatabases();
+  }, DRAIN_LIMIT_MS);
+  t.teardown(() => clearTimeout(timer));
+  await untilChanged(fleet);
+  assertNothingLost(t, fleet);
+});
+
+// Guards against commits that a primary acknowledges after it was found lost,
+// as it is back before its successor leads.
+test('a primary that is back before the promotion and a replica that joins cost no acknowledged commit', async t => {
+  const fleet = await startBusyFleet(t);
+  const {group} = fleet;
+  const [primary] = group.databases;
+  // Leaves the fronts time to use the primary again.
+  group.promotionMs = 2_500;
+  primary.isUnresponsive = true;
+  await untilOrdered(fleet);
+  primary.isUnresponsive = false;
+  await join(fleet);
+  await untilChanged(fleet);
+  assertNothingLost(t, fleet);
+});
+
+// Guards against the same while the order is carried out seconds later and has
+// no answer.
+test('an order that is carried out late costs no acknowledged commit', async t => {
+  const fleet = await startBusyFleet(t);
+  const {group, store, callers} = fleet;
+  const [primary] = group.databases;
+  store.promotions.mode = 'late';
+  primary.isUnresponsive = true;
+  const ordered = await untilOrdered(fleet);
+  primary.isUnresponsive = false;
+  await restartReplicas(fleet, ordered);
+  await pause(LATE_EFFECT_MS);
+  store.promotions.mode = 'executed';
+  await untilServed(callers, performance.now());
+  assertNothingLost(t, fleet);
+});
+
+// Guards against an order of a former holder that is carried out though the next
+// holder of the coordinator lease knows nothing of it.
+test('a late order of a holder that has ended costs no acknowledged commit', async t => {
+  const fleet = await startBusyFleet(t);
+  const {group, store, callers} = fleet;
+  const [primary] = group.databases;
+  store.promotions.mode = 'late';
+  // Executed before the lease of the former holder has ended.
+  store.promotions.lateMs = 1_500;
+  primary.isUnresponsive = true;
+  const ordered = await untilOrdered(fleet);
+  endWithoutRelease(t, fleet, ordered.holder);
+  store.promotions.mode = 'executed';
+  primary.isUnresponsive = false;
+  await restartReplicas(fleet, ordered);
+  await pause(LATE_EFFECT_MS);
+  await untilServed(callers, performance.now());
+  assertNothingLost(t, fleet);
+});
+
+// Guards against a draining primary that is used without a limit in time while
+// a change of primary waits for the log of a replica.
+test('a draining primary gets no statement after 5 s while a replica cannot be reached', async t => {
+  const fleet = await startBusyFleet(t);
+  const [primary, , unreachable] = fleet.group.databases;
+  unreachable.isUnresponsive = true;
+  drain(fleet);
+  const limitMs = performance.now() + DRAIN_LIMIT_MS;
+  await pause(DRAIN_LIMIT_MS + 2_000);
+  const late = primary.receivedAtMs.filter(atMs => atMs > limitMs);
+  t.is(late.length, 0, `${late.length} statements`);
+  t.true(primary.receivedAtMs.length > 0);
+  assertNothingLost(t, fleet);
+});
--- a/test/platform/standin_database.ts
+++ b/test/platform/standin_database.ts
@@ -73,6 +73,15 @@
   /** Statements that it refused as its log is behind. */
   laggingCount = 0;
   executionMs = 1;
+  /** Whether it writes its entry to the store. */
+  reachesStore = true;
+  /** How much later than by `lagMs` a commit of the primary reaches it. */
+  linkDelayMs = 0;
+  /**
+   * When it received callers' single statements and the first ones of
+   * transactions, also those that it refused.
+   */
+  readonly receivedAtMs: number[] = [];
   /** Until when it is cold, by `performance.now()`; set when it starts. */
   coldUntilMs = -Infinity;
   /** When it received the requests that it got while it was cold. */
@@ -210,6 +219,16 @@
     return group;
   }
 
+  /** Adds a running replica with the log of the primary. */
+  async join(zone: string): Promise<StandinDatabase> {
+    const id = `i-${this.service}-${this.databases.length}`;
+    const database = new StandinDatabase(this, id, zone);
+    await database.start();
+    database.log.push(...(this.primary?.log ?? []));
+    this.databases.push(database);
+    return database;
+  }
+
   /** The primary; the last in the list if several databases claim the role. */
   get primary(): StandinDatabase | undefined {
     return this.databases.findLast(database => database.isPrimary);
@@ -220,24 +239,33 @@
   }
 
   /**
-   * Sends a commit to the replicas every `lagMs` until one has it. Never
-   * resolves if `from` stops being primary before that.
+   * Sends a commit to the replicas every `lagMs` until one has it and the links
+   * with a delay have delivered it. Never resolves if `from` stops being primary
+   * before a replica has it.
    */
   replicate(from: StandinDatabase, commit: CommittedChange): Promise<void> {
     return new Promise(resolve => {
+      const startedMs = performance.now();
       const send = (): void => {
         if (!from.isRunning) return;
+        const elapsedMs = performance.now() - startedMs;
         let isReplicated = false;
+        let isOnItsWay = false;
         for (const database of this.databases) {
           if (database === from || database.isPaused || !database.isRunning) {
             continue;
           }
+          if (elapsedMs < database.linkDelayMs) {
+            isOnItsWay = true;
+            continue;
+          }
           const known = database.log.length;
           database.log.push(...from.log.slice(known, commit.offset));
           isReplicated ||= database.log[commit.offset - 1] === commit;
         }
         if (isReplicated) resolve();
-        else if (from.isPrimary) setTimeout(send, this.lagMs);
+        const isDelivered = isReplicated && !isOnItsWay;
+        if (!isDelivered && from.isPrimary) setTimeout(send, this.lagMs);
       };
       setTimeout(send, this.lagMs);
     });
--- a/test/platform/standin_promotions.ts
+++ b/test/platform/standin_promotions.ts
@@ -7,13 +7,11 @@
   executed: 'executed',
   /** Neither executed nor answered. */
   lost: 'lost',
-  /** Executed `LATE_PROMOTION_MS` after arrival, and not answered. */
+  /** Executed `lateMs` after arrival, and not answered. */
   late: 'late',
 } as const;
 export type PromotionMode = (typeof PromotionMode)[keyof typeof PromotionMode];
 
-const LATE_PROMOTION_MS = 3_000;
-
 /** An order; `holder` is the front that it names as sender. */
 export interface ReceivedPromotion {
   readonly service: string;
@@ -25,6 +23,7 @@
 /** Executes orders unless their fencing token is lower than one seen before. */
 export class StandinPromotions {
   mode: PromotionMode = PromotionMode.executed;
+  lateMs = 3_000;
   /** Orders in order of arrival, also refused ones. */
   readonly received: ReceivedPromotion[] = [];
   private highestFencingToken = 0;
@@ -44,7 +43,7 @@
     this.received.push(order);
     if (this.mode === PromotionMode.lost) return;
     if (this.mode === PromotionMode.late)
-      return void setTimeout(() => this.execute(order), LATE_PROMOTION_MS);
+      return void setTimeout(() => this.execute(order), this.lateMs);
     answer(this.execute(order) ? 200 : 409, {});
   }
 
--- a/test/platform/standin_session.ts
+++ b/test/platform/standin_session.ts
@@ -200,6 +200,8 @@
         this.endTransaction();
         return this.sendDone();
       default:
+        if (!this.transaction || this.emptySinceMs !== undefined)
+          this.database.receivedAtMs.push(atMs);
         this.emptySinceMs = undefined;
         this.database.recordRequest(atMs);
         return this.runStatement(requestId, text, word, args);
--- a/test/platform/standin_store.ts
+++ b/test/platform/standin_store.ts
@@ -140,6 +140,7 @@
   registerDatabases(): void {
     for (const group of this.groups) {
       for (const database of group.databases) {
+        if (!database.reachesStore) continue;
         const key = `servers/${database.id}`;
         const value = JSON.stringify(database.registrationEntry());
         const known = this.items.get(key);
