--- a/src/core/takeover.ts
+++ b/src/core/takeover.ts
@@ -1,9 +1,9 @@
 /**
  * Chooses the database to promote in a takeover, that is a change of primary. A
- * commit is acknowledged once the primary and `syncReplicas` replicas hold it.
- * The log of a database that has stopped replicating is final. Enough such logs
+ * commit is acknowledged once the primary and `syncReplicas` replicas hold it,
+ * and none is once the change has begun. Enough logs that are read after that
  * include one with every acknowledged commit, and the longest of them contains
- * all the others.
+ * all the others. So does any log that has reached the end of the primary's.
  */
 import {comparePositions, Position} from './position.js';
 
@@ -37,6 +37,11 @@
   readonly size: number;
   /** Number of replicas that must hold a commit before it is acknowledged. */
   readonly syncReplicas: number;
+  /**
+   * End of the primary's log, read after the last commit was acknowledged;
+   * undefined if the primary has not reported it.
+   */
+  readonly primaryEnd?: Position;
 }
 
 /** The next step of a takeover. */
@@ -58,6 +63,8 @@
 /** Safety rules. The model check weakens each one to show that it is needed. */
 export interface TakeoverRules {
   readonly logsNeeded: (group: TakeoverGroup) => number;
+  /** Whether a log contains every acknowledged commit, whatever others hold. */
+  readonly isComplete: (log: StoppedLog, group: TakeoverGroup) => boolean;
   readonly isBetter: (a: StoppedLog, b: StoppedLog) => boolean;
 }
 
@@ -68,8 +75,15 @@
 const hasLongerLog = (a: StoppedLog, b: StoppedLog): boolean =>
   comparePositions(a.position, b.position) > 0;
 
+const hasReachedPrimaryEnd = (
+  {position}: StoppedLog,
+  {primaryEnd}: TakeoverGroup,
+): boolean =>
+  primaryEnd !== undefined && comparePositions(position, primaryEnd) >= 0;
+
 export const SAFE_TAKEOVER: TakeoverRules = {
   logsNeeded,
+  isComplete: hasReachedPrimaryEnd,
   isBetter: hasLongerLog,
 };
 
@@ -110,11 +124,13 @@
   preference: TakeoverPreference = {},
 ): TakeoverChoice {
   const missing = rules.logsNeeded(group) - logs.length;
-  if (missing > 0) return {kind: 'need_logs', missing};
-  const longest = logs.reduce((best, log) =>
+  const candidates =
+    missing > 0 ? logs.filter(log => rules.isComplete(log, group)) : logs;
+  if (candidates.length === 0) return {kind: 'need_logs', missing};
+  const longest = candidates.reduce((best, log) =>
     rules.isBetter(log, best) ? log : best,
   );
-  const eligible = logs.filter(
+  const eligible = candidates.filter(
     log => !log.leaving && !rules.isBetter(longest, log),
   );
   if (eligible.length === 0) return {kind: 'catch_up'};
--- a/src/core/work.ts
+++ b/src/core/work.ts
@@ -168,6 +168,8 @@
       readonly retryAfterMs?: number;
       /** Whether it was refused because the database is cold. */
       readonly isCold?: boolean;
+      /** Whether it was not sent because the primary is being changed. */
+      readonly isPrimaryChanging?: boolean;
     }
 );
 
@@ -179,5 +181,6 @@
     retryAfterMs?: number;
     waitMs?: number;
     isCold?: boolean;
+    isPrimaryChanging?: boolean;
   } = {},
 ): Reply => ({ok: false, fault, text, state: TransactionState.idle, ...extra});
--- a/src/front/database_worker.ts
+++ b/src/front/database_worker.ts
@@ -9,6 +9,7 @@
 import {Exclusion} from '../core/exclusion.js';
 import {INTERNAL_CUSTOMER} from '../core/front_config.js';
 import {allowsRegion, HOMES_RETRY_DELAY_MS} from '../core/homes.js';
+import {FINISH_COMMITS_MS} from '../core/leader_record.js';
 import {EXPECTED_TAKEOVER_MS} from '../core/leader_wait.js';
 import {Position} from '../core/position.js';
 import {PositionSamples} from '../core/position_samples.js';
@@ -34,8 +35,9 @@
 import {JsonLog} from './json_log.js';
 import {PositionSampler} from './position_sampler.js';
 import {setupStatementCount, setupStatements} from './session_setup.js';
-import {isWaitingInLane, Job, needsPrimary} from './statement_job.js';
+import {isWaitingInLane, Job, needsPrimary, writes} from './statement_job.js';
 import {refusalFields, StatementQueue} from './statement_queue.js';
+import {pause} from './timeout.js';
 import {Lane, TransactionLanes} from './transaction_lanes.js';
 import {DatabaseCodec} from './wire_types.js';
 
@@ -48,6 +50,13 @@
   readonly connectionLimit: () => number;
   /** Whether this VM may currently use the database as primary. */
   readonly canServeAsPrimary: () => boolean;
+  /**
+   * Whether this VM may send commits to the database and acknowledge them; as
+   * `canServeAsPrimary` if absent.
+   */
+  readonly canCommit?: () => boolean;
+  /** Whether no leader record can be missing; always if absent. */
+  readonly isViewReliable?: () => boolean;
   /**
    * Whether nothing may be sent to the databases of a zone, as it is being
    * evacuated. Never, if undefined.
@@ -81,6 +90,7 @@
  */
 const FIRST_CONNECTION_TIMEOUT_MS = 250;
 const CHECK_INTERVAL_MS = 100;
+const FINISH_POLL_MS = 5;
 /** Counters of a worker, shown in its dump under the same names. */
 export interface WorkerCounts {
   /** Connections opened for statements. */
@@ -111,6 +121,8 @@
   private readonly reporter = AnswerReporter.create();
   private readonly coldGate: ColdGate;
   private isClosed = false;
+  /** Until when commits that are under way may still be acknowledged. */
+  private finishUntilMs = -Infinity;
   /** Set while there is work or the connection budget is reduced. */
   private checkTimer: NodeJS.Timeout | undefined;
 
@@ -205,6 +217,39 @@
     }
   }
 
+  /**
+   * Ends everything that may lead to a commit. Commits under way may finish for
+   * a while; what has got no answer by then ends with an unknown outcome.
+   */
+  async stopCommits(): Promise<void> {
+    const isAnswering = !this.health.isSuspect;
+    this.finishUntilMs =
+      performance.now() + (isAnswering ? FINISH_COMMITS_MS : 0);
+    const mayCommit = ({lane, job, isOpening}: Connection): boolean =>
+      !isOpening &&
+      (lane?.hasWritten === true ||
+        (job !== undefined && !job.isFinished && writes(job.work)));
+    const isCommittingOn = ({link, job}: Connection): boolean =>
+      job !== undefined &&
+      !job.isFinished &&
+      link.unansweredSteps > 0 &&
+      isCommitting(kindOf(job.work));
+    const connections = this.connections.all.filter(mayCommit);
+    for (const connection of connections) {
+      if (!isCommittingOn(connection))
+        connection.link.close('primary is being changed');
+    }
+    const committing = connections.filter(isCommittingOn);
+    while (
+      performance.now() < this.finishUntilMs &&
+      committing.some(isCommittingOn)
+    ) {
+      await pause(FINISH_POLL_MS);
+    }
+    for (const connection of committing.filter(isCommittingOn))
+      connection.link.close('primary is being changed');
+  }
+
   update(entry: KnownDatabase): void {
     this.entry = entry;
     this.coldGate.recordEntry();
@@ -497,10 +542,17 @@
       this.connections.release(connection, TransactionState.idle);
       return this.startQueuedJobs();
     }
-    if (needsPrimary(work) && !this.options.canServeAsPrimary()) {
+    const isConfirmed =
+      (!needsPrimary(work) || this.options.canServeAsPrimary()) &&
+      (!writes(work) || this.canCommit);
+    if (!isConfirmed) {
       this.queue.end(job);
       const text = 'database is not confirmed as primary';
-      this.finish(job, faultReply(Fault.unreachable, text));
+      const isPrimaryChanging = writes(work);
+      this.finish(
+        job,
+        faultReply(Fault.unreachable, text, {isPrimaryChanging}),
+      );
       this.connections.release(connection, TransactionState.idle);
       return this.startQueuedJobs();
     }
@@ -670,6 +722,7 @@
                   begun.fault === Fault.lost ? Fault.unreachable : begun.fault,
               },
               {state: TransactionState.idle},
+              writes(job.work) && !this.canCommit,
             ),
       );
       this.connections.release(connection, begun.state);
@@ -700,11 +753,40 @@
     if (job.work.access === Access.write)
       this.sampler.record(job.sentAtMs, answer);
     this.recordCommit(job, answer);
-    this.finish(job, this.replyOf(answer, {state: TransactionState.idle}));
+    const reply = this.acknowledged(job.work, answer);
+    this.finish(job, this.replyOf(reply, {state: TransactionState.idle}));
     this.connections.release(connection, answer.state);
     this.startQueuedJobs();
   }
 
+  private get canCommit(): boolean {
+    const {canCommit, canServeAsPrimary} = this.options;
+    return (canCommit ?? canServeAsPrimary)();
+  }
+
+  /**
+   * Returns the answer to a statement as it may be passed on: a commit must not
+   * be acknowledged once a database may have been chosen that lacks it.
+   */
+  private acknowledged(work: Work, answer: StepAnswer): StepAnswer {
+    const isCommit = answer.ok && isCommitting(kindOf(work));
+    if (!isCommit || this.canCommit) return answer;
+    const {isViewReliable} = this.options;
+    const mayFinish =
+      performance.now() < this.finishUntilMs &&
+      (isViewReliable === undefined || isViewReliable());
+    if (mayFinish) return answer;
+    this.options.log('commit_unconfirmed', {
+      request: work.requestId,
+      transaction: work.transaction,
+      customer: work.customer,
+      database: this.entry.id,
+    });
+    const text = 'primary is being changed';
+    const {position, state} = answer;
+    return {ok: false, fault: Fault.lost, text, position, state};
+  }
+
   private runInLane(job: Job): void {
     const {lane} = this.lanes.find(job);
     if (!lane) {
@@ -716,7 +798,13 @@
     clearTimeout(lane.timer);
     const {link} = lane.connection;
     if (this.isZoneClosed) return this.abortAsEvacuated(job, lane);
-    if (lane.isPrimaryOnly && !this.options.canServeAsPrimary()) {
+    const isWriting =
+      job.work.access === Access.write ||
+      (job.work.access === Access.commit && lane.hasWritten);
+    const isConfirmed =
+      (!lane.isPrimaryOnly || this.options.canServeAsPrimary()) &&
+      (!isWriting || this.canCommit);
+    if (!isConfirmed) {
       link.close('database is not confirmed as primary');
       return this.finish(job, {
         ...faultReply(Fault.aborted, 'database is not confirmed as primary'),
@@ -758,6 +846,7 @@
     const steps = [...encoded.value.steps, encoded.value.statement];
     this.queue.begin(job);
     job.sentAtMs = performance.now();
+    lane.hasWritten ||= job.work.access === Access.write;
     lane.connection.job = job;
     this.runSteps(job, lane.connection, steps, steps.length - 1, answer => {
       this.queue.end(job);
@@ -852,8 +941,11 @@
     }
     const state =
       !isCommit && !hasNotRun ? TransactionState.failed : TransactionState.idle;
+    const confirmed = lane.hasWritten
+      ? this.acknowledged(job.work, answer)
+      : answer;
     const result =
-      isLost && !isCommit ? {...answer, fault: Fault.aborted} : answer;
+      isLost && !isCommit ? {...answer, fault: Fault.aborted} : confirmed;
     this.finish(job, this.replyOf(result as StepAnswer, {state}));
     this.lanes.unpin(lane, answer.ok && isCommit ? 'committed' : 'failed');
     if (!isLost) this.connections.release(lane.connection, answer.state);
@@ -870,6 +962,7 @@
   private replyOf(
     answer: StepAnswer,
     extra: {state: TransactionState; lane?: string},
+    isPrimaryChanging = false,
   ): Reply {
     const waitMs = this.queue.backlogMs;
     return answer.ok
@@ -887,6 +980,7 @@
           text: answer.text,
           position: answer.position,
           waitMs,
+          ...(isPrimaryChanging && {isPrimaryChanging}),
           ...extra,
         };
   }
--- a/src/front/dispatcher.ts
+++ b/src/front/dispatcher.ts
@@ -59,6 +59,16 @@
   readonly secret: () => string;
   /** Whether this front may currently use a database as primary. */
   readonly canServeAsPrimary: (entry: KnownDatabase) => boolean;
+  /**
+   * Whether this front may send commits to a database and acknowledge them; as
+   * `canServeAsPrimary` if absent.
+   */
+  readonly canCommit?: (entry: KnownDatabase) => boolean;
+  /**
+   * Whether no leader record can be missing in this front's view; always if
+   * absent.
+   */
+  readonly isViewReliable?: () => boolean;
   /**
    * Whether the view of the store is recent enough to send requests to a cold
    * database; always if absent.
@@ -251,6 +261,13 @@
         this.options.canServeAsPrimary(
           this.options.directory().get(database) ?? entry,
         ),
+      canCommit: () => {
+        const {canCommit, canServeAsPrimary, directory} = this.options;
+        return (canCommit ?? canServeAsPrimary)(
+          directory().get(database) ?? entry,
+        );
+      },
+      isViewReliable: this.options.isViewReliable,
       isZoneClosed: this.options.isZoneClosed,
       onRefused: reason =>
         this.refusals.set(reason, (this.refusals.get(reason) ?? 0) + 1),
@@ -269,6 +286,20 @@
     }
   }
 
+  /**
+   * Ends what could be committed at a service's databases other than `allowed`;
+   * resolves once no commit there can be acknowledged any more.
+   */
+  async stopCommitsExcept(
+    service: string,
+    allowed: string | undefined,
+  ): Promise<void> {
+    const workers = [...this.workers.values()].filter(
+      ({database}) => database.service === service && database.id !== allowed,
+    );
+    await Promise.all(workers.map(worker => worker.stopCommits()));
+  }
+
   /** Ends the work at all databases whose zones are closed. */
   endWorkInClosedZones(): void {
     for (const worker of this.workers.values()) worker.endWorkIfZoneClosed();
--- a/src/front/front.ts
+++ b/src/front/front.ts
@@ -41,7 +41,7 @@
 import {EvacuationGuard} from './evacuation_guard.js';
 import {CoordinatorLease} from './coordinator_lease.js';
 import {FailingVotes} from './failing_votes.js';
-import {FrontList} from './front_list.js';
+import {frontEntryKey, FrontList} from './front_list.js';
 import {LeaderRecovery} from './leader_recovery.js';
 import {Leadership} from './leadership.js';
 import {FrontMetrics} from './front_metrics.js';
@@ -206,6 +206,9 @@
       directory: () => this.feed.directory,
       dispatcher: this.dispatcher,
       mayLead: entry => this.leadership.mayLead(entry),
+      mayCommit: entry => this.leadership.mayCommit(entry),
+      commitsStoppedAtMs: service =>
+        this.leadership.commitsStoppedAtMs(service),
       random: Math.random,
       isLimitedWhileCold: service => this.isLimitedWhileCold(service),
       exclusionOf: (entry, {homes}) =>
@@ -307,6 +310,16 @@
     return this.frontList.decodeFronts(this.feed.fleetItems$.value);
   }
 
+  /** Reads the fronts from the store; undefined if it does not answer. */
+  private async listFronts(): Promise<readonly string[] | undefined> {
+    const {store, layout} = this.ports;
+    const prefix = frontEntryKey(layout.fleetPrefix, '');
+    const listed = await store.list(prefix);
+    return listed.isOk()
+      ? listed.value.items.map(({key}) => key.slice(prefix.length))
+      : undefined;
+  }
+
   private frontsAtStart(): Fronts {
     return this.frontListAtStart.decodeFronts(this.feed.fleetItemsAtStart);
   }
@@ -341,6 +354,8 @@
       idleTransactionMs: () => this.feed.config?.idleTransactionMs ?? 0,
       secret: () => this.registration.secret,
       canServeAsPrimary: entry => this.leadership.canServeAsPrimary(entry),
+      canCommit: entry => this.leadership.canCommit(entry),
+      isViewReliable: () => this.leadership.isViewReliable,
       isViewFresh: () => this.feed.isFresh,
       warmUpTolerance: settings.warmUpTolerance,
       onRestartSuspected: () => this.coldDatabases.refresh(),
@@ -382,9 +397,14 @@
       coordinatorLease: () => this.coordinatorLease,
       codec: ports.databaseCodec,
       announce: async (vm, record) => {
-        if (vm === settings.vm) return;
-        await this.dispatcher.link(vm)?.call(PeerMethodName.leader, record);
+        if (vm === settings.vm) return this.leadership.receiveRecord(record);
+        const link = this.dispatcher.link(vm);
+        if (!link) throw new Error('front is not known yet');
+        await link.call(PeerMethodName.leader, record);
       },
+      listFronts: () => this.listFronts(),
+      stopCommitsExcept: (service, allowed) =>
+        this.dispatcher.stopCommitsExcept(service, allowed),
       abortPrimaryWorkExcept: (service, leader) =>
         this.dispatcher.abortPrimaryWorkExcept(service, leader),
       log: ports.log,
@@ -480,7 +500,6 @@
   private createLeaderRecovery(): LeaderRecovery {
     const {settings, ports, coordinatorLease, leadership, feed} = this;
     return LeaderRecovery.create({
-      isEnabled: leadership.isEnabled,
       source: feed,
       markKey: `${ports.layout.fleetPrefix}leaders-era`,
       isFirstStart: settings.isFirstStart,
@@ -607,8 +626,8 @@
     const {dispatcher} = this;
     return {
       [PeerMethodName.ping]: () => true,
-      [PeerMethodName.leader]: params => {
-        this.leadership.receiveRecord(decodeAnnouncedRecord(params));
+      [PeerMethodName.leader]: async params => {
+        await this.leadership.receiveRecord(decodeAnnouncedRecord(params));
         return true;
       },
       [PeerMethodName.run]: (params, from): Promise<Reply> =>
@@ -771,6 +790,7 @@
       duty_held: this.coordinatorLease.isHeld ? 1 : 0,
       databases_cold: this.coldDatabases.count,
       services_maybe_paused: this.takeoverRunner.pendingResumeCount,
+      services_commits_stopped: this.leadership.stoppedCount,
       config_version: this.feed.config?.version ?? 0,
       zones_evacuating: this.feed.evacuations.size,
       primaries_in_evacuated_zones: this.primariesInEvacuatedZones,
--- a/src/front/leader_recovery.ts
+++ b/src/front/leader_recovery.ts
@@ -13,8 +13,6 @@
 import {DatabaseReport} from './wire_types.js';
 
 export interface LeaderRecoveryOptions {
-  /** Whether leader records are used at all. */
-  readonly isEnabled: boolean;
   readonly source: EraSource;
   /** Key of the mark. */
   readonly markKey: string;
@@ -92,8 +90,7 @@
 
   /** Whether this front knows every record that a promotion relied on. */
   get isComplete(): boolean {
-    const {isEnabled, source} = this.options;
-    if (!isEnabled) return true;
+    const {source} = this.options;
     if (source.eraSeenAtMs === undefined) return false;
     if (source.era === 0 || this.isMarked) this.hasAllRecords = true;
     return this.hasAllRecords;
@@ -117,8 +114,8 @@
   }
 
   private async run(): Promise<void> {
-    const {isEnabled, source, isLeaseHeld, markKey, write} = this.options;
-    const isDue = isEnabled && source.era > 0 && isLeaseHeld();
+    const {source, isLeaseHeld, markKey, write} = this.options;
+    const isDue = source.era > 0 && isLeaseHeld();
     const {era} = source;
     if (!isDue || this.isRunning || this.isMarked || this.markedEra === era) {
       return;
@@ -154,8 +151,9 @@
     if (!record || storedRecord(service)?.revision === record.revision) {
       return true;
     }
-    const {database, settled} = record;
-    return (await writeRecord({service, database, settled})) !== undefined;
+    const {database, settled, commits} = record;
+    const written = await writeRecord({service, database, settled, commits});
+    return written !== undefined;
   }
 
   /** Writes the record that the terms of the databases imply. */
--- a/src/front/leadership.ts
+++ b/src/front/leadership.ts
@@ -1,16 +1,23 @@
 /**
- * Decides which database may be the primary of each service, where the platform
- * does not fence a former primary. Combines the leader records in the store
- * with those announced by the holder of the coordinator lease. The holder also
- * uses it to make sure that no front uses the former primary any more.
+ * Decides at which database of each service this front may acknowledge commits,
+ * and, where the platform does not fence a former primary, which database it may
+ * use as primary at all. Combines the leader records in the store with those
+ * announced by the holder of the coordinator lease. The holder also uses it to
+ * make sure that no front acts by an older record any more.
  */
 import {KnownDatabase} from '../core/directory.js';
 import {Fronts} from '../core/fronts.js';
 import {
+  CommitRule,
+  mayCommit,
   mayLead,
   decodeLeaderRecord,
   encodeLeaderRecord,
+  FINISH_COMMITS_MS,
+  hasStoppedCommits,
   isFormerPrimaryRetired,
+  orderRecord,
+  stoppedRecord,
   StoredLeaderRecord,
   newerLeaderRecord,
   LeaderRecord,
@@ -25,7 +32,8 @@
 
 export interface LeadershipOptions {
   /**
-   * Whether the platform fences a former primary; if so, no records are needed.
+   * Whether the platform fences: a former primary denies its lead, and an order
+   * with an outdated fencing token is refused.
    */
   readonly isFenced: boolean;
   readonly prefix: string;
@@ -33,6 +41,8 @@
   /** Revision up to which this front's view of the store is complete. */
   readonly knownRevision: () => number;
   readonly fronts: () => Fronts;
+  /** Reads the VMs of the fronts that are registered in the store now. */
+  readonly listFronts: () => Promise<readonly string[] | undefined>;
   /**
    * Whether this front's view of the store is fresh and the front is still
    * registered.
@@ -54,6 +64,15 @@
    * Ends the work in progress at databases of a service other than its leader.
    */
   readonly abortPrimaryWorkExcept: (service: string, leader: string) => void;
+  /**
+   * Ends what could be committed at databases of a service other than `allowed`,
+   * all of them if undefined. Resolves once no commit there can be acknowledged;
+   * those under way get up to `FINISH_COMMITS_MS`.
+   */
+  readonly stopCommitsExcept: (
+    service: string,
+    allowed: string | undefined,
+  ) => Promise<void>;
   readonly log: JsonLog;
   /** Steady clock in milliseconds; `performance.now` by default. */
   readonly nowMs?: () => number;
@@ -63,9 +82,33 @@
 const POLL_INTERVAL_MS = 20;
 /** How long this front's view may take to reach the revision of a record. */
 const VIEW_TIMEOUT_MS = 1_500;
+/** As `VIEW_TIMEOUT_MS`, where the fronts can be read from the store instead. */
+const VIEW_WAIT_MS = 250;
 /** How far the clocks of two VMs may drift apart while a view ages. */
 const CLOCK_DRIFT_MS = 150;
 
+/** The former primary, and the term at which it is ordered to step down. */
+export interface StepDown {
+  readonly former: KnownDatabase;
+  readonly term: number;
+}
+
+/** What `awaitObedience` waits for. */
+interface ObedienceWait {
+  /** Fronts that must acknowledge the record. */
+  readonly vms: readonly string[];
+  /** Those that have. */
+  readonly told: Set<string>;
+  /** When the record was written, on the steady clock. */
+  readonly writtenMs: number;
+  /**
+   * The only database at which an older record may have permitted commits. It
+   * is ordered to step down if a front has not answered at first.
+   */
+  readonly stepDown: StepDown | undefined;
+  readonly isCancelled: () => boolean;
+}
+
 /**
  * The leader records that this front knows: each names the database that may be
  * the primary of a service.
@@ -79,6 +122,14 @@
   /** Records in this front's view of the store. */
   private readonly stored = new Map<string, StoredLeaderRecord>();
   private lastItems: ReadonlyMap<string, StoredItem> | undefined;
+  /** Resolve once this front has stopped commits as a record says, by service. */
+  private readonly stopping = new Map<string, Promise<void>>();
+  /** When this front learned that commits are stopped, by service. */
+  private readonly stoppedAtMs = new Map<string, number>();
+  /** Revision of the record that every front obeys, by service. */
+  private readonly obeyed = new Map<string, number>();
+  /** This front's last write of each record, and when it was answered. */
+  private readonly writes = new Map<string, {revision: number; atMs: number}>();
 
   private readonly nowMs: () => number;
 
@@ -90,16 +141,18 @@
     return new Leadership(options);
   }
 
-  /** Whether leader records are used at all. */
-  get isEnabled(): boolean {
-    return !this.options.isFenced;
+  /** Whether the platform fences a former primary and outdated orders. */
+  get isFenced(): boolean {
+    return this.options.isFenced;
   }
 
-  /**
-   * Newest record of a service; undefined if there is none or none is needed.
-   */
+  /** Number of services whose commits are stopped. */
+  get stoppedCount(): number {
+    return this.stoppedAtMs.size;
+  }
+
+  /** Newest record of a service; undefined if there is none. */
   latestRecord(service: string): StoredLeaderRecord | undefined {
-    if (!this.isEnabled) return undefined;
     this.decodeChanged();
     return newerLeaderRecord(
       this.received.get(service),
@@ -107,21 +160,47 @@
     );
   }
 
-  /** Whether the records allow a database to be the leader of its service. */
+  /**
+   * Whether a database may be the leader of its service. Where the platform
+   * fences, any that claims it: a former one runs nothing that needs the lead.
+   */
   mayLead({service, id}: KnownDatabase): boolean {
-    return mayLead(this.latestRecord(service), id);
+    return this.isFenced || mayLead(this.latestRecord(service), id);
   }
 
   /**
-   * Whether this front may use a database as primary now. Without fencing, that
-   * also requires a fresh view, a valid registration and all records.
+   * Whether this front may read at a database as primary now. Without fencing,
+   * that requires a fresh view, a valid registration and all records.
    */
   canServeAsPrimary(entry: KnownDatabase): boolean {
-    if (!this.isEnabled) return true;
+    return this.isFenced || (this.isViewReliable && this.mayLead(entry));
+  }
+
+  /**
+   * Whether this front may send commits to a database now, and acknowledge those
+   * that the database has answered.
+   */
+  canCommit(entry: KnownDatabase): boolean {
+    return this.isViewReliable && this.mayCommit(entry);
+  }
+
+  /** Whether the records permit commits at a database. */
+  mayCommit({service, id}: KnownDatabase): boolean {
+    return mayCommit(this.latestRecord(service), id);
+  }
+
+  /** When this front learned that commits of a service are stopped, if they are. */
+  commitsStoppedAtMs(service: string): number | undefined {
+    return this.stoppedAtMs.get(service);
+  }
+
+  /**
+   * Whether no record that holds can be missing in this front's view, and the
+   * holder of the lease knows this front.
+   */
+  get isViewReliable(): boolean {
     const {isFreshAndRegistered, areRecordsComplete} = this.options;
-    return (
-      isFreshAndRegistered() && areRecordsComplete() && this.mayLead(entry)
-    );
+    return isFreshAndRegistered() && areRecordsComplete();
   }
 
   /** Record of a service in the store, as this front's view shows it. */
@@ -135,23 +214,35 @@
 
   /**
    * Applies a record that the holder of the coordinator lease has announced,
-   * unless a newer one is known.
+   * unless a newer one is known. Resolves once this front acknowledges no commit
+   * that the newest record does not permit.
    */
-  receiveRecord(record: StoredLeaderRecord): void {
-    const known = this.latestRecord(record.service);
-    const newer = newerLeaderRecord(known, record);
-    if (newer !== record) return;
-    this.received.set(record.service, record);
-    this.options.log('leader_record_heard', {...record});
-    this.options.abortPrimaryWorkExcept(record.service, record.database);
+  async receiveRecord(record: StoredLeaderRecord): Promise<void> {
+    const {service} = record;
+    const known = this.latestRecord(service);
+    if (newerLeaderRecord(known, record) === record) {
+      this.received.set(service, record);
+      this.options.log('leader_record_heard', {...record});
+      this.obey(record);
+    }
+    await this.stopping.get(service);
   }
 
   /** Applies the records that are new in the view of the store. */
   applyStoredRecords(): void {
-    if (!this.isEnabled) return;
-    for (const record of this.decodeChanged()) {
-      this.options.abortPrimaryWorkExcept(record.service, record.database);
-    }
+    for (const record of this.decodeChanged()) this.obey(record);
+  }
+
+  private obey(record: StoredLeaderRecord): void {
+    const {service, database} = record;
+    const {stopCommitsExcept, abortPrimaryWorkExcept} = this.options;
+    const isStopped = hasStoppedCommits(record);
+    if (!isStopped) this.stoppedAtMs.delete(service);
+    else if (!this.stoppedAtMs.has(service))
+      this.stoppedAtMs.set(service, this.nowMs());
+    if (!this.isFenced) abortPrimaryWorkExcept(service, database);
+    const allowed = isStopped ? undefined : database;
+    this.stopping.set(service, stopCommitsExcept(service, allowed));
   }
 
   /**
@@ -163,17 +254,114 @@
   ): Promise<StoredLeaderRecord | undefined> {
     const {prefix, coordinatorLease, era, log} = this.options;
     const key = `${prefix}leaders/${record.service}`;
-    const revision = await coordinatorLease().write(
-      key,
-      encodeLeaderRecord(record, era()),
-    );
+    const text = encodeLeaderRecord(record, era());
+    const revision = await coordinatorLease().write(key, text);
     if (revision === undefined) return undefined;
+    this.writes.set(record.service, {revision, atMs: this.nowMs()});
     const written = {...record, revision};
     log('leader_record_written', {...written});
-    this.receiveRecord(written);
+    void this.receiveRecord(written);
+    return written;
+  }
+
+  /**
+   * Makes sure that no front acknowledges a commit of a service any more, until
+   * another record permits it. Resolves to false if the coordinator lease is
+   * lost, the fronts are not known, or `isCancelled` returns true meanwhile.
+   */
+  async stopCommits(
+    service: string,
+    leader: string | undefined,
+    stepDown: StepDown | undefined,
+    isCancelled: () => boolean,
+  ): Promise<boolean> {
+    const known = this.latestRecord(service);
+    const isStopped = known !== undefined && hasStoppedCommits(known);
+    if (isStopped && this.obeyed.get(service) === known.revision) return true;
+    const record = isStopped
+      ? known
+      : await this.writeRecord(stoppedRecord(known, service, leader ?? ''));
+    if (!record) return false;
+    const write = this.writes.get(service);
+    const isOwn = write?.revision === record.revision;
+    const writtenMs = isOwn ? write.atMs : this.nowMs();
+    const told = new Set<string>();
+    const [vms] = await Promise.all([
+      this.frontsAsOf(record.revision),
+      this.announce(record, [...this.options.fronts().keys()], told),
+    ]);
+    if (!vms) return false;
+    const isOnlyAtFormer =
+      known === undefined || known.database === stepDown?.former.id;
+    const done = await this.awaitObedience(record, {
+      vms,
+      told,
+      writtenMs,
+      stepDown: isOnlyAtFormer ? stepDown : undefined,
+      isCancelled,
+    });
+    if (done && this.latestRecord(service)?.revision === record.revision)
+      this.obeyed.set(service, record.revision);
+    return done;
+  }
+
+  /**
+   * Writes the record of an order to promote a database, and tells the fronts.
+   * Resolves to undefined if the coordinator lease is lost before.
+   */
+  async recordOrder(
+    service: string,
+    database: string,
+  ): Promise<StoredLeaderRecord | undefined> {
+    const record = orderRecord(this.latestRecord(service), service, database);
+    return this.writeAndAnnounce(record);
+  }
+
+  /**
+   * Writes the record of an order that confirms the present primary, since
+   * another order may be executed. It takes commits once that is settled.
+   */
+  async recordConfirmation(
+    service: string,
+    database: string,
+  ): Promise<StoredLeaderRecord | undefined> {
+    const commits = CommitRule.contested;
+    return this.writeAndAnnounce({service, database, settled: false, commits});
+  }
+
+  /** Writes that no order is in flight and the database may take commits. */
+  recordSettled(
+    service: string,
+    database: string,
+  ): Promise<StoredLeaderRecord | undefined> {
+    return this.writeAndAnnounce({service, database, settled: true});
+  }
+
+  private async writeAndAnnounce(
+    record: LeaderRecord,
+  ): Promise<StoredLeaderRecord | undefined> {
+    const written = await this.writeRecord(record);
+    if (!written) return undefined;
+    // The fronts that miss it read it from the store.
+    void this.announce(written, [...this.options.fronts().keys()], new Set());
     return written;
   }
 
+  /**
+   * Returns the fronts that were registered at a revision; undefined if the
+   * store does not answer. Waits for the view, which shows new databases too.
+   */
+  private async frontsAsOf(
+    revision: number,
+  ): Promise<readonly string[] | undefined> {
+    const {fronts, listFronts} = this.options;
+    const isInView = await this.awaitView(revision, VIEW_WAIT_MS);
+    const known = [...fronts().keys()];
+    if (isInView) return known;
+    const listed = await listFronts();
+    return listed && [...new Set([...known, ...listed])];
+  }
+
   /**
    * Makes a database the only one that fronts accept as leader of a service.
    * Resolves to true once no front can use another one as primary, and to false
@@ -192,16 +380,25 @@
       : await this.writeRecord({service, database, settled: false});
     if (!record) return false;
     const writtenMs = this.nowMs();
-    if (!(await this.awaitView(record.revision))) return false;
-    return this.retireFormer(record, former, term, writtenMs);
+    if (!(await this.awaitView(record.revision, VIEW_TIMEOUT_MS))) return false;
+    return this.awaitObedience(record, {
+      vms: [...this.options.fronts().keys()],
+      told: new Set(),
+      writtenMs,
+      stepDown: former && {former, term},
+      isCancelled: () => false,
+    });
   }
 
   /**
    * Waits until this front's view includes all fronts registered at a revision.
    */
-  private async awaitView(revision: number): Promise<boolean> {
+  private async awaitView(
+    revision: number,
+    timeoutMs: number,
+  ): Promise<boolean> {
     const {knownRevision, coordinatorLease} = this.options;
-    const untilMs = this.nowMs() + VIEW_TIMEOUT_MS;
+    const untilMs = this.nowMs() + timeoutMs;
     while (knownRevision() < revision) {
       if (this.nowMs() > untilMs || !coordinatorLease().isHeld) return false;
       await pause(POLL_INTERVAL_MS);
@@ -210,83 +407,108 @@
   }
 
   /**
-   * Waits until no front can use the former primary any more: it has stepped
-   * down, every front has acknowledged the record, or the views of the others
-   * have expired.
+   * Waits until no front can act by an older record any more: the former primary
+   * has stepped down, every front has acknowledged the record, or the views of
+   * the others have expired.
    */
-  private async retireFormer(
+  private async awaitObedience(
     record: StoredLeaderRecord,
-    former: KnownDatabase | undefined,
-    term: number,
-    writtenMs: number,
+    wait: ObedienceWait,
   ): Promise<boolean> {
-    const {coordinatorLease, fronts, log, maxConfigAgeMs, codec} = this.options;
+    const {coordinatorLease, log, maxConfigAgeMs} = this.options;
+    const {vms, told, stepDown} = wait;
     const startedMs = this.nowMs();
-    const unanswered = new Set(fronts().keys());
+    let isOrdered = false;
     let confirmedByDatabase = false;
-    if (former) {
-      const order = {kind: 'step_down', term} as const;
-      void runControlStatement(former, codec, order).then(report => {
-        confirmedByDatabase = report?.isLeader === false;
-      });
-    }
     for (;;) {
-      await Promise.race([
-        Promise.all(
-          [...unanswered].map(vm => this.announceTo(vm, record, unanswered)),
-        ),
-        pause(ANNOUNCE_TIMEOUT_MS),
-      ]);
-      const sinceWrittenMs = this.nowMs() - writtenMs;
+      const unanswered = vms.filter(vm => !told.has(vm));
       const done = isFormerPrimaryRetired({
         confirmedByDatabase,
-        unanswered: unanswered.size,
-        sinceWrittenMs,
-        maxConfigAgeMs: maxConfigAgeMs + CLOCK_DRIFT_MS,
+        unanswered: unanswered.length,
+        sinceWrittenMs: this.nowMs() - wait.writtenMs,
+        maxConfigAgeMs: maxConfigAgeMs + CLOCK_DRIFT_MS + FINISH_COMMITS_MS,
       });
-      if (done || !coordinatorLease().isHeld) {
+      if (done || wait.isCancelled() || !coordinatorLease().isHeld) {
         log('leader_retired', {
           service: record.service,
+          commits: record.commits,
           done,
           confirmedByDatabase,
-          unanswered: [...unanswered],
+          fronts: vms.length,
+          unanswered,
           tookMs: Math.round(this.nowMs() - startedMs),
         });
         const isRetired = done && coordinatorLease().isHeld;
-        return unanswered.size === 0 || confirmedByDatabase || !isRetired
+        return unanswered.length === 0 || confirmedByDatabase || !isRetired
           ? isRetired
           : this.isEraUnchanged(record);
       }
-      await pause(POLL_INTERVAL_MS);
+      if (stepDown && !isOrdered) {
+        isOrdered = true;
+        void this.stepDown(stepDown).then(isConfirmed => {
+          confirmedByDatabase = isConfirmed;
+        });
+      }
+      await this.announce(record, unanswered, told);
+      if (unanswered.some(vm => !told.has(vm))) await pause(POLL_INTERVAL_MS);
     }
   }
 
+  /** Resolves to whether a database has confirmed that it does not lead. */
+  private async stepDown({former, term}: StepDown): Promise<boolean> {
+    const order = {kind: 'step_down', term} as const;
+    const {codec} = this.options;
+    const report = await runControlStatement(former, codec, order);
+    return report?.isLeader === false;
+  }
+
   /**
    * Resolves to whether the store was not restored until now, by writing the
    * record again. After a restore, a front that has not answered may have a
    * fresh view without the record.
    */
   private async isEraUnchanged(record: StoredLeaderRecord): Promise<boolean> {
-    const {service, database, settled} = record;
-    const written = await this.writeRecord({service, database, settled});
+    const {service, database, settled, commits} = record;
+    const written = await this.writeRecord({
+      service,
+      database,
+      settled,
+      commits,
+    });
+    if (written) this.obeyed.set(service, written.revision);
     return (
       written !== undefined &&
       eraOf(written.revision) === eraOf(record.revision)
     );
   }
 
+  /**
+   * Sends a record to fronts and adds to `told` those that obey it, or have
+   * ended. Resolves when all have answered, or after a while.
+   */
+  private async announce(
+    record: StoredLeaderRecord,
+    vms: readonly string[],
+    told: Set<string>,
+  ): Promise<void> {
+    await Promise.race([
+      Promise.all(vms.map(vm => this.announceTo(vm, record, told))),
+      pause(ANNOUNCE_TIMEOUT_MS),
+    ]);
+  }
+
   private async announceTo(
     vm: string,
     record: StoredLeaderRecord,
-    unanswered: Set<string>,
+    told: Set<string>,
   ): Promise<void> {
     try {
       await this.options.announce(vm, record);
-      unanswered.delete(vm);
+      told.add(vm);
     } catch (error) {
       const text = (error as Error).message;
       // Nothing listens there: the process has ended and uses no primary.
-      if (text.includes('ECONNREFUSED')) unanswered.delete(vm);
+      if (text.includes('ECONNREFUSED')) told.add(vm);
       this.options.log('leader_record_untold', {peer: vm, text});
     }
   }
--- a/src/front/peer_messages.ts
+++ b/src/front/peer_messages.ts
@@ -14,7 +14,7 @@
 } from '../core/fields.js';
 import {LoadReport} from '../core/load/database_reports.js';
 import {FailingVote} from '../core/load/failing_primary.js';
-import {StoredLeaderRecord} from '../core/leader_record.js';
+import {isCommitRule, StoredLeaderRecord} from '../core/leader_record.js';
 import {Position} from '../core/position.js';
 import {SampleByAge} from '../core/position_samples.js';
 import {LentInterval} from '../core/rates.js';
@@ -126,7 +126,8 @@
     isFault(value.fault) &&
     isText(value.text) &&
     isOptional(value.retryAfterMs, isTimeMs) &&
-    isOptional(value.isCold, isBoolean)
+    isOptional(value.isCold, isBoolean) &&
+    isOptional(value.isPrimaryChanging, isBoolean)
   );
 };
 
@@ -245,6 +246,7 @@
     isText(value.service) &&
     isText(value.database) &&
     isBoolean(value.settled) &&
+    isOptional(value.commits, isCommitRule) &&
     isCount(value.revision),
 );
 
--- /dev/null
+++ b/src/front/primary_change_runner.ts
@@ -0,0 +1,468 @@
+/**
+ * Carries out one attempt to change the primary of a service; the state machine
+ * of `core/primary_change.ts` says what comes next.
+ */
+import {KnownDatabase} from '../core/directory.js';
+import {FrontService} from '../core/front_config.js';
+import {CommitRule, isPromotionAllowed} from '../core/leader_record.js';
+import {
+  beginChange,
+  ChangeEffect,
+  ChangeEvent,
+  ChangePhase,
+  PrimaryChange,
+  stepChange,
+} from '../core/primary_change.js';
+import {
+  chooseTakeover,
+  hasStopped,
+  SAFE_TAKEOVER,
+  StoppedLog,
+  TakeoverChoice,
+  TakeoverGroup,
+} from '../core/takeover.js';
+import {reportsLead, runControlStatement} from './control_link.js';
+import {CoordinatorLease} from './coordinator_lease.js';
+import {JsonLog} from './json_log.js';
+import {Leadership} from './leadership.js';
+import {PrimaryEvacuation} from './primary_evacuation.js';
+import {Promote} from './promoter.js';
+import {pauseReplicas, ReplicaReport} from './replica_pause.js';
+import {PROMOTION_DELAY_MS, ReplicaResumer} from './replica_resumer.js';
+import type {TakeoverReason} from './takeover_runner.js';
+import {pause} from './timeout.js';
+import {UnconfirmedOrders} from './unconfirmed_orders.js';
+import {DatabaseCodec} from './wire_types.js';
+
+export interface PrimaryChangeOptions {
+  readonly self: string;
+  readonly coordinatorLease: CoordinatorLease;
+  readonly codec: DatabaseCodec;
+  readonly promote: Promote;
+  readonly leadership: Leadership;
+  readonly orders: UnconfirmedOrders;
+  readonly resumer: ReplicaResumer;
+  readonly evacuation: PrimaryEvacuation;
+  readonly serviceOf: (name: string) => FrontService | undefined;
+  readonly leaderOf: (service: string) => KnownDatabase | undefined;
+  /** Databases of a service other than `leader`. */
+  readonly replicasOf: (service: string, leader?: string) => KnownDatabase[];
+  /** Number of a service's routes that a primary may serve by their homes. */
+  readonly allowedRoutes: (primary: KnownDatabase) => number;
+  /** Whether the homes of a service's routes have not changed lately. */
+  readonly areHomesSettled: (service: string) => boolean;
+  /** Whether no order of an earlier holder may still be executed. */
+  readonly areOrdersSettled: (service: string) => boolean;
+  /** Highest term that a reply has reported; 0 when there is none. */
+  readonly termOf: (service: string) => number;
+  /** Whether what was begun for a service may go on in this tenure. */
+  readonly isTenureOf: (service: string) => boolean;
+  /** Whether an order for another database may still be executed. */
+  readonly isOrderInDoubt: (
+    service: string,
+    leader: KnownDatabase | undefined,
+  ) => boolean;
+  /** Records that the platform has answered an order with the highest token. */
+  readonly recordAnswer: (service: string) => void;
+  /** Resolves to whether the reason to replace a primary still holds. */
+  readonly isReplaceable: (
+    leader: KnownDatabase,
+    reason: TakeoverReason,
+  ) => Promise<boolean>;
+  readonly log: JsonLog;
+}
+
+/** How long an executed promotion may take to appear in the directory. */
+const PROMOTION_TIMEOUT_MS = 4_000;
+const ROUND_PAUSE_MS = 120;
+/**
+ * Maximum duration of an attempt in which no database is promoted. When it has
+ * passed, the change is undone; the next check starts a new attempt.
+ */
+const ATTEMPT_TIMEOUT_MS = 2_500;
+/** How often the wait for fronts that do not answer checks the primary. */
+const RECHECK_INTERVAL_MS = 500;
+
+interface Attempt {
+  readonly service: string;
+  readonly leader: KnownDatabase | undefined;
+  readonly reason: TakeoverReason;
+  readonly untilMs: number;
+}
+
+/** Databases whose logs were asked for, and what they reported. */
+interface ReadLogs {
+  readonly term: number;
+  readonly logs: readonly StoppedLog[];
+  readonly group: TakeoverGroup;
+  readonly leading: readonly ReplicaReport[];
+}
+
+export class PrimaryChangeRunner {
+  private constructor(private readonly options: PrimaryChangeOptions) {}
+
+  static create(options: PrimaryChangeOptions): PrimaryChangeRunner {
+    return new PrimaryChangeRunner(options);
+  }
+
+  /** Resolves to whether the service has a new primary. */
+  async run(
+    service: string,
+    leader: KnownDatabase | undefined,
+    reason: TakeoverReason,
+  ): Promise<boolean> {
+    const {isTenureOf, isOrderInDoubt, resumer} = this.options;
+    const untilMs = performance.now() + ATTEMPT_TIMEOUT_MS;
+    const attempt = {service, leader, reason, untilMs};
+    let {change, effect} = beginChange(leader?.id);
+    while (effect) {
+      const carriedOut: ChangeEvent = isTenureOf(service)
+        ? await this.carryOut(attempt, effect)
+        : {type: 'leaseLost'};
+      const event: ChangeEvent = isTenureOf(service)
+        ? carriedOut
+        : {type: 'leaseLost'};
+      const facts = {
+        isLate: performance.now() > untilMs,
+        isOrderInDoubt: isOrderInDoubt(service, leader),
+      };
+      ({change, effect} = stepChange(change, event, facts));
+      this.logPhase(attempt, change, event);
+      if (event.type === 'leaseLost')
+        resumer.logWithheld(service, 'lease lost');
+    }
+    return change.isDone;
+  }
+
+  private logPhase(
+    {service}: Attempt,
+    {phase, isDone}: PrimaryChange,
+    {type}: ChangeEvent,
+  ): void {
+    const done = phase === ChangePhase.ended ? isDone : undefined;
+    this.options.log('primary_change', {service, phase, after: type, done});
+  }
+
+  private async carryOut(
+    attempt: Attempt,
+    effect: ChangeEffect,
+  ): Promise<ChangeEvent> {
+    const {service, leader} = attempt;
+    switch (effect.type) {
+      case 'stopCommits': {
+        const isStopped = await this.stopCommits(attempt);
+        return {type: 'commitsStopped', isStopped};
+      }
+      case 'readLogs': {
+        const {choice, isPrimaryEndKnown} = await this.chooseDatabase(attempt);
+        const isMoot = this.isMoot(attempt);
+        return {type: 'logsRead', choice, isMoot, isPrimaryEndKnown};
+      }
+      case 'order': {
+        const {database} = effect;
+        const isAccepted = await this.order(attempt, database);
+        return {type: 'ordered', isAccepted, database};
+      }
+      case 'awaitLead': {
+        const isSeen = await this.awaitLead(attempt, effect.database);
+        return {type: 'leadAwaited', isSeen};
+      }
+      case 'resumeReplicas':
+        await this.options.resumer.sendResume(service, leader?.id);
+        return {type: 'replicasResumed'};
+      case 'checkFormer': {
+        const hasRecovered =
+          leader !== undefined &&
+          !(await this.options.isReplaceable(leader, attempt.reason));
+        await pause(ROUND_PAUSE_MS);
+        const current = this.options.leaderOf(service)?.id;
+        return {type: 'formerChecked', leader: current, hasRecovered};
+      }
+      case 'restore': {
+        const current = this.options.leaderOf(service);
+        const restored = current?.id === effect.database ? current : leader;
+        await this.options.resumer.resume(service, restored);
+        return {type: 'restored'};
+      }
+    }
+  }
+
+  /**
+   * Resolves to whether no front can acknowledge a commit any more. While fronts
+   * that do not answer are waited for, the former primary may recover.
+   */
+  private async stopCommits({
+    service,
+    leader,
+    reason,
+  }: Attempt): Promise<boolean> {
+    const {leadership, isTenureOf, isReplaceable, isOrderInDoubt} =
+      this.options;
+    let isCancelled = false;
+    const recheck = async (): Promise<void> => {
+      if (!leader || isOrderInDoubt(service, leader)) return;
+      if (!(await isReplaceable(leader, reason))) isCancelled = true;
+    };
+    const timer = setInterval(() => void recheck(), RECHECK_INTERVAL_MS);
+    try {
+      const term = await this.nextTerm(service);
+      return await leadership.stopCommits(
+        service,
+        leader?.id,
+        leader && {former: leader, term},
+        () => isCancelled || !isTenureOf(service),
+      );
+    } finally {
+      clearInterval(timer);
+    }
+  }
+
+  /**
+   * Whether the evacuation that an attempt was begun for has ended, and nothing
+   * was ordered that could still be executed: the change is undone then.
+   */
+  private isMoot({service, leader, reason}: Attempt): boolean {
+    const {orders, isOrderInDoubt, evacuation} = this.options;
+    if (reason !== 'evacuated' || !leader) return false;
+    const isOrdered =
+      isOrderInDoubt(service, leader) ||
+      !isPromotionAllowed(orders.orderOf(service), leader.id);
+    return !isOrdered && !evacuation.isEvacuating(leader);
+  }
+
+  /**
+   * Whether a database in an evacuated zone may be promoted, rather than wait
+   * for one outside to catch up. That takes a primary that sends its log.
+   */
+  private mayPromoteEvacuated({service, leader, reason}: Attempt): boolean {
+    const {evacuation, isOrderInDoubt} = this.options;
+    if (!leader || isOrderInDoubt(service, leader)) return true;
+    if (reason === 'evacuated') return false;
+    return reason !== 'leaving' || !evacuation.hasOutside(service, leader);
+  }
+
+  /** Chooses a database among the logs of those that answer. */
+  private async chooseDatabase(
+    attempt: Attempt,
+  ): Promise<{choice: TakeoverChoice; isPrimaryEndKnown: boolean}> {
+    const {service, leader} = attempt;
+    const {log} = this.options;
+    const {term, logs, group, leading} = await this.readLogs(attempt);
+    if (leading.length > 0) {
+      const names = leading.map(({entry}) => entry.id);
+      log('takeover_superseded', {service, leading: names});
+      await Promise.all(leading.map(({entry}) => this.stepDown(entry, term)));
+      const choice = {kind: 'need_logs', missing: group.size - 1} as const;
+      return {choice, isPrimaryEndKnown: false};
+    }
+    let choice = this.choose(attempt, group, logs);
+    let primaryEnd: TakeoverGroup['primaryEnd'];
+    if (choice.kind === 'need_logs' && leader) {
+      primaryEnd = await this.primaryEnd(leader);
+      choice = this.choose(attempt, {...group, primaryEnd}, logs);
+    }
+    log('takeover_choice', {
+      service,
+      term,
+      size: group.size,
+      primaryEnd: primaryEnd && `${primaryEnd.term}.${primaryEnd.offset}`,
+      logs: logs.map(
+        stopped =>
+          `${stopped.database}=${stopped.position.term}.${stopped.position.offset}`,
+      ),
+      choice,
+    });
+    return {choice, isPrimaryEndKnown: primaryEnd !== undefined};
+  }
+
+  private choose(
+    attempt: Attempt,
+    group: TakeoverGroup,
+    logs: readonly StoppedLog[],
+  ): TakeoverChoice {
+    const {service} = attempt;
+    const {orders, areHomesSettled, areOrdersSettled} = this.options;
+    return chooseTakeover(group, logs, SAFE_TAKEOVER, {
+      ordered: orders.orderOf(service)?.database,
+      mayPromoteEvacuated: this.mayPromoteEvacuated(attempt),
+      areHomesSettled: areHomesSettled(service),
+      areEvacuationsSettled: areOrdersSettled(service),
+    });
+  }
+
+  /** Pauses all replicas at the next term; those that answer report their logs. */
+  private async readLogs({service, leader}: Attempt): Promise<ReadLogs> {
+    const {codec, log, isTenureOf, serviceOf} = this.options;
+    const replicas = this.options.replicasOf(service, leader?.id);
+    const expectedTerm = await this.nextTerm(service, replicas);
+    const paused = await pauseReplicas(replicas, expectedTerm, codec, () =>
+      isTenureOf(service),
+    );
+    const {term, reports} = paused;
+    if (term > expectedTerm)
+      log('takeover_term_outdated', {service, term, expectedTerm});
+    const logs = reports
+      .filter(({report}) => hasStopped(report, term))
+      .map(({entry, report: {position}}) => ({
+        database: entry.id,
+        position,
+        leaving: entry.leaving,
+        evacuated: this.options.evacuation.isEvacuating(entry),
+        allowedRoutes: this.options.allowedRoutes(entry),
+      }));
+    const size = replicas.length + 1;
+    const syncReplicas = serviceOf(service)?.syncReplicas ?? 0;
+    const leading = reports.filter(({report}) => report.isLeader);
+    return {term, logs, group: {size, syncReplicas}, leading};
+  }
+
+  /**
+   * Returns the end of the former primary's log if all commits that were ever
+   * acknowledged in its term are in it.
+   */
+  private async primaryEnd(
+    leader: KnownDatabase,
+  ): Promise<TakeoverGroup['primaryEnd']> {
+    const {leadership, leaderOf, codec} = this.options;
+    const {id, service, startedAtUnixMs} = leader;
+    const record = leadership.latestRecord(service);
+    const isOnlyPrimary = record === undefined || record.database === id;
+    const current = leaderOf(service);
+    const hasRestarted = current?.startedAtUnixMs !== startedAtUnixMs;
+    if (!isOnlyPrimary || current?.id !== id || hasRestarted) return undefined;
+    const report = await runControlStatement(leader, codec, {kind: 'status'});
+    return report?.isLeader ? report.position : undefined;
+  }
+
+  /** Makes a database step down if the leader records name another one. */
+  private async stepDown(entry: KnownDatabase, term: number): Promise<void> {
+    const {leadership, codec} = this.options;
+    if (leadership.mayLead(entry)) return;
+    await runControlStatement(entry, codec, {kind: 'step_down', term});
+  }
+
+  /**
+   * Returns a term above every known one. Queries the replicas for their terms
+   * when no reply has reported one.
+   */
+  private async nextTerm(
+    service: string,
+    replicas: readonly KnownDatabase[] = this.options.replicasOf(service),
+  ): Promise<number> {
+    const knownTerm = this.options.termOf(service);
+    if (knownTerm > 0) return knownTerm + 1;
+    const {codec} = this.options;
+    const reports = await Promise.all(
+      replicas.map(entry =>
+        runControlStatement(entry, codec, {kind: 'status'}),
+      ),
+    );
+    return 1 + Math.max(0, ...reports.map(report => report?.term ?? 0));
+  }
+
+  /**
+   * Orders a promotion. On a platform without fencing, first makes sure that no
+   * front still uses another primary. Resolves to whether the platform has
+   * accepted the order.
+   */
+  private async order(attempt: Attempt, database: string): Promise<boolean> {
+    const {service, leader} = attempt;
+    const {leadership, log, orders, isTenureOf} = this.options;
+    if (leadership.isFenced) {
+      const record = await leadership.recordOrder(service, database);
+      return record !== undefined && this.sendOrder(service, database);
+    }
+    const unconfirmed = orders.orderOf(service);
+    if (!isPromotionAllowed(unconfirmed, database)) {
+      const inDoubt = unconfirmed?.database;
+      log('order_withheld', {service, database, inDoubt});
+      return false;
+    }
+    const term = await this.nextTerm(service);
+    const isAppointed = await leadership.appoint(
+      service,
+      database,
+      leader,
+      term,
+    );
+    if (!isAppointed || !isTenureOf(service)) return false;
+    // Appointing may have taken seconds, and a replica that has restarted since
+    // then receives again: pause all replicas and choose once more.
+    const {choice} = await this.chooseDatabase(attempt);
+    const isSame = choice.kind === 'promote' && choice.database === database;
+    return isSame && isTenureOf(service)
+      ? this.sendOrder(service, database)
+      : false;
+  }
+
+  /** Sends a promotion order to the platform. */
+  private async sendOrder(service: string, database: string): Promise<boolean> {
+    const {coordinatorLease, promote, self, log, orders} = this.options;
+    const fencingToken = orders.has(service)
+      ? await coordinatorLease.raiseFencingToken()
+      : coordinatorLease.currentFencingToken;
+    const {isTenureOf, recordAnswer} = this.options;
+    if (fencingToken === undefined || !isTenureOf(service)) return false;
+    const order = {service, database, holder: self, fencingToken};
+    const outcome = await promote(order);
+    log('promotion_ordered', {service, database, fence: fencingToken, outcome});
+    switch (outcome) {
+      case 'done':
+        orders.clear(service);
+        recordAnswer(service);
+        return true;
+      case 'refused':
+        // The platform has seen this token or a higher one.
+        recordAnswer(service);
+        await coordinatorLease.raiseFencingToken();
+        return false;
+      case 'unknown':
+        orders.add(service, database);
+        return false;
+      case 'not_done':
+        return false;
+    }
+  }
+
+  /**
+   * Waits until the directory shows the promoted database as primary, then
+   * records that no order is in flight.
+   */
+  private async awaitLead(
+    {service}: Attempt,
+    database: string,
+  ): Promise<boolean> {
+    const {leaderOf, orders, resumer, isTenureOf, leadership} = this.options;
+    const untilMs = performance.now() + PROMOTION_TIMEOUT_MS;
+    while (leaderOf(service)?.id !== database) {
+      if (!isTenureOf(service)) return false;
+      if (performance.now() > untilMs) {
+        orders.requireHigherToken(service);
+        const reason = 'promoted database is not listed as primary';
+        return resumer.logWithheld(service, reason);
+      }
+      await pause(ROUND_PAUSE_MS);
+    }
+    if (await this.mayOthersTakeEffect(service, database)) return false;
+    if (!orders.orderOf(service))
+      await leadership.recordSettled(service, database);
+    await resumer.sendResume(service, database);
+    return true;
+  }
+
+  /**
+   * Resolves to whether another promotion may still take effect. One that was
+   * executed just before the accepted order takes effect after a delay.
+   */
+  private async mayOthersTakeEffect(
+    service: string,
+    database: string,
+  ): Promise<boolean> {
+    const {leadership, leaderOf, codec} = this.options;
+    const record = leadership.latestRecord(service);
+    if (record?.commits !== CommitRule.contested) return false;
+    await pause(PROMOTION_DELAY_MS);
+    const leader = leaderOf(service);
+    return leader?.id !== database || !(await reportsLead(leader, codec));
+  }
+}
--- a/src/front/replica_resumer.ts
+++ b/src/front/replica_resumer.ts
@@ -3,7 +3,7 @@
  * that promoted none of them.
  */
 import {KnownDatabase} from '../core/directory.js';
-import {isPromotionAllowed} from '../core/leader_record.js';
+import {isPromotionAllowed, mayCommit} from '../core/leader_record.js';
 import {reportsLead, runControlStatement} from './control_link.js';
 import {CoordinatorLease} from './coordinator_lease.js';
 import {JsonLog} from './json_log.js';
@@ -30,7 +30,7 @@
 }
 
 /** Time from an accepted order until the database acts as primary. */
-const PROMOTION_DELAY_MS = 1_300;
+export const PROMOTION_DELAY_MS = 1_300;
 
 /** Resumes replicas once no earlier promotion order can be executed. */
 export class ReplicaResumer {
@@ -41,12 +41,14 @@
   }
 
   /**
-   * Lets the replicas receive the log again. A promotion order of this front or
+   * Lets the replicas receive the log again, and the current primary take
+   * commits. A promotion order of this front or
    * of an earlier lease holder that is executed afterwards would undo commits
    * acknowledged since. An order to promote the current primary with a higher
    * fencing token, sent first, makes such an order void. Not sent while a
    * promotion of another database is known to be unanswered: executed after it,
-   * the order would make the current primary lead again. Resolves to whether all
+   * the order would make the current primary lead again. Without fencing nothing
+   * makes an order void, so that it must have expired. Resolves to whether all
    * replicas have confirmed that they receive.
    */
   async resume(
@@ -54,15 +56,22 @@
     leader: KnownDatabase | undefined,
   ): Promise<boolean> {
     const {leadership, coordinatorLease, orders} = this.options;
-    if (leadership.isEnabled) return this.resumeUnfenced(service, leader);
     if (!isPromotionAllowed(orders.orderOf(service), leader?.id))
       return this.logWithheld(service, 'an order may still be executed');
-    const isUnconfirmed =
-      orders.has(service) || coordinatorLease.heldForMs < UNCONFIRMED_ORDER_MS;
-    if (leader && isUnconfirmed) {
+    const record = leadership.latestRecord(service);
+    const mayOthersTakeEffect = record
+      ? !record.settled || record.database !== leader?.id
+      : coordinatorLease.heldForMs < UNCONFIRMED_ORDER_MS;
+    const isUnconfirmed = orders.has(service) || mayOthersTakeEffect;
+    if (leader && leadership.isFenced && isUnconfirmed) {
       const refusal = await this.confirmLeader(service, leader);
       if (refusal !== undefined) return this.logWithheld(service, refusal);
     }
+    const newest = leadership.latestRecord(service);
+    if (leader && newest && !this.isSettledOn(service, leader.id)) {
+      if (!(await leadership.recordSettled(service, leader.id)))
+        return this.logWithheld(service, 'leader record not written');
+    }
     return this.sendResume(service, leader?.id);
   }
 
@@ -100,8 +109,10 @@
   }
 
   /**
-   * Orders the promotion of the current primary with a higher fencing token.
-   * Resolves to why it is not confirmed; undefined if it is.
+   * Orders the promotion of the current primary with a higher fencing token,
+   * while no front acknowledges commits: another database may have been promoted
+   * just before, and would be replaced by this order. Resolves to why the primary
+   * is not confirmed; undefined if it is.
    */
   private async confirmLeader(
     service: string,
@@ -109,12 +120,23 @@
   ): Promise<string | undefined> {
     const {coordinatorLease, promote, self, log, orders, isTenureOf, codec} =
       this.options;
+    const {leadership} = this.options;
+    const isCancelled = (): boolean => !isTenureOf(service);
+    const isStopped = await leadership.stopCommits(
+      service,
+      leader.id,
+      undefined,
+      isCancelled,
+    );
+    if (!isStopped) return 'commits not stopped';
     const fencingToken = await coordinatorLease.raiseFencingToken();
     if (fencingToken === undefined) return 'fencing token not raised';
     if (!(await reportsLead(leader, codec)))
       return 'primary does not report its lead';
-    if (!isTenureOf(service)) return 'lease lost';
     const database = leader.id;
+    if (!(await leadership.recordConfirmation(service, database)))
+      return 'leader record not written';
+    if (!isTenureOf(service)) return 'lease lost';
     const outcome = await promote({
       service,
       database,
@@ -136,34 +158,8 @@
     return undefined;
   }
 
-  /**
-   * Resumes the replicas on a platform without fencing, but not while an
-   * earlier promotion order may still be executed, since nothing makes it void
-   * there. First makes the leader record name the current primary again.
-   */
-  private async resumeUnfenced(
-    service: string,
-    leader: KnownDatabase | undefined,
-  ): Promise<boolean> {
-    const {leadership, orders} = this.options;
-    const record = leadership.latestRecord(service);
-    if (!isPromotionAllowed(orders.orderOf(service), leader?.id))
-      return this.logWithheld(service, 'an order may still be executed');
-    if (leader && record && !this.isSettledOn(service, leader.id)) {
-      const {id: database} = leader;
-      const written = await leadership.writeRecord({
-        service,
-        database,
-        settled: true,
-      });
-      if (!written)
-        return this.logWithheld(service, 'leader record not written');
-    }
-    return this.sendResume(service, leader?.id);
-  }
-
   private isSettledOn(service: string, database: string): boolean {
     const record = this.options.leadership.latestRecord(service);
-    return record?.database === database && record.settled;
+    return record?.settled === true && mayCommit(record, database);
   }
 }
--- a/src/front/router.ts
+++ b/src/front/router.ts
@@ -42,6 +42,7 @@
 import {Eligibility, needsLeader} from './eligibility.js';
 import {JsonLog} from './json_log.js';
 import {ReadObserver} from './read_observer.js';
+import {pause} from './timeout.js';
 
 /** A caller's statement outside a transaction, or the first one of it. */
 export interface StatementRequest {
@@ -83,6 +84,10 @@
   readonly dispatcher: Dispatcher;
   /** Whether a database that reports to be primary is accepted as such. */
   readonly mayLead: (entry: KnownDatabase) => boolean;
+  /** Whether a primary may take commits; any may if absent. */
+  readonly mayCommit?: (entry: KnownDatabase) => boolean;
+  /** When commits of a service were stopped for a change of its primary. */
+  readonly commitsStoppedAtMs?: (service: string) => number | undefined;
   /**
    * Why a database may not serve a request now; undefined if it may. Called for
    * each candidate of each statement.
@@ -126,6 +131,8 @@
 const SAMPLE_WAIT_MS = 150;
 const MAX_ATTEMPTS = 5;
 const LEADER_POLL_MS = 15;
+/** Pause before work is sent again that met a change of primary. */
+const PRIMARY_CHANGE_PAUSE_MS = 30;
 
 interface Target {
   readonly entry: KnownDatabase;
@@ -204,6 +211,8 @@
         return failedReply ?? routedReply;
       }
       lastReply = routedReply;
+      if (routedReply.reply.isPrimaryChanging)
+        await pause(PRIMARY_CHANGE_PAUSE_MS);
       // Without a primary to fall back to, a lagging replica is tried again
       // after its pause.
       const isPaused =
@@ -491,7 +500,12 @@
     for (;;) {
       const leader = this.leader(route.service);
       if (leader) this.observer.recordLeader(route.service, leader.id);
-      const lostAtMs = this.lostAtMs(route.service, leader);
+      const isStopped = leader !== undefined && this.mustWait(leader, request);
+      const lostAtMs =
+        this.lostAtMs(route.service, leader) ??
+        (isStopped
+          ? this.options.commitsStoppedAtMs?.(route.service)
+          : undefined);
       const untilMs = leaderWaitDeadlineMs({
         startedMs,
         deadlineMs,
@@ -504,12 +518,19 @@
       if (leader && tried.has(leader.id)) return undefined;
       if (this.eligibility.primaryExclusion(request)) return undefined;
       if (leader && this.isPausedAsCold(leader, request)) return undefined;
-      if (leader && avoidUntilMs <= nowMs) return leader;
+      if (leader && !isStopped && avoidUntilMs <= nowMs) return leader;
       if (nowMs >= untilMs || request.hasCallerLeft()) return undefined;
       await new Promise(resolve => setTimeout(resolve, LEADER_POLL_MS));
     }
   }
 
+  /** Whether a request writes, and the leader must not take commits now. */
+  private mustWait(leader: KnownDatabase, {access}: StatementRequest): boolean {
+    return (
+      access === Access.write && this.options.mayCommit?.(leader) === false
+    );
+  }
+
   /** Whether a read must not go to a database because it is cold. */
   private isPausedAsCold(
     {id}: KnownDatabase,
@@ -608,6 +629,7 @@
         return;
       case Fault.unreachable:
       case Fault.misrouted:
+        if (reply.isPrimaryChanging) return;
         if (entry.id === this.leader(entry.service)?.id)
           this.recordLoss(entry, nowMs);
         this.loads.set(entry.id, {
--- a/src/front/statement_job.ts
+++ b/src/front/statement_job.ts
@@ -26,6 +26,11 @@
   mode === ExecutionMode.open ||
   (mode === ExecutionMode.single && access !== Access.read);
 
+/** Whether work outside an open transaction writes, or begins with a write. */
+export const writes = ({mode, access}: Work): boolean =>
+  access === Access.write &&
+  (mode === ExecutionMode.open || mode === ExecutionMode.single);
+
 /** Whether a statement of an open transaction waits until it may be sent. */
 export const isWaitingInLane = (job: Job): boolean =>
   job.work.mode === ExecutionMode.lane && job.sentAtMs === 0 && !job.isFinished;
--- a/src/front/takeover_runner.ts
+++ b/src/front/takeover_runner.ts
@@ -1,8 +1,8 @@
 /**
- * Replaces the primary of a service while this front holds the coordinator
- * lease: confirms by votes that the primary is unreachable, stops the replicas
- * from receiving its log, and promotes the replica with the furthest log
- * position.
+ * Decides, while this front holds the coordinator lease, when the primary of a
+ * service is replaced: when votes confirm that it is unreachable or fails
+ * everything, when it leaves, when its zone is evacuated, when there is none, and
+ * when an earlier holder has not finished a change.
  */
 import {databasesOf, Directory, KnownDatabase} from '../core/directory.js';
 import {Evacuations} from '../core/evacuation.js';
@@ -14,27 +14,21 @@
   isConfirmedFailing,
   isRefutedFailing,
 } from '../core/load/failing_primary.js';
+import {isPromotionAllowed, mayCommit} from '../core/leader_record.js';
 import {
-  chooseTakeover,
-  hasStopped,
   isPrimaryUnreachable,
   SAFE_TAKEOVER,
-  StoppedLog,
-  TakeoverChoice,
   TakeoverGroup,
 } from '../core/takeover.js';
-import {runControlStatement} from './control_link.js';
-import {isPromotionAllowed} from '../core/leader_record.js';
 import {CoordinatorLease} from './coordinator_lease.js';
 import {JsonLog} from './json_log.js';
 import {Leadership} from './leadership.js';
+import {PrimaryChangeRunner} from './primary_change_runner.js';
 import {PrimaryEvacuation} from './primary_evacuation.js';
 import {Promote} from './promoter.js';
-import {pauseReplicas} from './replica_pause.js';
 import {ReplicaResumer} from './replica_resumer.js';
 import {ResumeSupervisor} from './resume_supervisor.js';
 import {UnconfirmedOrders, UNCONFIRMED_ORDER_MS} from './unconfirmed_orders.js';
-import {pause} from './timeout.js';
 import {DatabaseCodec} from './wire_types.js';
 
 export interface TakeoverOptions {
@@ -76,15 +70,6 @@
  * yet.
  */
 const INITIAL_LEADERLESS_LIMIT_MS = 6_000;
-/** How long an executed promotion may take to appear in the directory. */
-const PROMOTION_TIMEOUT_MS = 4_000;
-const ROUND_PAUSE_MS = 120;
-/**
- * Maximum duration of a takeover attempt in which no database is promoted. When
- * it has passed, the replicas receive the log again; the next check starts a
- * new attempt.
- */
-const ATTEMPT_TIMEOUT_MS = 2_500;
 /** Pause after a takeover, in which the directory catches up. */
 const TAKEOVER_PAUSE_MS = 1_500;
 /**
@@ -99,7 +84,7 @@
  * may still be executed. `failing`: the primary responds, but fails every
  * statement.
  */
-type TakeoverReason =
+export type TakeoverReason =
   'lost' | 'leaving' | 'evacuated' | 'none' | 'unfinished' | 'failing';
 
 /** Why replicas of a service may be paused, as fronts tell the lease's holder. */
@@ -121,6 +106,7 @@
   private readonly resumer: ReplicaResumer;
   private readonly supervisor: ResumeSupervisor;
   private readonly evacuation: PrimaryEvacuation;
+  private readonly changes: PrimaryChangeRunner;
   /**
    * Services with an attempt that this front gave up because it lost the lease,
    * until the next holder has been told.
@@ -159,6 +145,18 @@
       ...options,
       replicasOf: (service, leader) => this.replicasOf(service, leader),
     });
+    this.changes = PrimaryChangeRunner.create({
+      ...options,
+      orders: this.orders,
+      resumer: this.resumer,
+      evacuation: this.evacuation,
+      replicasOf: (service, leader) => this.replicasOf(service, leader),
+      isTenureOf: service => this.isTenureOf(service),
+      isOrderInDoubt: (service, leader) => this.isUnfinished(service, leader),
+      areOrdersSettled: service => this.areEarlierOrdersSettled(service),
+      recordAnswer: service => this.recordAnswer(service),
+      isReplaceable: (leader, reason) => this.isReplaceable(leader, reason),
+    });
     this.timer = setInterval(() => this.check(), CHECK_INTERVAL_MS);
   }
 
@@ -222,13 +220,12 @@
   }
 
   private check(): void {
-    const {tenure} = this.options.coordinatorLease;
-    if (tenure === undefined) {
+    if (this.options.coordinatorLease.tenure === undefined) {
       this.tenure = undefined;
       return this.leaderlessSinceMs.clear();
     }
+    this.followTenure();
     const nowMs = performance.now();
-    if (tenure !== this.tenure) this.beginTenure(tenure, nowMs);
     this.supervisor.run(nowMs);
     for (const service of this.options.serviceNames()) {
       const leader = this.options.leaderOf(service);
@@ -239,6 +236,7 @@
           this.start(service, 'leaving');
         else if (this.evacuation.isDue(service, leader, nowMs))
           this.start(service, 'evacuated');
+        else this.restoreCommits(service, leader);
         continue;
       }
       const since = this.leaderlessSinceMs.get(service) ?? nowMs;
@@ -251,11 +249,15 @@
   }
 
   /**
-   * Treats the unsettled orders of earlier lease holders as unconfirmed, since
-   * the platform may still execute them, and has all replicas checked.
+   * In a new tenure, treats the unsettled orders of earlier lease holders as
+   * unconfirmed, since the platform may still execute them, and has all replicas
+   * checked.
    */
-  private beginTenure(tenure: number, nowMs: number): void {
-    const {serviceNames, leadership} = this.options;
+  private followTenure(): void {
+    const {serviceNames, leadership, coordinatorLease} = this.options;
+    const {tenure} = coordinatorLease;
+    if (tenure === undefined || tenure === this.tenure) return;
+    const nowMs = performance.now();
     this.tenure = tenure;
     this.abandoned.clear();
     this.supervisor.beginTenure(nowMs);
@@ -267,9 +269,29 @@
     }
   }
 
+  /**
+   * Finishes or undoes a change that this front or an earlier holder has left:
+   * the records permit no commits at the primary.
+   */
+  private restoreCommits(service: string, leader: KnownDatabase): void {
+    const {leadership} = this.options;
+    const record = leadership.latestRecord(service);
+    const isOver = !record || (record.settled && mayCommit(record, leader.id));
+    // Without fencing an order cannot be made void, so it must have expired.
+    const mayEnd =
+      leadership.isFenced || this.orders.orderOf(service) === undefined;
+    const pausedUntilMs = this.pausedUntilMs.get(service) ?? 0;
+    const isPaused = performance.now() < pausedUntilMs;
+    if (isOver || !mayEnd || isPaused || this.running.has(service)) return;
+    void this.resumeExclusively(service, leader).then(isRestored => {
+      if (!isRestored) this.pauseService(service, RETRY_PAUSE_MS);
+    });
+  }
+
   private start(service: string, reason: TakeoverReason): void {
     const pausedUntilMs = this.pausedUntilMs.get(service) ?? 0;
     if (this.running.has(service) || performance.now() < pausedUntilMs) return;
+    this.followTenure();
     this.running.add(service);
     if (reason === 'evacuated')
       this.evacuation.begin(service, performance.now());
@@ -307,7 +329,8 @@
     log('takeover_begun', {service, reason, leader: leader?.id});
     this.supervisor.recordPause(service);
     const startedMs = performance.now();
-    const done = await this.replaceLeader(service, leader, reason);
+    const done = await this.changes.run(service, leader, reason);
+    if (!done && !this.isTenureOf(service)) this.abandoned.add(service);
     if (done && reason === 'failing')
       this.failingReplacedAtMs.set(service, performance.now());
     log('takeover_ended', {
@@ -374,48 +397,16 @@
     return failing && !isTooEarly;
   }
 
-  /**
-   * Stops the replicas' logs and promotes one of them. Resolves to whether the
-   * service has a new primary.
-   */
-  private async replaceLeader(
-    service: string,
-    leader: KnownDatabase | undefined,
+  /** Whether the reason to replace a primary still holds. */
+  private async isReplaceable(
+    leader: KnownDatabase,
     reason: TakeoverReason,
   ): Promise<boolean> {
-    const untilMs = performance.now() + ATTEMPT_TIMEOUT_MS;
-    for (;;) {
-      const isLate = performance.now() > untilMs;
-      if (!this.isTenureOf(service)) return this.abandon(service);
-      const choice = await this.pauseAndChoose(service, leader, reason);
-      if (!this.isTenureOf(service)) return this.abandon(service);
-      if (choice.kind === 'promote' && !this.isMoot(service, leader, reason)) {
-        const isOrdered = await this.appointAndOrder(
-          service,
-          choice.database,
-          leader,
-          reason,
-        );
-        if (isOrdered) return this.awaitPromotion(service, choice.database);
-      } else if (choice.kind !== 'need_logs' || isLate) {
-        if (this.isUnfinished(service, leader))
-          this.resumer.logWithheld(service, 'an order may still be executed');
-        else await this.resumer.resume(service, leader);
-        if (isLate) return false;
-      }
-      const currentLeader = this.options.leaderOf(service);
-      if (currentLeader && currentLeader.id !== leader?.id) {
-        await this.resumer.resume(service, currentLeader);
-        return true;
-      }
-      const mayUndo = !this.isUnfinished(service, leader);
-      if (mayUndo && (await this.hasLeaderRecovered(service, leader, reason))) {
-        await this.resumer.resume(service, leader);
-        return false;
-      }
-      await pause(ROUND_PAUSE_MS);
-      if (!this.isTenureOf(service)) return this.abandon(service);
-    }
+    if (reason === 'leaving') return true;
+    if (reason === 'evacuated') return this.evacuation.isEvacuating(leader);
+    if (reason !== 'failing') return this.isLeaderLost(leader.service, leader);
+    const votes = await this.options.collectFailingVotes(leader.id);
+    return !isRefutedFailing(votes);
   }
 
   /**
@@ -429,7 +420,7 @@
     leader: KnownDatabase | undefined,
   ): boolean {
     const {leadership, coordinatorLease} = this.options;
-    if (leadership.isEnabled) return false;
+    if (!leadership.isFenced) return false;
     if (!isPromotionAllowed(this.orders.orderOf(service), leader?.id))
       return true;
     const isNewHolder = coordinatorLease.heldForMs < UNCONFIRMED_ORDER_MS;
@@ -438,17 +429,11 @@
 
   /** Records that the platform has answered an order with the highest token. */
   private recordAnswer(service: string): void {
-    if (this.options.leadership.isEnabled) return;
+    if (!this.options.leadership.isFenced) return;
     this.orders.makeVoid(service);
     this.supervisor.recordSettled(service);
   }
 
-  /** Ends an attempt after the lease was lost; its replicas stay paused. */
-  private abandon(service: string): false {
-    this.abandoned.add(service);
-    return this.resumer.logWithheld(service, 'lease lost');
-  }
-
   /**
    * Lets replicas receive again, unless a change of primary is under way; goes
    * on with one that is unfinished.
@@ -471,87 +456,15 @@
     }
   }
 
-  /**
-   * Waits until the directory shows the promoted database as primary, then
-   * resumes the replicas. Before that the old primary may still serve, so the
-   * replicas must not receive its log again.
-   */
-  private async awaitPromotion(
-    service: string,
-    database: string,
-  ): Promise<boolean> {
-    const {leaderOf} = this.options;
-    const untilMs = performance.now() + PROMOTION_TIMEOUT_MS;
-    while (leaderOf(service)?.id !== database) {
-      if (!this.isTenureOf(service)) return this.abandon(service);
-      if (performance.now() > untilMs) {
-        this.orders.requireHigherToken(service);
-        const reason = 'promoted database is not listed as primary';
-        return this.resumer.logWithheld(service, reason);
-      }
-      await pause(ROUND_PAUSE_MS);
-    }
-    const {leadership} = this.options;
-    if (leadership.isEnabled && !this.orders.orderOf(service)) {
-      await leadership.writeRecord({service, database, settled: true});
-    }
-    await this.resumer.sendResume(service, database);
-    return true;
-  }
-
-  private async hasLeaderRecovered(
-    service: string,
-    leader: KnownDatabase | undefined,
-    reason: TakeoverReason,
-  ): Promise<boolean> {
-    if (!leader || reason === 'leaving') return false;
-    if (reason === 'failing')
-      return isRefutedFailing(
-        await this.options.collectFailingVotes(leader.id),
-      );
-    if (reason === 'evacuated') return this.isMoot(service, leader, reason);
-    return !(await this.isLeaderLost(service, leader));
-  }
-
-  /**
-   * Whether the evacuation that an attempt was begun for has ended, and nothing
-   * was ordered that could still be executed: the change is undone then.
-   */
-  private isMoot(
-    service: string,
-    leader: KnownDatabase | undefined,
-    reason: TakeoverReason,
-  ): boolean {
-    if (reason !== 'evacuated' || !leader) return false;
-    const isOrdered =
-      this.isUnfinished(service, leader) ||
-      !isPromotionAllowed(this.orders.orderOf(service), leader.id);
-    return !isOrdered && !this.evacuation.isEvacuating(leader);
-  }
-
-  /**
-   * Whether a database in an evacuated zone may be promoted, rather than wait
-   * for one outside to catch up. That takes a primary that sends its log.
-   */
-  private mayPromoteEvacuated(
-    service: string,
-    leader: KnownDatabase | undefined,
-    reason: TakeoverReason,
-  ): boolean {
-    if (!leader || this.isUnfinished(service, leader)) return true;
-    if (reason === 'evacuated') return false;
-    return reason !== 'leaving' || !this.evacuation.hasOutside(service, leader);
-  }
-
   /**
    * Whether no order of a former holder, chosen when other zones were evacuated,
    * may still be executed. Records of the leaders tell where there are any.
    */
-  private areEvacuationsSettled(service: string): boolean {
+  private areEarlierOrdersSettled(service: string): boolean {
     const {leadership, coordinatorLease} = this.options;
     const isNewHolder = coordinatorLease.heldForMs < UNCONFIRMED_ORDER_MS;
     return (
-      leadership.isEnabled || !isNewHolder || this.supervisor.isSettled(service)
+      !leadership.isFenced || !isNewHolder || this.supervisor.isSettled(service)
     );
   }
 
@@ -566,161 +479,4 @@
       entry => entry.id !== leader,
     );
   }
-
-  /**
-   * Pauses all replicas at the next term and chooses among the logs of those
-   * that replied.
-   */
-  private async pauseAndChoose(
-    service: string,
-    leader: KnownDatabase | undefined,
-    reason: TakeoverReason,
-  ): Promise<TakeoverChoice> {
-    const {codec, log} = this.options;
-    const replicas = this.replicasOf(service, leader?.id);
-    const expectedTerm = await this.nextTerm(service, replicas);
-    const paused = await pauseReplicas(replicas, expectedTerm, codec, () =>
-      this.isTenureOf(service),
-    );
-    const {term, reports} = paused;
-    if (term > expectedTerm)
-      log('takeover_term_outdated', {service, term, expectedTerm});
-    const logs: StoppedLog[] = [];
-    const leading = reports.filter(({report}) => report.isLeader);
-    if (leading.length > 0) {
-      const names = leading.map(({entry}) => entry.id);
-      log('takeover_superseded', {service, leading: names});
-      await Promise.all(leading.map(({entry}) => this.stepDown(entry, term)));
-      return {kind: 'need_logs', missing: replicas.length};
-    }
-    for (const {entry, report} of reports) {
-      if (!hasStopped(report, term)) continue;
-      const {position} = report;
-      const {id: database, leaving} = entry;
-      const evacuated = this.evacuation.isEvacuating(entry);
-      const allowedRoutes = this.options.allowedRoutes(entry);
-      logs.push({database, position, leaving, evacuated, allowedRoutes});
-    }
-    const group = this.groupOf(service, leader?.id);
-    const choice = chooseTakeover(group, logs, SAFE_TAKEOVER, {
-      ordered: this.orders.orderOf(service)?.database,
-      mayPromoteEvacuated: this.mayPromoteEvacuated(service, leader, reason),
-      areHomesSettled: this.options.areHomesSettled(service),
-      areEvacuationsSettled: this.areEvacuationsSettled(service),
-    });
-    log('takeover_choice', {
-      service,
-      term,
-      size: group.size,
-      logs: logs.map(
-        stopped =>
-          `${stopped.database}=${stopped.position.term}.${stopped.position.offset}`,
-      ),
-      choice,
-    });
-    return choice;
-  }
-
-  /** Makes a database step down if the leader records name another one. */
-  private async stepDown(entry: KnownDatabase, term: number): Promise<void> {
-    const {leadership, codec} = this.options;
-    if (leadership.mayLead(entry)) return;
-    await runControlStatement(entry, codec, {kind: 'step_down', term});
-  }
-
-  /**
-   * Returns a term above every known one. Queries the replicas for their terms
-   * when no reply has reported one.
-   */
-  private async nextTerm(
-    service: string,
-    replicas: readonly KnownDatabase[],
-  ): Promise<number> {
-    const knownTerm = this.options.termOf(service);
-    if (knownTerm > 0) return knownTerm + 1;
-    const {codec} = this.options;
-    const reports = await Promise.all(
-      replicas.map(entry =>
-        runControlStatement(entry, codec, {kind: 'status'}),
-      ),
-    );
-    return 1 + Math.max(0, ...reports.map(report => report?.term ?? 0));
-  }
-
-  /**
-   * Orders a promotion. On a platform without fencing, first makes sure that no
-   * front still uses another primary. Resolves to whether the promotion was
-   * executed.
-   */
-  private async appointAndOrder(
-    service: string,
-    database: string,
-    leader: KnownDatabase | undefined,
-    reason: TakeoverReason,
-  ): Promise<boolean> {
-    const {leadership, log} = this.options;
-    if (!leadership.isEnabled) return this.orderPromotion(service, database);
-    const unconfirmed = this.orders.orderOf(service);
-    if (!isPromotionAllowed(unconfirmed, database)) {
-      log('order_withheld', {
-        service,
-        database,
-        inDoubt: unconfirmed?.database,
-      });
-      return false;
-    }
-    const term = await this.nextTerm(service, this.replicasOf(service));
-    const isAppointed = await leadership.appoint(
-      service,
-      database,
-      leader,
-      term,
-    );
-    if (!isAppointed || !this.isTenureOf(service)) return false;
-    // Appointing may have taken seconds, and a replica that has restarted since
-    // then receives again: pause all replicas and choose once more.
-    const choice = await this.pauseAndChoose(service, leader, reason);
-    const isSame = choice.kind === 'promote' && choice.database === database;
-    return isSame && this.isTenureOf(service)
-      ? this.orderPromotion(service, database)
-      : false;
-  }
-
-  /**
-   * Sends the promotion order to the platform. Resolves to false when the
-   * caller must pause the replicas and choose again.
-   */
-  private async orderPromotion(
-    service: string,
-    database: string,
-  ): Promise<boolean> {
-    const {coordinatorLease, promote, self, log} = this.options;
-    const fencingToken = this.orders.has(service)
-      ? await coordinatorLease.raiseFencingToken()
-      : coordinatorLease.currentFencingToken;
-    if (fencingToken === undefined || !this.isTenureOf(service)) return false;
-    const outcome = await promote({
-      service,
-      database,
-      holder: self,
-      fencingToken,
-    });
-    log('promotion_ordered', {service, database, fence: fencingToken, outcome});
-    switch (outcome) {
-      case 'done':
-        this.orders.clear(service);
-        this.recordAnswer(service);
-        return true;
-      case 'refused':
-        // The platform has seen this token or a higher one.
-        this.recordAnswer(service);
-        await coordinatorLease.raiseFencingToken();
-        return false;
-      case 'unknown':
-        this.orders.add(service, database);
-        return false;
-      case 'not_done':
-        return false;
-    }
-  }
 }
--- a/src/front/transaction_lanes.ts
+++ b/src/front/transaction_lanes.ts
@@ -4,7 +4,7 @@
  */
 import {LaneLookup, LaneRefusal, Lanes, OpenLane} from '../core/lanes.js';
 import {IdSource} from '../core/process_ids.js';
-import {TransactionState} from '../core/work.js';
+import {Access, TransactionState} from '../core/work.js';
 import {Connection, ConnectionPool} from './connection_pool.js';
 import {JsonLog, originFields} from './json_log.js';
 import {Job} from './statement_job.js';
@@ -15,6 +15,8 @@
   readonly openedAtMs: number;
   /** Whether only the primary may run the transaction. */
   readonly isPrimaryOnly: boolean;
+  /** Whether a write was sent, so that its commit counts as one. */
+  hasWritten: boolean;
   timer?: NodeJS.Timeout;
 }
 
@@ -65,6 +67,7 @@
       transaction,
       openedAtMs: performance.now(),
       isPrimaryOnly,
+      hasWritten: work.access === Access.write,
     };
     connection.use = 'pinned';
     connection.lane = lane;
--- a/test/front/leader_recovery.test.ts
+++ b/test/front/leader_recovery.test.ts
@@ -42,7 +42,6 @@
     answers: [] as Array<ReturnType<typeof answer>>,
   };
   const recovery = LeaderRecovery.create({
-    isEnabled: true,
     source,
     markKey: MARK_KEY,
     isFirstStart: start.isFirstStart ?? false,
--- a/test/front/leadership.test.ts
+++ b/test/front/leadership.test.ts
@@ -52,6 +52,7 @@
     storedItems: () => items$.value,
     knownRevision: () => 10,
     fronts: () => fronts,
+    listFronts: () => Promise.resolve(vms),
     isFreshAndRegistered: () => true,
     areRecordsComplete: () => true,
     era: () => 0,
@@ -63,6 +64,7 @@
         ? Promise.reject(new Error(error))
         : Promise.resolve(),
     abortPrimaryWorkExcept: () => undefined,
+    stopCommitsExcept: () => Promise.resolve(),
     log: () => undefined,
     nowMs: () => Date.now(),
   });
--- a/test/platform/takeover.test.ts
+++ b/test/platform/takeover.test.ts
@@ -72,18 +72,42 @@
   isPresumedAlive: false,
 });
 
+/** The leader records of the only front, on a platform with fencing. */
+function createLeadership(lease: CoordinatorLease): Leadership {
+  return Leadership.create({
+    isFenced: true,
+    prefix: 'own/',
+    storedItems: () => new Map(),
+    knownRevision: () => Infinity,
+    fronts: () => new Map(),
+    listFronts: () => Promise.resolve([]),
+    isFreshAndRegistered: () => true,
+    areRecordsComplete: () => true,
+    era: () => 0,
+    maxConfigAgeMs: 4_800,
+    coordinatorLease: () => lease,
+    codec: databaseCodec,
+    announce: () => Promise.resolve(),
+    abortPrimaryWorkExcept: () => undefined,
+    stopCommitsExcept: () => Promise.resolve(),
+    log: () => undefined,
+  });
+}
+
 /** A runner for a group, with a lease and a platform that tests control. */
 function createRunner(
   t: ExecutionContext,
   group: StandinGroup,
   overrides: Partial<TakeoverOptions> = {},
 ) {
+  let revision = 0;
   const lease = {
     isHeld: true,
     tenure: 1,
     currentFencingToken: 5,
     heldForMs: 60_000,
     raiseFencingToken: async () => ++lease.currentFencingToken,
+    write: async () => ++revision,
   };
   const entries = group.databases.map(entryOf);
   const orders: PromotionOrder[] = [];
@@ -106,10 +130,7 @@
     collectVotes: () => Promise.resolve([false]),
     collectFailingVotes: () => Promise.resolve([{failing: true}]),
     evacuations: () => Evacuations.none,
-    leadership: {
-      isEnabled: false,
-      latestRecord: () => undefined,
-    } as unknown as Leadership,
+    leadership: createLeadership(lease as unknown as CoordinatorLease),
     log: event => events.push(event),
     ...overrides,
   });
@@ -345,7 +366,10 @@
       },
     },
     promote: async () => 'done',
-    leadership: {isEnabled: false} as Leadership,
+    leadership: {
+      isFenced: true,
+      latestRecord: () => undefined,
+    } as unknown as Leadership,
     orders: UnconfirmedOrders.create(),
     replicasOf: () => replicas.map(entryOf),
     isTenureOf: () => !isConnecting,
--- a/test/platform/worker.test.ts
+++ b/test/platform/worker.test.ts
@@ -70,7 +70,11 @@
   budgetMs: 1_500,
 });
 
-const startWorker = (port: number, isHolder: boolean): DatabaseWorker => {
+const startWorker = (
+  port: number,
+  isHolder: boolean,
+  canCommit: () => boolean = () => true,
+): DatabaseWorker => {
   const entry = {
     id: 'd',
     service: 's',
@@ -95,6 +99,7 @@
     isHolder: () => isHolder,
     isNear: true,
     canServeAsPrimary: () => true,
+    canCommit,
     laneIdleMs: () => 1_000,
   });
 };
@@ -226,3 +231,81 @@
   await sleep(100);
   t.false(database.lines.some(line => line.endsWith('READ b')));
 });
+
+/** A database that answers each statement, COMMIT only when told to. */
+async function startCommittingDatabase() {
+  let isCommitting = false;
+  const database = await startScriptedDatabase(line => {
+    const [word, id] = line.split(' ');
+    if (word === 'START') return 'READY I 1.1\r\n';
+    if (line.includes('COMMIT')) isCommitting = true;
+    return `DONE sig.${id}\r\nREADY ${line.includes('COMMIT') ? 'I' : 'T'} 1.1\r\n`;
+  });
+  return {...database, hasCommitted: () => isCommitting};
+}
+
+/** Runs a transaction of one statement; returns the reply to its COMMIT. */
+async function runTransaction(
+  worker: DatabaseWorker,
+  first: Partial<Work>,
+  beforeCommit: () => void,
+): Promise<Reply> {
+  const opened = await worker.run({...readWork(1), ...first}, ORIGIN);
+  beforeCommit();
+  const commit = {
+    ...readWork(2),
+    text: 'COMMIT',
+    access: Access.commit,
+    mode: ExecutionMode.lane,
+    lane: opened.lane,
+    customer: 'c1',
+  };
+  return worker.run(commit, ORIGIN);
+}
+
+// Guards against acknowledged commits that the next primary lacks: the answer of
+// the former one arrives after a database may have been chosen without them.
+test('a write that is answered after commits were stopped is not acknowledged', async t => {
+  let canCommit = true;
+  const database = await startScriptedDatabase(line => {
+    if (line.startsWith('START')) return 'READY I 1.1\r\n';
+    canCommit = false;
+    return 'DONE sig\r\nREADY I 1.2\r\n';
+  });
+  const worker = startWorker(database.port, true, () => canCommit);
+  t.teardown(() => {
+    worker.close();
+    database.close();
+  });
+  const write = {...readWork(1), text: 'WRITE a b', access: Access.write};
+  const reply = await worker.run(write, ORIGIN);
+  t.like(reply, {ok: false, fault: 'lost'});
+  const refused = await worker.run({...write, key: 'k2'}, ORIGIN);
+  t.like(refused, {ok: false, fault: 'unreachable', isPrimaryChanging: true});
+});
+
+// Guards against reads that fail beside a change of primary: a transaction that
+// has written nothing needs no permission to commit.
+test('transactions without writes commit while commits are stopped', async t => {
+  let canCommit = true;
+  const database = await startCommittingDatabase();
+  const worker = startWorker(database.port, true, () => canCommit);
+  t.teardown(() => {
+    worker.close();
+    database.close();
+  });
+  const stop = (): void => void (canCommit = false);
+  for (const mode of [ExecutionMode.open, ExecutionMode.openRead]) {
+    canCommit = true;
+    const reply = await runTransaction(worker, {mode}, stop);
+    t.true(reply.ok, mode);
+  }
+  canCommit = true;
+  const written = {
+    mode: ExecutionMode.open,
+    text: 'WRITE a b',
+    access: Access.write,
+  };
+  const reply = await runTransaction(worker, written, stop);
+  t.like(reply, {ok: false, fault: 'aborted'});
+});
