Count databases that are not listed but may hold commits

Cause: the number of logs that a change needs was taken from the listed databases. A database whose entry lapsed may run, receive, and be the only replica with an acknowledged commit; the earlier start of one that restarted empty, and one that has just left, took such a commit along.

Change: core/former_members.ts remembers them. Those that may run are asked for their logs; all count as missing logs for 5 s (1.5 s if they had announced to leave). They are read again after the logs, and a log of a database that restarted meanwhile is discarded.

--- a/src/front/directory_tracker.ts
+++ b/src/front/directory_tracker.ts
@@ -14,6 +14,7 @@
   putEntry,
   removeEntry,
 } from '../core/directory.js';
+import {FormerMember, FormerMembers} from '../core/former_members.js';
 import {StoreEvent} from '../store/key_values.js';
 import {JsonLog} from './json_log.js';
 
@@ -66,6 +67,7 @@
   private hasIgnored = false;
   /** Last entries of databases that have left, oldest first. */
   private readonly departed = new Map<string, DatabaseEntry>();
+  private readonly former = FormerMembers.create();
   private readonly nowMs: () => number;
 
   private constructor(private readonly options: DirectoryTrackerOptions) {
@@ -80,6 +82,11 @@
     return this.directory$.value;
   }
 
+  /** Databases of a service that are not listed but may hold commits. */
+  formerMembersOf(service: string): readonly FormerMember[] {
+    return this.former.of(service, this.nowMs());
+  }
+
   /**
    * Whether the store must be listed again, because entries were passed over
    * after a restore and their databases have had time to write newer ones.
@@ -130,7 +137,9 @@
     const next = dropMissing(directory, this.nowMs(), missingEntryGraceMs);
     if (next === directory) return;
     for (const [id, entry] of directory) {
-      if (!next.has(id)) this.remember(entry);
+      if (next.has(id)) continue;
+      this.remember(entry);
+      this.former.recordUnlisted(entry, this.nowMs());
     }
     this.publish(next);
   }
@@ -166,6 +175,7 @@
     const entry = decode(id, event.value);
     if (!entry) {
       log('database_entry_invalid', {database: id});
+      if (known) this.former.recordUnlisted(known, this.nowMs());
       return removeEntry(directory, id, this.nowMs());
     }
     if (this.isRewriting && this.isOutdated(entry, known)) {
@@ -197,6 +207,7 @@
     const known = directory.get(entry.id);
     const region = regionOfZone.get(entry.zone) ?? '';
     const place = {zone: entry.zone, region};
+    this.former.recordListed(entry, known, this.nowMs());
     const hasChanged =
       known?.leaving !== entry.leaving || known.isLeader !== entry.isLeader;
     if (hasChanged) {
@@ -219,6 +230,8 @@
   ): Directory {
     const nowMs = this.nowMs();
     const isPresumedAlive = isLost || nowMs - this.failedAtMs < OUTAGE_GRACE_MS;
+    const known = directory.get(id);
+    if (known && !isPresumedAlive) this.former.recordUnlisted(known, nowMs);
     return removeEntry(directory, id, nowMs, isPresumedAlive);
   }
 }
--- a/src/front/front.ts
+++ b/src/front/front.ts
@@ -524,6 +524,7 @@
       codec: ports.databaseCodec,
       promote: ports.promote,
       directory: () => this.feed.directory,
+      formerMembersOf: service => this.feed.formerMembersOf(service),
       serviceOf: name => this.feed.config?.services.get(name),
       leaderOf: service => this.router.leader(service),
       serviceNames: () => [...(this.feed.config?.services.keys() ?? [])],
--- a/src/front/primary_change_runner.ts
+++ b/src/front/primary_change_runner.ts
@@ -3,6 +3,7 @@
  * of `core/primary_change.ts` says what comes next.
  */
 import {KnownDatabase} from '../core/directory.js';
+import {FormerMember} from '../core/former_members.js';
 import {FrontService} from '../core/front_config.js';
 import {CommitRule, isPromotionAllowed} from '../core/leader_record.js';
 import {
@@ -47,6 +48,8 @@
   readonly leaderOf: (service: string) => KnownDatabase | undefined;
   /** Databases of a service other than `leader`. */
   readonly replicasOf: (service: string, leader?: string) => KnownDatabase[];
+  /** Databases of a service that are not listed but may hold commits. */
+  readonly formerMembersOf: (service: string) => readonly FormerMember[];
   /** Number of a service's routes that a primary may serve by their homes. */
   readonly allowedRoutes: (primary: KnownDatabase) => number;
   /** Whether the homes of a service's routes have not changed lately. */
@@ -90,6 +93,10 @@
   readonly untilMs: number;
 }
 
+/** Identifies one start of a database, which may restart under its id. */
+const startOf = ({id, startedAtUnixMs}: KnownDatabase): string =>
+  `${id} ${startedAtUnixMs}`;
+
 /** Databases whose logs were asked for, and what they reported. */
 interface ReadLogs {
   readonly term: number;
@@ -290,27 +297,66 @@
     });
   }
 
-  /** Pauses all replicas at the next term; those that answer report their logs. */
+  /**
+   * Pauses all databases that may hold commits but the primary, listed or not,
+   * at the next term. Those that answer report their logs.
+   */
   private async readLogs({service, leader}: Attempt): Promise<ReadLogs> {
-    const {codec, log, isTenureOf, serviceOf} = this.options;
-    const replicas = this.options.replicasOf(service, leader?.id);
+    const {codec, log, isTenureOf, formerMembersOf, serviceOf} = this.options;
+    const listed = this.options.replicasOf(service, leader?.id);
+    const listedIds = new Set([leader?.id, ...listed.map(({id}) => id)]);
+    const unlisted = formerMembersOf(service)
+      .filter(({entry, mayAnswer}) => mayAnswer && !listedIds.has(entry.id))
+      .map(({entry}) => entry);
+    const replicas = [...listed, ...unlisted];
     const expectedTerm = await this.nextTerm(service, replicas);
     const paused = await pauseReplicas(replicas, expectedTerm, codec, () =>
       isTenureOf(service),
     );
-    const {term, reports} = paused;
+    const {term} = paused;
     if (term > expectedTerm)
       log('takeover_term_outdated', {service, term, expectedTerm});
+    // Databases may have restarted empty, or left, while they were asked.
+    const former = formerMembersOf(service);
+    const restarted = new Set(
+      former
+        .filter(({mayAnswer}) => !mayAnswer)
+        .map(({entry}) => startOf(entry)),
+    );
+    const reports = paused.reports.filter(
+      ({entry}) => !restarted.has(startOf(entry)),
+    );
+    const answered = new Set(reports.map(({entry}) => startOf(entry)));
+    const nowMs = performance.now();
+    const isListed = (entry: KnownDatabase): boolean =>
+      listed.some(other => startOf(other) === startOf(entry));
+    const counted = former
+      .filter(
+        ({entry, countsUntilMs}) =>
+          entry.id !== leader?.id &&
+          !isListed(entry) &&
+          (nowMs < countsUntilMs || answered.has(startOf(entry))),
+      )
+      .map(({entry}) => entry);
+    const isPrimaryCounted = !leader && counted.some(entry => entry.isLeader);
+    const size = listed.length + counted.length + (isPrimaryCounted ? 0 : 1);
+    if (unlisted.length > 0 || counted.length > 0) {
+      log('takeover_former_members', {
+        service,
+        size,
+        asked: unlisted.map(({id}) => id),
+        counted: counted.map(({id}) => id),
+      });
+    }
     const logs = reports
       .filter(({report}) => hasStopped(report, term))
       .map(({entry, report: {position}}) => ({
         database: entry.id,
         position,
-        leaving: entry.leaving,
+        leaving: entry.leaving || !listedIds.has(entry.id),
         evacuated: this.options.evacuation.isEvacuating(entry),
         allowedRoutes: this.options.allowedRoutes(entry),
       }));
-    const size = replicas.length + 1;
     const syncReplicas = serviceOf(service)?.syncReplicas ?? 0;
     const leading = reports.filter(({report}) => report.isLeader);
     return {term, logs, group: {size, syncReplicas}, leading};
--- a/src/front/store_feed.ts
+++ b/src/front/store_feed.ts
@@ -12,6 +12,7 @@
   ConfigFreshness,
   newerFreshness,
 } from '../core/freshness.js';
+import {FormerMember} from '../core/former_members.js';
 import {Evacuations} from '../core/evacuation.js';
 import {FrontConfig} from '../core/front_config.js';
 import {eraOf} from '../core/store_revision.js';
@@ -189,6 +190,11 @@
     return this.databases.directory$;
   }
 
+  /** Databases of a service that are not listed but may hold commits. */
+  formerMembersOf(service: string): readonly FormerMember[] {
+    return this.databases.formerMembersOf(service);
+  }
+
   get evacuations(): Evacuations {
     return this.evacuating.evacuations;
   }
--- a/src/front/takeover_runner.ts
+++ b/src/front/takeover_runner.ts
@@ -14,6 +14,7 @@
   isConfirmedFailing,
   isRefutedFailing,
 } from '../core/load/failing_primary.js';
+import {FormerMember} from '../core/former_members.js';
 import {isPromotionAllowed, mayCommit} from '../core/leader_record.js';
 import {
   isPrimaryUnreachable,
@@ -37,6 +38,8 @@
   readonly codec: DatabaseCodec;
   readonly promote: Promote;
   readonly directory: () => Directory;
+  /** Databases of a service that are not listed but may hold commits. */
+  readonly formerMembersOf: (service: string) => readonly FormerMember[];
   readonly serviceOf: (name: string) => FrontService | undefined;
   readonly leaderOf: (service: string) => KnownDatabase | undefined;
   readonly serviceNames: () => readonly string[];
--- /dev/null
+++ b/test/front/former_members.test.ts
@@ -0,0 +1,66 @@
+/** Which databases count in a change of primary although they are not listed. */
+import test from 'ava';
+import {KnownDatabase, putEntry} from '../../src/core/directory.js';
+import {FormerMembers} from '../../src/core/former_members.js';
+
+const entry = (
+  id: string,
+  changes: Partial<KnownDatabase> = {},
+): KnownDatabase => {
+  const known = putEntry(
+    new Map(),
+    {
+      id,
+      service: 's',
+      host: '',
+      port: 1,
+      zone: 'z',
+      slots: 2,
+      leaving: false,
+      remainingWarmUpMs: 0,
+      isLeader: false,
+      startedAtUnixMs: 1,
+      sequence: 1,
+      ...changes,
+    },
+    {zone: 'z', region: 'r'},
+    1,
+  ).get(id);
+  return known!;
+};
+
+const idsOf = (members: FormerMembers, nowMs: number): string[] =>
+  members.of('s', nowMs).map(({entry: {id}}) => id);
+
+// Guards against too few logs: a replica whose entry has lapsed may run, and may
+// be the only one that has received a commit.
+test('a database whose entry lapsed is asked until it is listed again', t => {
+  const members = FormerMembers.create();
+  members.recordUnlisted(entry('a'), 0);
+  t.like(members.of('s', 4_999)[0], {mayAnswer: true, countsUntilMs: 5_000});
+  t.deepEqual(idsOf(members, 30_000), ['a']);
+  t.deepEqual(members.of('other', 30_000), []);
+  members.recordListed(entry('a'), undefined, 40_000);
+  t.deepEqual(idsOf(members, 40_000), []);
+  members.recordUnlisted(entry('b'), 40_000);
+  t.deepEqual(idsOf(members, 100_001), []);
+});
+
+test('the former start of a database that restarted counts, and is not asked', t => {
+  const members = FormerMembers.create();
+  members.recordListed(entry('a', {startedAtUnixMs: 2}), entry('a'), 0);
+  const [former] = members.of('s', 100);
+  t.like(former, {mayAnswer: false, countsUntilMs: 5_000});
+  t.is(former.entry.startedAtUnixMs, 1);
+  t.deepEqual(idsOf(members, 5_000), []);
+  // Its entry had lapsed before it restarted.
+  members.recordUnlisted(entry('b'), 6_000);
+  members.recordListed(entry('b', {startedAtUnixMs: 2}), undefined, 7_000);
+  t.like(members.of('s', 7_000)[0], {mayAnswer: false});
+});
+
+test('a database that has announced its end counts for a shorter time', t => {
+  const members = FormerMembers.create();
+  members.recordUnlisted(entry('a', {leaving: true}), 0);
+  t.is(members.of('s', 0)[0].countsUntilMs, 1_500);
+});
--- a/test/platform/takeover.test.ts
+++ b/test/platform/takeover.test.ts
@@ -130,6 +130,7 @@
     collectVotes: () => Promise.resolve([false]),
     collectFailingVotes: () => Promise.resolve([{failing: true}]),
     evacuations: () => Evacuations.none,
+    formerMembersOf: () => [],
     leadership: createLeadership(lease as unknown as CoordinatorLease),
     log: event => events.push(event),
     ...overrides,
