Write a leader record only over the one that it follows

What callers could see: a lost commit, where the store carries out a write seconds after it was given up (platform_lost late).

Cause: a record was written on condition of the holder's lease only. A write without an answer is sent again; the first one, carried out later within the same tenure, replaced a newer record, and could permit commits that a change of primary had stopped.

Change: the write is on condition of the record's own revision as well. After a conflict, an item with the same text is this write, carried out although it got no answer; any other ends the attempt.

--- a/src/front/coordinator_lease.ts
+++ b/src/front/coordinator_lease.ts
@@ -144,19 +144,35 @@
   /**
    * Writes an item only while the lease is held, retrying failed writes.
    * Resolves to the item's revision, or to undefined once the lease is lost.
+   * With `itemRevision`, the item must be at that revision: a write without an
+   * answer may be executed after newer ones, and must not replace them then.
+   * Resolves to undefined if another write has changed it.
    */
-  async write(key: string, value: string): Promise<number | undefined> {
+  async write(
+    key: string,
+    value: string,
+    itemRevision?: number,
+  ): Promise<number | undefined> {
+    const {store, log} = this.options;
+    const item =
+      itemRevision === undefined ? [] : [{key, revision: itemRevision}];
     while (this.isHeld) {
       const revision = this.keyRevision;
-      const result = await this.options.store.commit({
-        expected: [{key: this.options.key, revision}],
+      const result = await store.commit({
+        expected: [{key: this.options.key, revision}, ...item],
         writes: [{key, value, leaseId: 0}],
         removals: [],
       });
       if (result.isOk()) return result.value;
       const {kind, message} = result.error;
-      this.options.log('duty_write_failed', {key, kind, text: message});
+      log('duty_write_failed', {key, kind, text: message});
       if (kind === StoreFaultKind.conflict) {
+        const written = await this.changedItem(key, itemRevision);
+        // The first attempt was executed although it got no answer.
+        if (written)
+          return written.value.toString('utf8') === value
+            ? written.revision
+            : undefined;
         await this.raise;
         // This front has rewritten the key itself meanwhile: try again.
         if (this.keyRevision === revision) this.markLost('superseded');
@@ -165,6 +181,18 @@
     return undefined;
   }
 
+  /** Returns an item if it is no longer at a revision. */
+  private async changedItem(
+    key: string,
+    revision: number | undefined,
+  ): Promise<StoredItem | undefined> {
+    if (revision === undefined) return undefined;
+    const listed = await this.options.store.list(key);
+    if (listed.isErr()) return undefined;
+    const item = listed.value.items.find(found => found.key === key);
+    return item && item.revision !== revision ? item : undefined;
+  }
+
   /** Stops renewing and revokes the lease. */
   async release(): Promise<void> {
     this.isStopped = true;
--- a/src/front/leadership.ts
+++ b/src/front/leadership.ts
@@ -247,15 +247,19 @@
 
   /**
    * Writes a record to the store. Resolves to undefined if the coordinator
-   * lease is lost before.
+   * lease is lost before, or the record has been changed meanwhile.
    */
   async writeRecord(
     record: LeaderRecord,
   ): Promise<StoredLeaderRecord | undefined> {
     const {prefix, coordinatorLease, era, log} = this.options;
     const key = `${prefix}leaders/${record.service}`;
+    const known = Math.max(
+      this.options.storedItems().get(key)?.revision ?? 0,
+      this.writes.get(record.service)?.revision ?? 0,
+    );
     const text = encodeLeaderRecord(record, era());
-    const revision = await coordinatorLease().write(key, text);
+    const revision = await coordinatorLease().write(key, text, known);
     if (revision === undefined) return undefined;
     this.writes.set(record.service, {revision, atMs: this.nowMs()});
     const written = {...record, revision};
--- a/test/front/coordinator_lease.test.ts
+++ b/test/front/coordinator_lease.test.ts
@@ -37,6 +37,9 @@
   let beforeAnswer: (
     transaction: StoreTransaction,
   ) => Promise<void> = async () => undefined;
+  /** Items other than the key. */
+  const others = new Map<string, StoredItem>();
+  let isAnswerLost = false;
   const renewals: Array<(reply: unknown) => void> = [];
   let leases = 4;
   const qualified = (): number => qualifyRevision(state.era, state.revision);
@@ -44,16 +47,38 @@
     grant: async (ttlMs: number) => ok({leaseId: ++leases, ttlMs}),
     renew: () => new Promise(resolve => renewals.push(resolve)),
     revoke: async (id: number) => ok(revoked.push(id)),
+    list: async (prefix: string) => {
+      const items = [...others.values()].filter(({key}) =>
+        key.startsWith(prefix),
+      );
+      return ok({items, revision: qualified()});
+    },
     commit: async (transaction: StoreTransaction) => {
       commits.push(transaction);
       const [{key, revision}] = transaction.expected;
       const shown = fleetItems$.value.get(key)?.revision ?? 0;
       const present = unseenRevision ?? shown;
-      if (revision !== present)
+      const areOthersAsExpected = transaction.expected
+        .slice(1)
+        .every(
+          other => (others.get(other.key)?.revision ?? 0) === other.revision,
+        );
+      if (revision !== present || !areOthersAsExpected)
         return err({kind: StoreFaultKind.conflict, message: 'conflict'});
       if (commits.length > 1) state.revision++;
       const result = ok(qualified());
-      if (transaction.writes[0].key === KEY) unseenRevision = qualified();
+      const [write] = transaction.writes;
+      if (write.key === KEY) unseenRevision = qualified();
+      else
+        others.set(write.key, {
+          key: write.key,
+          value: Buffer.from(write.value),
+          revision: qualified(),
+        });
+      if (isAnswerLost) {
+        isAnswerLost = false;
+        return err({kind: StoreFaultKind.unknown, message: 'no answer'});
+      }
       // A store never answers within the call.
       await Promise.resolve();
       await beforeAnswer(transaction);
@@ -100,7 +125,21 @@
   const onCommit = (action: typeof beforeAnswer): void => {
     beforeAnswer = action;
   };
-  return {state, lease, show, commits, revoked, renewals, onCommit};
+  const loseNextAnswer = (): void => {
+    isAnswerLost = true;
+  };
+  return {
+    state,
+    lease,
+    show,
+    commits,
+    revoked,
+    renewals,
+    onCommit,
+    others,
+    loseNextAnswer,
+    store,
+  };
 }
 
 // Guards against seconds without a holder, though the store still has its lease.
@@ -232,3 +271,26 @@
     t.true(lease.isHeld);
   },
 );
+
+// Guards against lost commits: a write of a leader record that got no answer is
+// executed after a newer one, and permits commits that the newer one has stopped.
+test.serial(
+  'a write without an answer does not replace a newer one',
+  async t => {
+    const {lease, commits, others, loseNextAnswer, store} =
+      await createHolder(t);
+    loseNextAnswer();
+    const first = lease.write('own/leaders/s', 'old', 0);
+    await settle();
+    mock.timers.tick(100);
+    const revision = await first;
+    t.is(revision, others.get('own/leaders/s')?.revision);
+    t.truthy(await lease.write('own/leaders/s', 'new', revision));
+    t.is(await lease.write('own/leaders/s', 'late', revision), undefined);
+    // The first attempt arrives once more.
+    const late = commits.find(({writes}) => writes[0].value === 'old');
+    t.true((await store.commit(late!)).isErr());
+    t.is(others.get('own/leaders/s')?.value.toString(), 'new');
+    t.true(lease.isHeld);
+  },
+);
