Give a leaving primary without a successor no new work past its time

Cause: a primary that leaves was used until another one led.

The new test in primary_change.test, no successor at all, passes with and without the change: the callers of that fixture are refused already as commits are stopped.

--- a/src/core/directory.ts
+++ b/src/core/directory.ts
@@ -50,6 +50,11 @@
   readonly coldUntilMs: number;
   /** Store revision at which it became leader; 0 if it does not lead. */
   readonly leaderSinceRevision: number;
+  /**
+   * When this front learned that the database leaves, on the steady clock;
+   * undefined if it does not.
+   */
+  readonly leavingSinceMs?: number;
   /** When the entry disappeared; undefined while it is listed. */
   readonly missingSinceMs: number | undefined;
   /**
@@ -104,6 +109,9 @@
     receivedAtMs: nowMs,
     coldUntilMs: coldUntilMsOf(entry, known, nowMs),
     leaderSinceRevision: entry.isLeader ? since : 0,
+    leavingSinceMs: entry.leaving
+      ? ((isSameStart ? known.leavingSinceMs : undefined) ?? nowMs)
+      : undefined,
     missingSinceMs: undefined,
     isPresumedAlive: false,
   });
--- a/src/front/front.ts
+++ b/src/front/front.ts
@@ -11,11 +11,13 @@
 import {randomBytes} from 'node:crypto';
 import {map, merge, Subscription} from 'rxjs';
 import {databasesOf} from '../core/directory.js';
-import {Exclusion} from '../core/exclusion.js';
+import {KnownDatabase} from '../core/directory.js';
+import {Exclusion, isDrained} from '../core/exclusion.js';
 import {FrontConfig} from '../core/front_config.js';
 import {HomePreference} from '../core/home_preference.js';
 import {
   allowsRegion,
+  Homes,
   countRoutesAllowing,
   homesOf,
   unknownHomes,
@@ -45,7 +47,12 @@
 import {LeaderRecovery} from './leader_recovery.js';
 import {Leadership} from './leadership.js';
 import {FrontMetrics} from './front_metrics.js';
-import {Address, DEFAULT_EVACUATE_MS, FrontSettings} from './front_settings.js';
+import {
+  Address,
+  DEFAULT_DRAIN_MS,
+  DEFAULT_EVACUATE_MS,
+  FrontSettings,
+} from './front_settings.js';
 import {JsonLog} from './json_log.js';
 import {
   decodeAnnouncedRecord,
@@ -211,10 +218,7 @@
         this.leadership.commitsStoppedAtMs(service),
       random: Math.random,
       isLimitedWhileCold: service => this.isLimitedWhileCold(service),
-      exclusionOf: (entry, {homes}) =>
-        allowsRegion(homes, entry.place.region)
-          ? this.evacuations.exclusionOf(entry)
-          : Exclusion.homes,
+      exclusionOf: (entry, {homes}) => this.exclusionOf(entry, homes),
       isEvacuating: zone => this.evacuations.isEvacuating(zone),
       log,
     });
@@ -310,6 +314,18 @@
     return this.frontList.decodeFronts(this.feed.fleetItems$.value);
   }
 
+  /** Why a database may not serve a request with these homes. */
+  private exclusionOf(
+    entry: KnownDatabase,
+    homes: Homes,
+  ): Exclusion | undefined {
+    if (!allowsRegion(homes, entry.place.region)) return Exclusion.homes;
+    const {drainMs = DEFAULT_DRAIN_MS} = this.settings;
+    return isDrained(entry, performance.now(), drainMs)
+      ? Exclusion.drained
+      : this.evacuations.exclusionOf(entry);
+  }
+
   /** Reads the fronts from the store; undefined if it does not answer. */
   private async listFronts(): Promise<readonly string[] | undefined> {
     const {store, layout} = this.ports;
--- a/src/front/front_settings.ts
+++ b/src/front/front_settings.ts
@@ -10,6 +10,8 @@
 
 /** Default of `FrontSettings.evacuateMs`. */
 export const DEFAULT_EVACUATE_MS = 5_000;
+/** Default of `FrontSettings.drainMs`. */
+export const DEFAULT_DRAIN_MS = 7_000;
 
 const MAX_PORT = 65_535;
 
@@ -43,6 +45,11 @@
    * reaches a database there; `DEFAULT_EVACUATE_MS` if undefined.
    */
   readonly evacuateMs?: number;
+  /**
+   * Time after a database announced that it leaves from which no new work
+   * reaches it; `DEFAULT_DRAIN_MS` if undefined.
+   */
+  readonly drainMs?: number;
   /** Time from the stop request until the process is killed. */
   readonly shutdownGraceMs: number;
   /**
--- a/test/platform/primary_change.test.ts
+++ b/test/platform/primary_change.test.ts
@@ -6,6 +6,7 @@
 import test, {ExecutionContext} from 'ava';
 import {BusyCallers} from './busy_callers.js';
 import {
+  openSession,
   operatorConfig,
   RunningFront,
   startFront,
@@ -253,3 +254,22 @@
   t.true(primary.receivedAtMs.length > 0);
   assertNothingLost(t, fleet);
 });
+
+// Guards against the same where no successor can be chosen at all: what cannot
+// run is refused at once.
+test('a draining primary without a successor gets no statement after 5 s', async t => {
+  const fleet = await startBusyFleet(t);
+  const [primary, ...replicas] = fleet.group.databases;
+  for (const replica of replicas) replica.isUnresponsive = true;
+  drain(fleet);
+  const limitMs = performance.now() + DRAIN_LIMIT_MS;
+  await pause(DRAIN_LIMIT_MS + 200);
+  const session = await openSession(fleet.fronts[0], 'primary', 'ana-key');
+  const startedAtMs = performance.now();
+  const {error} = await session.query('WRITE refused data');
+  const tookMs = performance.now() - startedAtMs;
+  t.regex(String(error), /^BUSY/);
+  t.true(tookMs < 100, `${tookMs}`);
+  await pause(1_000);
+  t.is(primary.receivedAtMs.filter(atMs => atMs > limitMs).length, 0);
+});
