Own interface: a commit is acknowledged once a majority holds it

What callers saw: in a group of four or more databases, a commit that was acknowledged could be missing at the database that is promoted. Cause: with writeAck replica one replica had to hold the commit, whatever the size of the group. In a group of five, three databases that lack it form the majority that an election needs. In a group of four it is safe until a database joins or a VM with the former list of three elects. Seen in the model and by the rule's test, not on a running fleet. Change: a majority, the primary included, must hold the position. Why it works: any two majorities share a database, also when their groups differ by one database. A group of three needs one replica as before. The model: any lists of databases, changes of the list at any moment at each VM and at the group that confirms, eviction, statements that run after their sender ended, restarts that forget grants. Limit: isReplicationStalled still counts the progress of one replica, so a group of four or more may wait without eviction.

--- a/model/check.ts
+++ b/model/check.ts
@@ -3,11 +3,13 @@
  * rule; it must break an invariant, which shows that the rule is needed and
  * that the model can detect its absence.
  */
-import {ConfirmRule, majorityOf} from '../src/core/ack.js';
+import {ConfirmRule, confirmedByMajority, majorityOf} from '../src/core/ack.js';
 import {WriteAck} from '../src/core/config.js';
 import {SAFE_RULES} from '../src/core/failover_state.js';
 import {
   comparePositions,
+  coverage,
+  Coverage,
   DatabaseStatus,
   logEnd,
   Position,
@@ -61,6 +63,8 @@
 interface Check {
   readonly name: string;
   readonly invariants: readonly string[];
+  /** Returns the part of the bounds that `run` uses; all of them if omitted. */
+  readonly limit?: (bounds: Bounds) => Bounds;
   readonly run: (bounds: Bounds) => Exploration;
 }
 
@@ -86,6 +90,23 @@
   changes: Partial<FailoverModelOptions> = {},
 ): Check => createCheck(failoverModel({...FAILOVER_BOUNDS, ...changes, name}));
 
+/** Part of the bounds that suffices for the mutants of a group's members. */
+const MEMBERS_SHARE = 0.2;
+
+/** A group of another size, or one whose databases change; one election. */
+function members(
+  name: string,
+  changes: Partial<FailoverModelOptions> = {},
+): Check {
+  const check = failover(name, {...ONE_ELECTION, ...changes});
+  const limit = (bounds: Bounds): Bounds => ({
+    ...bounds,
+    maxExpanded: Math.ceil(bounds.maxExpanded * MEMBERS_SHARE),
+    walks: Math.ceil(bounds.walks * MEMBERS_SHARE),
+  });
+  return {...check, limit, run: bounds => check.run(limit(bounds))};
+}
+
 const RATE_BOUNDS = {maxMs: 1_500, maxLoans: 2};
 
 const rates = (
@@ -131,6 +152,16 @@
     writeAck: WriteAck.primary,
     prefix: TWO_CLAIMS_AND_A_LATE_WRITE,
   }),
+  members('failover, a group of five', FIVE_DATABASES),
+  members('failover, a primary is evicted', {evicts: true, maxCrashes: 1}),
+  members('failover, a database joins', {
+    lists: [THREE, FOUR],
+    prefix: A_WRITE_REACHES_A_JOINED_DATABASE,
+  }),
+  members('failover, a database leaves', {
+    lists: [FOUR, THREE],
+  }),
+  members('failover, a group is made anew', MADE_ANEW),
   rates('rate shares'),
   config('configuration'),
   config('configuration, restored platform', RESTORABLE_CONFIG_RULES),
@@ -153,6 +184,56 @@
   ),
 ];
 
+const THREE = ['a', 'b', 'c'];
+const FOUR = [...THREE, 'd'];
+const FIVE = [...FOUR, 'e'];
+
+const ONE_ELECTION: Partial<FailoverModelOptions> = {
+  maxTerm: 2,
+  maxWrites: 1,
+  maxCrashes: 0,
+};
+const FIVE_DATABASES: Partial<FailoverModelOptions> = {
+  lists: [FIVE],
+  prefix: [
+    {type: 'write', database: 0},
+    {type: 'replicate', database: 1},
+    {type: 'probe', database: 0},
+    {type: 'probe', database: 1},
+    {type: 'probe', database: 2},
+  ],
+};
+
+/** Only the group that confirms commits knows the joined database. */
+const A_WRITE_REACHES_A_JOINED_DATABASE: readonly FailoverSystemEvent[] = [
+  {type: 'configureAck'},
+  {type: 'write', database: 0},
+  {type: 'replicate', database: 3},
+];
+
+/** A VM makes its group anew while a promotion is on its way. */
+const MADE_ANEW: Partial<FailoverModelOptions> = {
+  maxWrites: 0,
+  lists: [THREE, THREE],
+  prefix: [
+    {type: 'tick', vm: 0},
+    {type: 'deliver', message: 1},
+    {type: 'deliver', message: 1},
+    {type: 'configure', vm: 0},
+  ],
+};
+
+/** A former rule, with a fault: one replica sufficed in a group of any size. */
+const heldByOneReplica: ConfirmRule = (state, commit) =>
+  confirmedByMajority({...state, writeAck: WriteAck.primary}, commit) &&
+  [...state.evidence.values()].some(
+    ({status, sequence}) =>
+      sequence > commit.sequence &&
+      status.term === commit.position.term &&
+      status.role === 'replica' &&
+      coverage(status, commit.position) === Coverage.covered,
+  );
+
 /** Weakened rule that ignores whether a probe was sent after the commit. */
 const ignoresProbeOrder: ConfirmRule = (state, commit) => {
   const agreeing = state.databases.filter(
@@ -184,10 +265,10 @@
   {type: 'write', database: 1},
   {type: 'probe', database: 1},
   {type: 'tick', vm: 0},
-  {type: 'deliverWithoutAnswer', message: 0},
+  {type: 'deliverWithoutAnswer', message: 1},
   {type: 'tick', vm: 0},
   {type: 'probeAnswer', probe: 0},
-  {type: 'deliver', message: 4},
+  {type: 'deliver', message: 5},
   {type: 'probe', database: 0},
   {type: 'probe', database: 2},
 ];
@@ -237,6 +318,31 @@
     covers: coversAnyWriter,
     prefix: TWO_CLAIMS_AND_A_LATE_WRITE,
   }),
+  members('one replica confirms in a group of five', {
+    ...FIVE_DATABASES,
+    confirms: heldByOneReplica,
+  }),
+  members('one replica confirms while a database joins', {
+    lists: [THREE, FOUR],
+    prefix: A_WRITE_REACHES_A_JOINED_DATABASE,
+    confirms: heldByOneReplica,
+  }),
+  members('two databases join at once', {
+    lists: [THREE, FIVE],
+  }),
+  members('a database is replaced in one change', {
+    lists: [THREE, ['a', 'b', 'd']],
+  }),
+  members('a VM is two changes behind', {
+    lists: [THREE, FOUR, FIVE],
+  }),
+  members('a group made anew claims under the same name', {
+    ...MADE_ANEW,
+    reusesClaimant: true,
+  }),
+  members('a database forgets its grants in a restart', {
+    forgetsGrants: true,
+  }),
   rates('lent tokens stay with the lender', {
     lend: (bucket, wanted, reserve, nowMs) => ({
       bucket,
@@ -341,7 +447,7 @@
     result: check.run(bounds),
   }));
   for (const {check, result} of checkedModels)
-    print(describeModel(check, result, bounds));
+    print(describeModel(check, result, check.limit?.(bounds) ?? bounds));
   const checkedMutants = mutants().map(check => ({
     check,
     result: check.run(bounds),
--- a/model/failover_model.ts
+++ b/model/failover_model.ts
@@ -1,8 +1,10 @@
 /**
  * Model of failover elections and commit acknowledgement. Runs the production
  * code of both: `stepFailover` at two VMs and the acknowledgement rule at the
- * VM that writes, with three databases and a network that loses and delays
- * messages. Time is abstract: every timer may fire at any moment.
+ * VM that writes, with a few databases and a network that loses and delays
+ * messages, also beyond the end of their sender. Each VM, and the group that
+ * confirms commits, learns of a change of the group's databases at any moment.
+ * Time is abstract: every timer may fire at any moment.
  */
 import {
   AckState,
@@ -47,6 +49,7 @@
 /** A request in transit from a VM to a database. */
 interface Message {
   readonly from: number;
+  readonly claimant: string;
   readonly type: 'raise' | 'promote' | 'follow';
   readonly database: string;
   readonly term: number;
@@ -77,12 +80,23 @@
   /** Latest sequence number of a commit or probe. */
   readonly sequence: number;
   readonly crashes: number;
+  /** Number of changes of the group's databases that each VM has applied. */
+  readonly versions: readonly number[];
+  /** The same number at the group that confirms commits. */
+  readonly ackVersion: number;
 }
 
 /** A transition of the model. The numbers are indexes into the system. */
 export type FailoverSystemEvent =
   | {readonly type: 'tick'; readonly vm: number}
   | {readonly type: 'crash'; readonly vm: number}
+  | {readonly type: 'evict'; readonly vm: number}
+  /** A VM applies the next list of databases. */
+  | {readonly type: 'configure'; readonly vm: number}
+  /** The group that confirms commits applies the next list of databases. */
+  | {readonly type: 'configureAck'}
+  /** A database restarts; relevant only if it forgets what it granted. */
+  | {readonly type: 'restart'; readonly database: number}
   | {
       /** Loss of a message is modelled as never delivering it. */
       readonly type: 'deliver' | 'deliverWithoutAnswer';
@@ -102,6 +116,14 @@
   readonly maxCrashes: number;
   readonly rules?: FailoverRules;
   readonly confirms?: ConfirmRule;
+  /** The lists of the group's databases, in order; one of three if omitted. */
+  readonly lists?: readonly (readonly string[])[];
+  /** Whether VMs may replace a primary that its replicas cannot reach. */
+  readonly evicts?: boolean;
+  /** Whether a group made anew claims under the name of the former one. */
+  readonly reusesClaimant?: boolean;
+  /** Whether a database that restarts forgets to whom it granted its term. */
+  readonly forgetsGrants?: boolean;
   /** Whether a database grants the same term to several claimants. */
   readonly grantsTermTwice?: boolean;
   /** Events that lead from the initial state to where exploration starts. */
@@ -110,7 +132,7 @@
   readonly covers?: (status: DatabaseStatus, floor: Position) => boolean;
 }
 
-const DATABASE_NAMES = ['a', 'b', 'c'];
+const DEFAULT_LISTS = [['a', 'b', 'c']];
 const TIMEOUTS = {
   suspectAfterMs: 1,
   voteWaitMs: 1,
@@ -121,11 +143,23 @@
 const NOW_MS = 1;
 const TICK_MS = 2;
 
+const listsOf = (options: FailoverModelOptions) =>
+  options.lists ?? DEFAULT_LISTS;
+
+/** Names of all databases that belong to the group at some time. */
+const namesOf = (options: FailoverModelOptions): string[] => [
+  ...new Set(listsOf(options).flat()),
+];
+
 /** Returns the state of a VM at start; `boot` makes its claimant unique. */
-const createVm = (index: number, boot: number): FailoverState =>
+const createVm = (
+  index: number,
+  boot: string,
+  databases: readonly string[],
+): FailoverState =>
   createFailoverState({
     claimant: `p${index}.${boot}`,
-    databases: DATABASE_NAMES,
+    databases,
     times: TIMEOUTS,
     nowMs: NOW_MS,
   });
@@ -140,40 +174,52 @@
 });
 
 function initialSystem(options: FailoverModelOptions): FailoverSystem {
-  const databases = DATABASE_NAMES.map((name, index): Database => ({
+  const [first] = listsOf(options);
+  const databases = namesOf(options).map((name, index): Database => ({
     name,
     term: 1,
     claimant: '',
     role: index === 0 ? 'primary' : 'replica',
-    following: index === 0 ? undefined : DATABASE_NAMES[0],
+    following: index === 0 ? undefined : first[0],
     log: [],
     lineage: [{term: 1, startOffset: 0}],
   }));
   const vms = [0, 1].map(index =>
-    databases.reduce(
-      (state, database) =>
-        stepFailover(state, {
-          type: 'status',
-          status: statusOf(database),
-          nowMs: NOW_MS,
-        }).state,
-      createVm(index, 0),
-    ),
+    learnStatuses(createVm(index, '0', first), databases),
   );
   return {
     databases,
     vms,
     messages: [],
-    ack: createAckState(DATABASE_NAMES, options.writeAck),
+    ack: createAckState(first, options.writeAck),
     probes: [],
     commits: [],
     confirmed: [],
     promoted: [{term: 1, database: 'a'}],
     sequence: 0,
     crashes: 0,
+    versions: [0, 0],
+    ackVersion: 0,
   };
 }
 
+/** Returns a VM's state after its first probes of the databases it lists. */
+const learnStatuses = (
+  vm: FailoverState,
+  databases: readonly Database[],
+): FailoverState =>
+  databases
+    .filter(database => vm.databases.includes(database.name))
+    .reduce(
+      (state, database) =>
+        stepFailover(state, {
+          type: 'status',
+          status: statusOf(database),
+          nowMs: NOW_MS,
+        }).state,
+      vm,
+    );
+
 export function failoverModel(
   options: FailoverModelOptions,
 ): Model<FailoverSystem, FailoverSystemEvent> {
@@ -209,7 +255,16 @@
     if (system.crashes < options.maxCrashes && state.phase.name !== 'steady') {
       events.push({type: 'crash', vm});
     }
+    if (options.evicts && canTick(state, options)) {
+      events.push({type: 'evict', vm});
+    }
+    if (system.versions[vm] + 1 < listsOf(options).length) {
+      events.push({type: 'configure', vm});
+    }
   });
+  if (system.ackVersion + 1 < listsOf(options).length) {
+    events.push({type: 'configureAck'});
+  }
   system.messages.forEach((sent, message) => {
     events.push({type: 'deliver', message});
     if (sent.type !== 'follow') {
@@ -217,8 +272,12 @@
     }
   });
   system.databases.forEach((database, index) => {
+    if (options.forgetsGrants && database.term > 1) {
+      events.push({type: 'restart', database: index});
+    }
     if (
       database.role === 'primary' &&
+      system.ack.databases.includes(database.name) &&
       system.commits.length < options.maxWrites
     ) {
       events.push({type: 'write', database: index});
@@ -260,6 +319,7 @@
 
 const mayProbe = (system: FailoverSystem, database: Database): boolean =>
   system.ack.pending.length > 0 &&
+  system.ack.databases.includes(database.name) &&
   !system.probes.some(probe => probe.status.database === database.name);
 
 function stepSystem(
@@ -271,7 +331,15 @@
     case 'tick':
       return applyToVm(system, event.vm, tickOf(event.vm), options);
     case 'crash':
-      return crash(system, event.vm);
+      return crash(system, event.vm, options);
+    case 'evict':
+      return applyToVm(system, event.vm, EVICTION, options);
+    case 'configure':
+      return configure(system, event.vm, options);
+    case 'configureAck':
+      return configureAck(system, options);
+    case 'restart':
+      return restart(system, event.database);
     case 'deliver':
     case 'deliverWithoutAnswer':
       return deliver(system, event, options);
@@ -292,27 +360,71 @@
   nowMs: TICK_MS,
 });
 
-function crash(system: FailoverSystem, vm: number): FailoverSystem {
+const EVICTION: FailoverEvent = {type: 'evict', nowMs: NOW_MS};
+
+/** The statements of the VM that are on their way may still be run. */
+function crash(
+  system: FailoverSystem,
+  vm: number,
+  options: FailoverModelOptions,
+): FailoverSystem {
   const crashes = system.crashes + 1;
-  const vms = system.vms.with(vm, createVm(vm, crashes));
-  // The first probes of the restarted VM report the current statuses.
-  const restarted = system.databases.reduce(
-    (state, database) =>
-      stepFailover(state, {
-        type: 'status',
-        status: statusOf(database),
-        nowMs: NOW_MS,
-      }).state,
-    vms[vm],
+  const boot = `${crashes}.${system.versions[vm]}`;
+  const state = createVm(vm, boot, listsOf(options)[system.versions[vm]]);
+  const restarted = learnStatuses(state, system.databases);
+  return {...system, crashes, vms: system.vms.with(vm, restarted)};
+}
+
+/** Replaces the election of a VM by one of the next list of databases. */
+function configure(
+  system: FailoverSystem,
+  vm: number,
+  options: FailoverModelOptions,
+): FailoverSystem {
+  const version = system.versions[vm] + 1;
+  const {claimant} = system.vms[vm];
+  const created = createVm(
+    vm,
+    `${system.crashes}.${version}`,
+    listsOf(options)[version],
   );
+  const state = options.reusesClaimant ? {...created, claimant} : created;
+  // Those that know a later term may have answered no probe yet.
+  const lowestTerm = Math.min(...system.databases.map(entry => entry.term));
+  const answered = system.databases.filter(entry => entry.term === lowestTerm);
   return {
     ...system,
-    crashes,
-    vms: vms.with(vm, restarted),
-    messages: system.messages.filter(message => message.from !== vm),
+    versions: system.versions.with(vm, version),
+    vms: system.vms.with(vm, learnStatuses(state, answered)),
   };
 }
 
+/** Commits that the former list has not confirmed end as unknown. */
+function configureAck(
+  system: FailoverSystem,
+  options: FailoverModelOptions,
+): FailoverSystem {
+  const ackVersion = system.ackVersion + 1;
+  const names = listsOf(options)[ackVersion];
+  return {
+    ...system,
+    ackVersion,
+    ack: createAckState(names, options.writeAck),
+    probes: [],
+  };
+}
+
+const restart = (system: FailoverSystem, index: number): FailoverSystem => ({
+  ...system,
+  databases: system.databases.with(index, {
+    ...system.databases[index],
+    term: 1,
+    claimant: '',
+    role: 'replica',
+    following: 'a',
+  }),
+});
+
 /** Applies an event to one VM and sends the resulting messages. */
 function applyToVm(
   system: FailoverSystem,
@@ -330,7 +442,8 @@
     vms: system.vms.with(vm, state),
   };
   const needsVotes = effects.some(effect => effect.type === 'askObservers');
-  const sent = effects.flatMap(effect => messagesOf(vm, effect));
+  const {claimant} = state;
+  const sent = effects.flatMap(effect => messagesOf(vm, claimant, effect));
   const withMessages = {...next, messages: [...next.messages, ...sent]};
   if (!needsVotes) return withMessages;
   // Worst case for safety: every observer reports the primary unreachable.
@@ -343,23 +456,16 @@
   return applyToVm(withMessages, vm, vote, options);
 }
 
-function messagesOf(from: number, effect: FailoverEffect): Message[] {
+function messagesOf(
+  from: number,
+  claimant: string,
+  effect: FailoverEffect,
+): Message[] {
   switch (effect.type) {
     case 'raise':
     case 'promote':
-      return [
-        {from, type: effect.type, database: effect.database, term: effect.term},
-      ];
     case 'follow':
-      return [
-        {
-          from,
-          type: 'follow',
-          database: effect.database,
-          term: effect.term,
-          primary: effect.primary,
-        },
-      ];
+      return [{from, claimant, ...effect}];
     case 'askObservers':
       return [];
   }
@@ -388,14 +494,8 @@
   options: FailoverModelOptions,
 ): FailoverSystem {
   const message = system.messages[event.message];
-  const at = DATABASE_NAMES.indexOf(message.database);
-  const {claimant} = system.vms[message.from];
-  const result = handleRequest(
-    system.databases[at],
-    message,
-    claimant,
-    options,
-  );
+  const at = namesOf(options).indexOf(message.database);
+  const result = handleRequest(system.databases[at], message, options);
   const promoted =
     message.type === 'promote' && result.granted
       ? [...system.promoted, {term: message.term, database: message.database}]
@@ -406,7 +506,8 @@
     promoted,
   };
   if (event.type === 'deliverWithoutAnswer') return dropOutdatedMessages(next);
-  const reply = replyTo(message, result);
+  const isSenderAlive = system.vms[message.from].claimant === message.claimant;
+  const reply = isSenderAlive ? replyTo(message, result) : undefined;
   return dropOutdatedMessages(
     reply ? applyToVm(next, message.from, reply, options) : next,
   );
@@ -421,9 +522,9 @@
 function handleRequest(
   database: Database,
   message: Message,
-  claimant: string,
   options: FailoverModelOptions,
 ): RequestResult {
+  const {claimant} = message;
   switch (message.type) {
     case 'raise':
       return raise(database, message.term, claimant, options);
@@ -655,7 +756,7 @@
 
 const formatMessage = (message: Message): string =>
   [
-    message.from,
+    message.claimant,
     message.type,
     message.database,
     message.term,
@@ -695,7 +796,8 @@
     ),
     system.confirmed.map(String),
     system.promoted.map(entry => `${entry.term}${entry.database}`).sort(),
-    [String(system.crashes)],
+    [String(system.crashes), ...system.versions.map(String)],
+    [String(system.ackVersion)],
   ];
   return parts.map(part => part.join(';')).join('|');
 }
--- a/src/core/ack.ts
+++ b/src/core/ack.ts
@@ -2,8 +2,8 @@
  * Decides when a commit may be acknowledged: a majority of the group's
  * databases must report the commit's term in answer to probes sent after the
  * primary returned the commit. Any two majorities overlap, so a replaced
- * primary never obtains one. A single round of probes covers all pending
- * commits.
+ * primary never obtains one, and a later election finds a commit that a
+ * majority holds. A single round of probes covers all pending commits.
  */
 import {coverage, Coverage, DatabaseStatus, Position} from './position.js';
 import {WriteAck} from './config.js';
@@ -106,11 +106,15 @@
     .map(name => state.evidence.get(name))
     .filter(entry => entry && entry.sequence > commit.sequence)
     .filter(entry => entry?.status.term === commit.position.term);
-  if (agreeing.length < majorityOf(state.databases.length)) return false;
+  const majority = majorityOf(state.databases.length);
+  if (agreeing.length < majority) return false;
+  const holdingReplicas = agreeing.filter(
+    entry => entry && holdsAsReplica(entry, commit.position),
+  );
+  // The primary, which returned the commit, is the other holder.
   return (
     state.writeAck === WriteAck.primary ||
-    state.databases.length === 1 ||
-    agreeing.some(entry => entry && holdsAsReplica(entry, commit.position))
+    holdingReplicas.length + 1 >= majority
   );
 }
 
--- a/src/core/config.ts
+++ b/src/core/config.ts
@@ -11,7 +11,8 @@
 
 /**
  * Which databases must hold a write before it is acknowledged: only the
- * primary, or also a replica.
+ * primary, or with it so many replicas that they form a majority (one replica
+ * in a group of three).
  */
 export const WriteAck = {primary: 'primary', replica: 'replica'} as const;
 export type WriteAck = (typeof WriteAck)[keyof typeof WriteAck];
--- a/src/standin/local_fleet.ts
+++ b/src/standin/local_fleet.ts
@@ -23,7 +23,9 @@
 };
 
 /** A service and its group, with defaults for omitted fields. */
-export type LocalFleetService = Partial<GroupOptions & ServiceConfig> & {
+export type LocalFleetService = Partial<
+  GroupOptions & Omit<ServiceConfig, 'databases'>
+> & {
   /**
    * Returns whether the database at an index is marked as leaving (about to be
    * removed from its group) when the fleet starts.
