Own interface: a plan changes one database of a service at a time

What callers saw: an acknowledged commit could be missing after a plan that replaced a database, or added or removed two, at the same time as an election. Cause: put_service took any list of databases. A VM with the old list elects with a majority of it, one with the new list confirms with a majority of that, and these may share no database. Not shown on a running fleet. Change: makePlan and applyPlan reject a change after which majorities of the two lists need not meet. Limit: a VM that is two changes behind is not detected (mutant 'a VM is two changes behind'), nor a service removed by one plan and put by another, nor an empty database under a known name (mutant 'a database forgets its grants').

--- a/src/core/ack.ts
+++ b/src/core/ack.ts
@@ -52,6 +52,15 @@
 
 export const majorityOf = (count: number): number => Math.floor(count / 2) + 1;
 
+/** Whether each majority of one list shares a database with each of the other. */
+export function majoritiesMeet(
+  before: readonly string[],
+  after: readonly string[],
+): boolean {
+  const all = new Set([...before, ...after]);
+  return majorityOf(before.length) + majorityOf(after.length) > all.size;
+}
+
 /** Adds a commit that the primary has just returned. */
 export const addCommit = (
   state: AckState,
--- a/src/core/plan.ts
+++ b/src/core/plan.ts
@@ -6,6 +6,7 @@
 import {createHash} from 'node:crypto';
 import {err, ok, Result} from 'neverthrow';
 import {z} from 'zod';
+import {majoritiesMeet} from './ack.js';
 import {
   Config,
   configSchema,
@@ -164,7 +165,29 @@
       );
 }
 
+/**
+ * Rejects a change of a service's databases after which a VM with the old list
+ * could elect a primary without any database that confirmed a commit.
+ */
+function checkDatabases(before: Config, after: Config): Result<Config, string> {
+  const namesOf = (service: ServiceConfig): string[] =>
+    service.databases.map(entry => entry.name);
+  const apart = after.services.find(service => {
+    const old = findService(before, service.name);
+    return old && !majoritiesMeet(namesOf(old), namesOf(service));
+  });
+  return apart
+    ? err(`service ${apart.name}: add or remove one database at a time`)
+    : ok(after);
+}
+
 function applyActions(config: Config, intent: Intent): Result<Config, string> {
+  return applyEach(config, intent).andThen(next =>
+    checkDatabases(config, next),
+  );
+}
+
+function applyEach(config: Config, intent: Intent): Result<Config, string> {
   let next: Result<Config, string> = ok(config);
   for (const [index, action] of intent.actions.entries()) {
     next = next.andThen(current =>
--- /dev/null
+++ b/test/membership_changes.test.ts
@@ -0,0 +1,64 @@
+import test from 'ava';
+import {Config, EMPTY_CONFIG} from '../src/core/config.js';
+import {applyPlan, makePlan} from '../src/core/plan.js';
+
+const SERVICE = 'order-books-1';
+
+const putService = (names: string) => ({
+  do: 'put_service' as const,
+  service: {
+    name: SERVICE,
+    databases: [...names].map(name => ({
+      name,
+      host: '127.0.0.1',
+      port: 1,
+      region: 'r',
+      zone: 'z',
+      leaving: false,
+    })),
+    slots: 2,
+    connections: 16,
+    writeAck: 'replica' as const,
+    open: false,
+  },
+});
+
+/** Returns the configuration in which a service has the named databases. */
+function configWith(names: string): Config {
+  const intent = {actions: [putService(names)]};
+  const plan = makePlan(EMPTY_CONFIG, intent, 'ana', 'n')._unsafeUnwrap();
+  return applyPlan(EMPTY_CONFIG, plan, 'ana', 0)._unsafeUnwrap();
+}
+
+for (const [before, after] of [
+  ['abc', 'abcde'],
+  ['abc', 'abd'],
+  ['abc', 'ade'],
+  ['abcde', 'abc'],
+]) {
+  // Guards against VMs with the old and the new list that elect a primary and
+  // confirm commits at databases of which none is the same.
+  test(`a plan from databases ${before} to ${after} is rejected`, t => {
+    const config = configWith(before);
+    for (const actions of [
+      [putService(after)],
+      [{do: 'remove_service' as const, name: SERVICE}, putService(after)],
+    ]) {
+      const plan = makePlan(config, {actions}, 'ana', 'n');
+      t.regex(String(plan._unsafeUnwrapErr()), /one database at a time/);
+    }
+  });
+}
+
+for (const [before, after] of [
+  ['a', 'ab'],
+  ['ab', 'a'],
+  ['abc', 'abcd'],
+  ['abcd', 'abc'],
+  ['abc', 'cba'],
+]) {
+  test(`a plan from databases ${before} to ${after} is accepted`, t => {
+    const intent = {actions: [putService(after)]};
+    t.true(makePlan(configWith(before), intent, 'ana', 'n').isOk());
+  });
+}
