Own interface: each group of a process claims under its own name

What callers could see: two primaries of one term after a change of a service that makes its group anew during an election, and with them acknowledged commits that only one of the two logs holds. Cause: groups of one process claimed as vm/boot. A database takes a claim under the same name for a repeated one, and a promotion of the former group that runs late is valid in the term that the new group claimed. The new test failed before (the second group's claimant equal to the first's) and passes now. Two primaries were seen in the model only. Change: LocalGroups appends the number of the group to the claimant. Why it works: the databases refuse the late promotion once the new group's claim is granted; the model 'a group is made anew' holds.

--- a/src/proxy/local_groups.ts
+++ b/src/proxy/local_groups.ts
@@ -55,6 +55,8 @@
   /** Closed groups, kept until their last lanes end. */
   private readonly retired = new Set<LocalGroup>();
   private readonly subscription: Subscription;
+  /** Number of groups opened so far. */
+  private groupCount = 0;
 
   private constructor(private readonly options: LocalGroupsOptions) {
     this.subscription = merge(
@@ -104,10 +106,13 @@
 
   private add(service: ServiceConfig): ServedGroup {
     const {options} = this;
+    const {claimant} = options.failoverOptions;
+    // A database takes a claim under the same name for a repeated one.
+    const ownClaimant = `${claimant}/${++this.groupCount}`;
     const group = LocalGroup.create({
       service,
       targetOf: database => options.targetOf(service.name, database),
-      failoverOptions: options.failoverOptions,
+      failoverOptions: {...options.failoverOptions, claimant: ownClaimant},
       onRouted: options.onRouted,
       routeRead: options.routeRead,
       confirmRule: options.confirmRule,
--- a/test/membership_changes.test.ts
+++ b/test/membership_changes.test.ts
@@ -1,6 +1,7 @@
 import test from 'ava';
 import {Config, EMPTY_CONFIG} from '../src/core/config.js';
 import {applyPlan, makePlan} from '../src/core/plan.js';
+import {LocalFleet, waitUntil} from '../src/standin/local_fleet.js';
 
 const SERVICE = 'order-books-1';
 
@@ -62,3 +63,45 @@
     t.true(makePlan(configWith(before), intent, 'ana', 'n').isOk());
   });
 }
+
+/** Names of the claimants whose terms the databases were asked to grant. */
+function recordClaimants(fleet: LocalFleet): Set<string> {
+  const claimants = new Set<string>();
+  for (const {database} of fleet.group(SERVICE).servers) {
+    const raiseTerm = database.raiseTerm.bind(database);
+    database.raiseTerm = (term, claimant) => {
+      claimants.add(claimant);
+      return raiseTerm(term, claimant);
+    };
+  }
+  return claimants;
+}
+
+/** Marks the primary as leaving and waits until another one is promoted. */
+async function moveFromPrimary(fleet: LocalFleet): Promise<void> {
+  const group = fleet.group(SERVICE);
+  const {database} = group.primary;
+  const {term} = database.status();
+  const leaving = {service: SERVICE, database: database.name, leaving: true};
+  await fleet.applyActions(0, [{do: 'set_leaving', ...leaving}]);
+  await waitUntil(() => group.primary.database.status().term > term);
+}
+
+// Guards against two primaries of a term: a database takes a claim under the
+// same name for a repeated one.
+test.serial('groups that are made anew claim under other names', async t => {
+  const fleet = await LocalFleet.create({proxies: 1});
+  t.teardown(() => fleet.close());
+  const group = fleet.group(SERVICE);
+  const claimants = recordClaimants(fleet);
+  await moveFromPrimary(fleet);
+  const before = new Set(claimants);
+  claimants.clear();
+  const {slots} = group.options;
+  const databases = group.databaseConfigs();
+  const service = {name: SERVICE, databases, slots, connections: 15};
+  await fleet.applyActions(0, [{do: 'put_service', service}]);
+  await moveFromPrimary(fleet);
+  t.deepEqual([before.size, claimants.size], [1, 1]);
+  t.true([...claimants].every(claimant => !before.has(claimant)));
+});
