Own interface: a replaced group stops confirming beyond one change

What callers saw: a transaction that was open over two changes of its service's databases was acknowledged although only databases outside the group held it. Cause: lanes that outlive their group are confirmed by a majority of the list that the group was made for; an election asks the present list. Evidence: five databases, shrunk by two plans to three while a transaction is open, two of the three not replicating: COMMIT was acknowledged, held by the primary alone of the three. Change: a replaced group whose majorities need not meet those of the present list ends its commits as outcome_unknown. Why it works: while the lists differ by one database the majorities meet, and beyond that nothing is acknowledged. Only the VM that has the newer list knows.

--- a/src/proxy/local_group.ts
+++ b/src/proxy/local_group.ts
@@ -13,6 +13,7 @@
   ConfirmRule,
   createAckState,
   dropCommit,
+  majoritiesMeet,
 } from '../core/ack.js';
 import {DatabaseConfig, ServiceConfig, WriteAck} from '../core/config.js';
 import {failure} from '../core/errors.js';
@@ -107,6 +108,8 @@
   private sequence = 0;
   private lastRequestAtMs = Date.now();
   private isClosing = false;
+  /** Whether commits that a majority of this group holds are acknowledged. */
+  private isConfirming = true;
   private replicationProgress = createReplicationProgress(Date.now());
   private service: ServiceConfig;
 
@@ -177,6 +180,10 @@
   awaitConfirmation(position: Position, onDecided: OnDecided): () => void {
     const id = ++this.sequence;
     this.onDecidedById.set(id, onDecided);
+    if (!this.isConfirming) {
+      queueMicrotask(() => this.notifyDecided(id, false));
+      return () => this.onDecidedById.delete(id);
+    }
     this.ack = addCommit(this.ack, {id, position, sequence: id});
     this.prober.setFrequency(ProbeFrequency.urgent);
     return () => {
@@ -222,6 +229,18 @@
     this.updateLeaving();
   }
 
+  /**
+   * Stops to confirm commits when an election among the databases of `service`
+   * need not find what a majority of this group holds.
+   */
+  checkDatabases(service: ServiceConfig): void {
+    const names = service.databases.map(entry => entry.name);
+    if (majoritiesMeet(this.ack.databases, names)) return;
+    this.isConfirming = false;
+    for (const {id} of this.ack.pending) this.notifyDecided(id, false);
+    this.ack = {...this.ack, pending: []};
+  }
+
   /** Limits the pools to a few connections while another VM owns them. */
   setOwned(owned: boolean): void {
     for (const pool of this.pools.values()) pool.setOwned(owned);
--- a/src/proxy/local_groups.ts
+++ b/src/proxy/local_groups.ts
@@ -129,6 +129,8 @@
       if (!findService(config, name)) this.retire(name, entry);
     }
     for (const group of this.retired) {
+      const service = findService(config, group.name);
+      if (service) group.checkDatabases(service);
       if (group.laneCount === 0) this.retired.delete(group);
     }
   }
--- a/test/membership_changes.test.ts
+++ b/test/membership_changes.test.ts
@@ -4,6 +4,7 @@
 import {LocalFleet, waitUntil} from '../src/standin/local_fleet.js';
 
 const SERVICE = 'order-books-1';
+const CUSTOMER = 'villacres';
 
 const putService = (names: string) => ({
   do: 'put_service' as const,
@@ -84,7 +85,11 @@
   const {term} = database.status();
   const leaving = {service: SERVICE, database: database.name, leaving: true};
   await fleet.applyActions(0, [{do: 'set_leaving', ...leaving}]);
-  await waitUntil(() => group.primary.database.status().term > term);
+  await waitUntil(() =>
+    group.servers
+      .map(server => server.database.status())
+      .some(status => status.role === 'primary' && status.term > term),
+  );
 }
 
 // Guards against two primaries of a term: a database takes a claim under the
@@ -105,3 +110,43 @@
   t.deepEqual([before.size, claimants.size], [1, 1]);
   t.true([...claimants].every(claimant => !before.has(claimant)));
 });
+
+/** Limits the service to its first databases. */
+async function shrinkTo(fleet: LocalFleet, count: number): Promise<void> {
+  const group = fleet.group(SERVICE);
+  const {slots, connections} = group.options;
+  const databases = group.databaseConfigs().slice(0, count);
+  const service = {name: SERVICE, databases, slots, connections};
+  await fleet.applyActions(0, [{do: 'put_service', service}]);
+}
+
+// Guards against a commit that only databases which have left the group hold.
+test.serial(
+  'a transaction that outlives two changes of its group loses no commit',
+  async t => {
+    const fleet = await LocalFleet.create({
+      proxies: 1,
+      services: [{databases: 5}],
+    });
+    t.teardown(() => fleet.close());
+    const group = fleet.group(SERVICE);
+    const client = fleet.createClient(0, CUSTOMER, SERVICE);
+    await client.connect();
+    await client.query('BEGIN');
+    await client.query("INSERT INTO t (id) VALUES ('a')");
+    await shrinkTo(fleet, 4);
+    await shrinkTo(fleet, 3);
+    for (const {database} of group.servers.slice(1, 3)) {
+      database.faults.isIsolated = true;
+    }
+    const isAcknowledged = await client.query('COMMIT').then(
+      () => true,
+      () => false,
+    );
+    const holders = group.servers
+      .slice(0, 3)
+      .filter(({database}) => database.committed().length > 0);
+    t.false(isAcknowledged && holders.length < 2);
+    await client.end();
+  },
+);
