Model the change of primary

The model runs the state machine of core/primary_change.ts and the record functions of core/leader_record.ts. It explores two fronts, one of which may be cut off, up to four databases of which one may join, restart, restart empty or lapse, orders that are executed late and take effect later still, up to two changes of the holder and three attempts. A former primary is confirmed as in ReplicaResumer.confirmLeader: stop commits, wait until the fronts obey, write the contested record, order, wait for effects, write the settled record. Invariant: the leading database holds every acknowledged commit.

Assumed, not explored: the directory by which logs are read is as new as the record that stops commits. The holder waits up to 250 ms for that; when its view arrives later, the directory may be older.

--- a/model/check.ts
+++ b/model/check.ts
@@ -29,6 +29,7 @@
 import {lanesModel} from './lanes_model.js';
 import {Misdirected, SAFE_LANE_RULES} from './lanes_system.js';
 import {ratesModel, SAFE_RATE_RULES} from './rates_model.js';
+import {changeModels, changeMutants} from './primary_change_checks.js';
 import {
   SAFE_TAKEOVER_RULES,
   takeoverModel,
@@ -175,6 +176,7 @@
     [1],
   ),
   takeover('takeover without fencing', UNFENCED_TAKEOVER_RULES),
+  ...changeModels().map(createCheck),
   lanes('transactions over fronts'),
   // Comparing the transactions suffices if only the lanes' ids repeat.
   lanes(
@@ -420,6 +422,7 @@
     ...UNFENCED_TAKEOVER_RULES,
     expectsEarlierOrders: false,
   }),
+  ...changeMutants().map(createCheck),
   lanes('two processes of a VM have the same id', {processId: vm => vm}),
   lanes('each worker counts its ids', {workersShareIds: false}),
   lanes(
