--- a/model/primary_change_holder.ts
+++ b/model/primary_change_holder.ts
@@ -341,7 +341,7 @@
 ): boolean {
   const hasOrders = raisesToken || inDoubt !== undefined;
   const mayOthersTakeEffect = record
-    ? !record.settled || record.database !== database
+    ? record.database !== database || record.commits === CommitRule.contested
     : isNew;
   return confirmsRestored && (hasOrders || mayOthersTakeEffect);
 }
--- a/src/core/former_members.ts
+++ b/src/core/former_members.ts
@@ -16,9 +16,9 @@
 
 /**
  * How long the log of a database counts as missing after its entry lapsed or it
- * started again.
+ * started again. Longer than a change waits for a front that does not answer.
  */
-const LAPSED_COUNTS_MS = 5_000;
+const LAPSED_COUNTS_MS = 8_000;
 /** As `LAPSED_COUNTS_MS`, for a database that had announced that it leaves. */
 const LEFT_COUNTS_MS = 1_500;
 /** How long a database is asked for its log after its entry disappeared. */
@@ -58,7 +58,10 @@
       if (member.entry.id !== entry.id) continue;
       if (member.entry.startedAtUnixMs === entry.startedAtUnixMs)
         this.members.delete(key);
-      else this.members.set(key, {...member, mayAnswer: false});
+      else if (member.mayAnswer) {
+        const countsUntilMs = nowMs + LAPSED_COUNTS_MS;
+        this.members.set(key, {...member, mayAnswer: false, countsUntilMs});
+      }
     }
     if (known && known.startedAtUnixMs !== entry.startedAtUnixMs)
       this.add(known, nowMs, false, LAPSED_COUNTS_MS);
--- a/src/core/freshness.ts
+++ b/src/core/freshness.ts
@@ -53,3 +53,14 @@
 /** Returns the age of the configuration up to which keys are accepted. */
 export const maxConfigAgeMs = (revokeMs: number): number =>
   Math.max(0, revokeMs - CHECK_MARGIN_MS);
+
+/** Share of the time in which keys must be withdrawn. */
+const COMMIT_VIEW_SHARE = 0.6;
+
+/**
+ * Returns the age of the view up to which commits are acknowledged. A view is
+ * renewed within 2 s while the store answers; a change of primary waits this long
+ * for a front that does not.
+ */
+export const maxCommitViewAgeMs = (revokeMs: number): number =>
+  revokeMs * COMMIT_VIEW_SHARE;
--- a/src/core/leader_record.ts
+++ b/src/core/leader_record.ts
@@ -91,11 +91,17 @@
   return b.revision > a.revision ? b : a;
 };
 
-/** Whether a record permits a database to lead; without a record, any may. */
+/**
+ * Whether a record permits a database to lead; without a record, or with one
+ * that names none, any may.
+ */
 export const mayLead = (
   record: StoredLeaderRecord | undefined,
   database: string,
-): boolean => record === undefined || record.database === database;
+): boolean =>
+  record === undefined ||
+  record.database === '' ||
+  record.database === database;
 
 /** Whether a record permits commits at a database; without a record, any may. */
 export const mayCommit = (
--- a/src/front/database_worker.ts
+++ b/src/front/database_worker.ts
@@ -9,7 +9,6 @@
 import {Exclusion} from '../core/exclusion.js';
 import {INTERNAL_CUSTOMER} from '../core/front_config.js';
 import {allowsRegion, HOMES_RETRY_DELAY_MS} from '../core/homes.js';
-import {FINISH_COMMITS_MS} from '../core/leader_record.js';
 import {EXPECTED_TAKEOVER_MS} from '../core/leader_wait.js';
 import {Position} from '../core/position.js';
 import {PositionSamples} from '../core/position_samples.js';
@@ -219,12 +218,11 @@
 
   /**
    * Ends everything that may lead to a commit. Commits under way may finish for
-   * a while; what has got no answer by then ends with an unknown outcome.
+   * `finishMs`; what has got no answer by then ends with an unknown outcome.
    */
-  async stopCommits(): Promise<void> {
+  async stopCommits(finishMs: number): Promise<void> {
     const isAnswering = !this.health.isSuspect;
-    this.finishUntilMs =
-      performance.now() + (isAnswering ? FINISH_COMMITS_MS : 0);
+    this.finishUntilMs = performance.now() + (isAnswering ? finishMs : 0);
     const mayCommit = ({lane, job, isOpening}: Connection): boolean =>
       !isOpening &&
       (lane?.hasWritten === true ||
--- a/src/front/dispatcher.ts
+++ b/src/front/dispatcher.ts
@@ -293,11 +293,12 @@
   async stopCommitsExcept(
     service: string,
     allowed: string | undefined,
+    finishMs: number,
   ): Promise<void> {
     const workers = [...this.workers.values()].filter(
       ({database}) => database.service === service && database.id !== allowed,
     );
-    await Promise.all(workers.map(worker => worker.stopCommits()));
+    await Promise.all(workers.map(worker => worker.stopCommits(finishMs)));
   }
 
   /** Ends the work at all databases whose zones are closed. */
--- a/src/front/front.ts
+++ b/src/front/front.ts
@@ -23,7 +23,7 @@
   unknownHomes,
 } from '../core/homes.js';
 import {Fronts} from '../core/fronts.js';
-import {maxConfigAgeMs} from '../core/freshness.js';
+import {maxCommitViewAgeMs, maxConfigAgeMs} from '../core/freshness.js';
 import {
   createIdSource,
   IdSource,
@@ -371,7 +371,7 @@
       secret: () => this.registration.secret,
       canServeAsPrimary: entry => this.leadership.canServeAsPrimary(entry),
       canCommit: entry => this.leadership.canCommit(entry),
-      isViewReliable: () => this.leadership.isViewReliable,
+      isViewReliable: () => this.leadership.isCommitViewReliable,
       isViewFresh: () => this.feed.isFresh,
       warmUpTolerance: settings.warmUpTolerance,
       onRestartSuspected: () => this.coldDatabases.refresh(),
@@ -396,6 +396,7 @@
 
   private createLeadership(): Leadership {
     const {settings, ports, feed} = this;
+    const commitViewAgeMs = maxCommitViewAgeMs(settings.keyRevocationMs);
     return Leadership.create({
       isFenced: settings.isFenced,
       prefix: ports.layout.fleetPrefix,
@@ -407,6 +408,8 @@
         this.registration.isLeaseValid &&
         this.registration.isWriteInView &&
         this.isRegistered,
+      isFreshForCommits: () => feed.isFresherThan(commitViewAgeMs),
+      maxCommitViewAgeMs: commitViewAgeMs,
       areRecordsComplete: () => this.leaderRecovery.isComplete,
       era: () => feed.era,
       maxConfigAgeMs: maxConfigAgeMs(settings.keyRevocationMs),
@@ -419,8 +422,8 @@
         await link.call(PeerMethodName.leader, record);
       },
       listFronts: () => this.listFronts(),
-      stopCommitsExcept: (service, allowed) =>
-        this.dispatcher.stopCommitsExcept(service, allowed),
+      stopCommitsExcept: (service, allowed, finishMs) =>
+        this.dispatcher.stopCommitsExcept(service, allowed, finishMs),
       abortPrimaryWorkExcept: (service, leader) =>
         this.dispatcher.abortPrimaryWorkExcept(service, leader),
       log: ports.log,
--- a/src/front/leadership.ts
+++ b/src/front/leadership.ts
@@ -48,12 +48,19 @@
    * registered.
    */
   readonly isFreshAndRegistered: () => boolean;
+  /**
+   * Whether the view is recent enough to acknowledge commits; as
+   * `isFreshAndRegistered` if absent.
+   */
+  readonly isFreshForCommits?: () => boolean;
   /** Whether this front knows all records; see `LeaderRecovery`. */
   readonly areRecordsComplete: () => boolean;
   /** Present era of the store. */
   readonly era: () => number;
   /** Age beyond which a view of the store no longer allows using a primary. */
   readonly maxConfigAgeMs: number;
+  /** As `maxConfigAgeMs`, for acknowledging commits; the same if absent. */
+  readonly maxCommitViewAgeMs?: number;
   readonly coordinatorLease: () => CoordinatorLease;
   readonly codec: DatabaseCodec;
   /**
@@ -67,11 +74,12 @@
   /**
    * Ends what could be committed at databases of a service other than `allowed`,
    * all of them if undefined. Resolves once no commit there can be acknowledged;
-   * those under way get up to `FINISH_COMMITS_MS`.
+   * those under way get up to `finishMs`.
    */
   readonly stopCommitsExcept: (
     service: string,
     allowed: string | undefined,
+    finishMs: number,
   ) => Promise<void>;
   readonly log: JsonLog;
   /** Steady clock in milliseconds; `performance.now` by default. */
@@ -106,6 +114,8 @@
    * is ordered to step down if a front has not answered at first.
    */
   readonly stepDown: StepDown | undefined;
+  /** Age beyond which a view no longer permits what the record forbids. */
+  readonly maxViewAgeMs: number;
   readonly isCancelled: () => boolean;
 }
 
@@ -181,7 +191,16 @@
    * that the database has answered.
    */
   canCommit(entry: KnownDatabase): boolean {
-    return this.isViewReliable && this.mayCommit(entry);
+    return this.isCommitViewReliable && this.mayCommit(entry);
+  }
+
+  /**
+   * As `isViewReliable`, with the age up to which commits are acknowledged: a
+   * change of primary waits that long for fronts that do not answer.
+   */
+  get isCommitViewReliable(): boolean {
+    const {isFreshForCommits} = this.options;
+    return this.isViewReliable && isFreshForCommits?.() !== false;
   }
 
   /** Whether the records permit commits at a database. */
@@ -242,7 +261,9 @@
       this.stoppedAtMs.set(service, this.nowMs());
     if (!this.isFenced) abortPrimaryWorkExcept(service, database);
     const allowed = isStopped ? undefined : database;
-    this.stopping.set(service, stopCommitsExcept(service, allowed));
+    // The holder does not wait for what an expired view would let finish.
+    const finishMs = this.isCommitViewReliable ? FINISH_COMMITS_MS : 0;
+    this.stopping.set(service, stopCommitsExcept(service, allowed, finishMs));
   }
 
   /**
@@ -263,6 +284,11 @@
     if (revision === undefined) return undefined;
     this.writes.set(record.service, {revision, atMs: this.nowMs()});
     const written = {...record, revision};
+    const former = this.latestRecord(record.service);
+    const isObeyed = this.obeyed.get(record.service) === former?.revision;
+    // What obeys a record without commits obeys the next one as well.
+    if (former && isObeyed && hasStoppedCommits(record))
+      this.obeyed.set(record.service, revision);
     log('leader_record_written', {...written});
     void this.receiveRecord(written);
     return written;
@@ -302,11 +328,14 @@
       told,
       writtenMs,
       stepDown: isOnlyAtFormer ? stepDown : undefined,
+      maxViewAgeMs:
+        this.options.maxCommitViewAgeMs ?? this.options.maxConfigAgeMs,
       isCancelled,
     });
-    if (done && this.latestRecord(service)?.revision === record.revision)
-      this.obeyed.set(service, record.revision);
-    return done;
+    const newest = this.latestRecord(service)?.revision;
+    if (done && newest === record.revision) this.obeyed.set(service, newest);
+    // A newer record may permit commits again.
+    return done && this.obeyed.get(service) === newest;
   }
 
   /**
@@ -378,7 +407,10 @@
     term: number,
   ): Promise<boolean> {
     const known = this.latestRecord(service);
-    const isWritten = known?.database === database && !known.settled;
+    const isWritten =
+      known?.database === database &&
+      !known.settled &&
+      !hasStoppedCommits(known);
     const record = isWritten
       ? known
       : await this.writeRecord({service, database, settled: false});
@@ -390,6 +422,7 @@
       told: new Set(),
       writtenMs,
       stepDown: former && {former, term},
+      maxViewAgeMs: this.options.maxConfigAgeMs,
       isCancelled: () => false,
     });
   }
@@ -419,8 +452,8 @@
     record: StoredLeaderRecord,
     wait: ObedienceWait,
   ): Promise<boolean> {
-    const {coordinatorLease, log, maxConfigAgeMs} = this.options;
-    const {vms, told, stepDown} = wait;
+    const {coordinatorLease, log} = this.options;
+    const {vms, told, stepDown, maxViewAgeMs} = wait;
     const startedMs = this.nowMs();
     let isOrdered = false;
     let confirmedByDatabase = false;
@@ -430,7 +463,7 @@
         confirmedByDatabase,
         unanswered: unanswered.length,
         sinceWrittenMs: this.nowMs() - wait.writtenMs,
-        maxConfigAgeMs: maxConfigAgeMs + CLOCK_DRIFT_MS + FINISH_COMMITS_MS,
+        maxConfigAgeMs: maxViewAgeMs + CLOCK_DRIFT_MS + FINISH_COMMITS_MS,
       });
       if (done || wait.isCancelled() || !coordinatorLease().isHeld) {
         log('leader_retired', {
--- a/src/front/primary_change_runner.ts
+++ b/src/front/primary_change_runner.ts
@@ -212,11 +212,16 @@
     };
     const timer = setInterval(() => void recheck(), RECHECK_INTERVAL_MS);
     try {
-      const term = await this.nextTerm(service);
+      // With fencing the former primary may have to be confirmed yet: an order for
+      // it would not make it lead again once it has stepped down.
+      const stepDown =
+        leader && !leadership.isFenced
+          ? {former: leader, term: await this.nextTerm(service)}
+          : undefined;
       return await leadership.stopCommits(
         service,
         leader?.id,
-        leader && {former: leader, term},
+        stepDown,
         () => isCancelled || !isTenureOf(service),
       );
     } finally {
--- a/src/front/replica_resumer.ts
+++ b/src/front/replica_resumer.ts
@@ -3,7 +3,11 @@
  * that promoted none of them.
  */
 import {KnownDatabase} from '../core/directory.js';
-import {isPromotionAllowed, mayCommit} from '../core/leader_record.js';
+import {
+  CommitRule,
+  isPromotionAllowed,
+  mayCommit,
+} from '../core/leader_record.js';
 import {reportsLead, runControlStatement} from './control_link.js';
 import {CoordinatorLease} from './coordinator_lease.js';
 import {JsonLog} from './json_log.js';
@@ -59,8 +63,10 @@
     if (!isPromotionAllowed(orders.orderOf(service), leader?.id))
       return this.logWithheld(service, 'an order may still be executed');
     const record = leadership.latestRecord(service);
+    // An unsettled order for the database that leads changes nothing.
     const mayOthersTakeEffect = record
-      ? !record.settled || record.database !== leader?.id
+      ? record.database !== leader?.id ||
+        record.commits === CommitRule.contested
       : coordinatorLease.heldForMs < UNCONFIRMED_ORDER_MS;
     const isUnconfirmed = orders.has(service) || mayOthersTakeEffect;
     if (leader && leadership.isFenced && isUnconfirmed) {
--- a/src/front/store_feed.ts
+++ b/src/front/store_feed.ts
@@ -218,6 +218,11 @@
     return isFresh(this.freshness, this.clocks(), this.options.maxConfigAgeMs);
   }
 
+  /** Whether the view is at most `ageMs` old. */
+  isFresherThan(ageMs: number): boolean {
+    return isFresh(this.freshness, this.clocks(), ageMs);
+  }
+
   /** Whether the last call to the store failed. */
   get isStoreFailing(): boolean {
     return this.failures > 0;
--- a/src/front/takeover_runner.ts
+++ b/src/front/takeover_runner.ts
@@ -426,6 +426,8 @@
     if (!leadership.isFenced) return false;
     if (!isPromotionAllowed(this.orders.orderOf(service), leader?.id))
       return true;
+    // Each order is preceded by a record.
+    if (leadership.latestRecord(service)) return false;
     const isNewHolder = coordinatorLease.heldForMs < UNCONFIRMED_ORDER_MS;
     return isNewHolder && !this.supervisor.isSettled(service);
   }
--- a/test/front/former_members.test.ts
+++ b/test/front/former_members.test.ts
@@ -37,7 +37,7 @@
 test('a database whose entry lapsed is asked until it is listed again', t => {
   const members = FormerMembers.create();
   members.recordUnlisted(entry('a'), 0);
-  t.like(members.of('s', 4_999)[0], {mayAnswer: true, countsUntilMs: 5_000});
+  t.like(members.of('s', 7_999)[0], {mayAnswer: true, countsUntilMs: 8_000});
   t.deepEqual(idsOf(members, 30_000), ['a']);
   t.deepEqual(members.of('other', 30_000), []);
   members.recordListed(entry('a'), undefined, 40_000);
@@ -50,13 +50,16 @@
   const members = FormerMembers.create();
   members.recordListed(entry('a', {startedAtUnixMs: 2}), entry('a'), 0);
   const [former] = members.of('s', 100);
-  t.like(former, {mayAnswer: false, countsUntilMs: 5_000});
+  t.like(former, {mayAnswer: false, countsUntilMs: 8_000});
   t.is(former.entry.startedAtUnixMs, 1);
-  t.deepEqual(idsOf(members, 5_000), []);
+  t.deepEqual(idsOf(members, 8_000), []);
   // Its entry had lapsed before it restarted.
-  members.recordUnlisted(entry('b'), 6_000);
-  members.recordListed(entry('b', {startedAtUnixMs: 2}), undefined, 7_000);
-  t.like(members.of('s', 7_000)[0], {mayAnswer: false});
+  members.recordUnlisted(entry('b'), 9_000);
+  members.recordListed(entry('b', {startedAtUnixMs: 2}), undefined, 16_000);
+  t.like(members.of('s', 16_000)[0], {
+    mayAnswer: false,
+    countsUntilMs: 24_000,
+  });
 });
 
 test('a database that has announced its end counts for a shorter time', t => {
--- a/test/front/leadership.test.ts
+++ b/test/front/leadership.test.ts
@@ -5,6 +5,7 @@
  */
 import {mock} from 'node:test';
 import test from 'ava';
+import {KnownDatabase} from '../../src/core/directory.js';
 import {Fronts} from '../../src/core/fronts.js';
 import {
   decodeLeaderRecord,
@@ -46,11 +47,12 @@
       },
     ]),
   );
-  const leadership = Leadership.create({
+  let onAnnounce = (): void => undefined;
+  const leadership: Leadership = Leadership.create({
     isFenced: false,
     prefix: 'own/',
     storedItems: () => items$.value,
-    knownRevision: () => 10,
+    knownRevision: () => 20,
     fronts: () => fronts,
     listFronts: () => Promise.resolve(vms),
     isFreshAndRegistered: () => true,
@@ -59,18 +61,25 @@
     maxConfigAgeMs: MAX_CONFIG_AGE_MS,
     coordinatorLease: () => lease as unknown as CoordinatorLease,
     codec: {} as DatabaseCodec,
-    announce: vm =>
-      unresponsive.includes(vm)
+    announce: vm => {
+      onAnnounce();
+      return unresponsive.includes(vm)
         ? Promise.reject(new Error(error))
-        : Promise.resolve(),
+        : Promise.resolve();
+    },
     abortPrimaryWorkExcept: () => undefined,
     stopCommitsExcept: () => Promise.resolve(),
     log: () => undefined,
     nowMs: () => Date.now(),
   });
-  return {leadership, lease, items$};
+  const setOnAnnounce = (action: () => void): void => {
+    onAnnounce = action;
+  };
+  return {leadership, lease, items$, setOnAnnounce};
 }
 
+const NEVER = (): boolean => false;
+
 test.beforeEach(() =>
   mock.timers.enable({apis: ['setTimeout', 'setInterval', 'Date']}),
 );
@@ -181,3 +190,39 @@
     t.false(await appointed);
   },
 );
+
+// Guards against logs that are read although commits are permitted again.
+test.serial(
+  'commits are not stopped if a newer record permits them',
+  async t => {
+    const {leadership, setOnAnnounce} = createHolder([]);
+    setOnAnnounce(
+      () =>
+        void leadership.receiveRecord({
+          service: 'orders',
+          database: 'db-1',
+          settled: true,
+          revision: 11,
+        }),
+    );
+    const stopped = leadership.stopCommits('orders', 'db-1', undefined, NEVER);
+    await advance(500);
+    t.false(await stopped);
+  },
+);
+
+// Guards against a promoted database that takes no commits for 15 s, as its order
+// had got no answer at first.
+test.serial('a database that is appointed again takes commits', async t => {
+  const {leadership, lease} = createHolder([]);
+  let revision = 10;
+  lease.write = () => Promise.resolve(++revision);
+  for (let round = 0; round < 2; round++) {
+    void leadership.stopCommits('orders', 'db-1', undefined, NEVER);
+    await advance(500);
+    void leadership.appoint('orders', 'db-2', undefined, 2);
+    await advance(2_000);
+  }
+  const entry = {service: 'orders', id: 'db-2'} as KnownDatabase;
+  t.true(leadership.mayCommit(entry));
+});
--- a/test/platform/takeover.test.ts
+++ b/test/platform/takeover.test.ts
@@ -109,6 +109,7 @@
     raiseFencingToken: async () => ++lease.currentFencingToken,
     write: async () => ++revision,
   };
+  const leadership = createLeadership(lease as unknown as CoordinatorLease);
   const entries = group.databases.map(entryOf);
   const orders: PromotionOrder[] = [];
   const events: string[] = [];
@@ -131,7 +132,7 @@
     collectFailingVotes: () => Promise.resolve([{failing: true}]),
     evacuations: () => Evacuations.none,
     formerMembersOf: () => [],
-    leadership: createLeadership(lease as unknown as CoordinatorLease),
+    leadership,
     log: event => events.push(event),
     ...overrides,
   });
@@ -139,7 +140,7 @@
     runner.close();
     await group.stop();
   });
-  return {runner, lease, entries, orders, events};
+  return {runner, lease, leadership, entries, orders, events};
 }
 
 // Guards against the loss of acknowledged commits: another front that held the
@@ -381,6 +382,21 @@
   t.true(replicas.every(({isPaused}) => isPaused));
 });
 
+// Guards against a second change, of a primary that is well, with each new holder
+// of the lease: the record tells that no order for another database is in flight.
+test('a new holder lets the primary that its predecessor promoted take commits', async t => {
+  const group = await StandinGroup.start('orders', ZONES);
+  const {lease, entries, orders, leadership} = createRunner(t, group);
+  lease.heldForMs = 1_000;
+  const [{id}] = entries;
+  await leadership.recordOrder('orders', id);
+  await leadership.stopCommits('orders', id, undefined, () => false);
+  t.false(leadership.mayCommit(entries[0]));
+  await until(() => leadership.mayCommit(entries[0]));
+  t.true(leadership.latestRecord('orders')?.settled);
+  t.deepEqual(orders, []);
+});
+
 // Guards against changes back and forth between primaries that fail by turns: a
 // new holder of the lease does not know why the last change was made.
 test('a new holder does not replace a primary that its voters saw take over just now', async t => {
