Acknowledge commits while a front rewrites its own entry

Cause: a front acknowledges a commit only if the holder of the lease knows it. That was judged by its last write of its entry; the one that announces a stop is not in its view for some 100 ms. Change: what counts is the first write under the present lease: other fronts have known this one since.

--- a/src/front/front.ts
+++ b/src/front/front.ts
@@ -406,7 +406,7 @@
       isFreshAndRegistered: () =>
         feed.isFresh &&
         this.registration.isLeaseValid &&
-        this.registration.isWriteInView &&
+        this.registration.isRegistrationInView &&
         this.isRegistered,
       isFreshForCommits: () => feed.isFresherThan(commitViewAgeMs),
       maxCommitViewAgeMs: commitViewAgeMs,
--- a/src/front/registration.ts
+++ b/src/front/registration.ts
@@ -48,6 +48,8 @@
   readonly revision: number;
   readonly leaseId: number;
   readonly leaving: boolean;
+  /** Revision since which an entry has existed under the lease. */
+  readonly sinceRevision?: number;
 }
 
 /** The first time that a process wrote its VM's entry. */
@@ -153,6 +155,16 @@
     );
   }
 
+  /**
+   * Whether the view includes the first write under the present lease: other
+   * fronts have known this one since, also while a later write is under way.
+   */
+  get isRegistrationInView(): boolean {
+    const {written} = this;
+    const since = written?.sinceRevision;
+    return since !== undefined && this.options.feed.knownRevision >= since;
+  }
+
   /**
    * Secret that all fronts share; empty until it is known. Kept while a
    * restored store does not hold it.
@@ -291,12 +303,18 @@
   }
 
   private recordWritten(written: WrittenEntry): void {
-    this.written = written;
+    const {revision, leaving, leaseId} = written;
+    const former = this.written;
+    const isContinued =
+      former?.sinceRevision !== undefined &&
+      former.leaseId === leaseId &&
+      eraOf(former.sinceRevision) === eraOf(revision);
+    const sinceRevision = isContinued ? former.sinceRevision : revision;
+    this.written = {...written, sinceRevision};
     this.firstWriteOfProcess ??= {
       atMs: performance.now(),
       foundEntry: !this.wasMissing,
     };
-    const {revision, leaving} = written;
     this.options.log('registered', {revision, leaving});
   }
 
--- a/test/front/registration_restart.test.ts
+++ b/test/front/registration_restart.test.ts
@@ -133,8 +133,10 @@
     await advance(CHECK_MS);
     t.true(registration.isLeaseValid);
     t.false(registration.isWriteInView);
+    t.false(registration.isRegistrationInView);
     show();
     t.true(registration.isWriteInView);
+    t.true(registration.isRegistrationInView);
     t.true(registration.firstWrite?.foundEntry);
     await registration.close();
   },
