--- a/test/platform/front.test.ts
+++ b/test/platform/front.test.ts
@@ -229,7 +229,8 @@
   const answer = busy.query('WRITE k v');
   await new Promise(resolve => setTimeout(resolve, 30));
   const stopped = first.front.stop();
-  t.truthy((await answer).done);
+  const answered = await answer;
+  t.truthy(answered.done, answered.error);
   await stopped;
   t.true(idle.isEnded);
 });
