Test of a planned stop: stop once the statement runs

Cause: the test gave the statement 30 ms to arrive at the front. On a busy thread, the timer fires before the front reads its socket, so the session is idle at the stop and is closed, as the design allows (the next test in the file asks for exactly that). Ruled out: a refused acknowledgement. Change: the stop begins when the primary runs the statement: as strict, since the write must be answered with its result, as before.

--- a/test/platform/front.test.ts
+++ b/test/platform/front.test.ts
@@ -227,7 +227,7 @@
   const idle = await openSession(first, 'primary', 'ana-key');
   for (const database of fleet.group.databases) database.executionMs = 150;
   const answer = busy.query('WRITE k v');
-  await new Promise(resolve => setTimeout(resolve, 30));
+  await until(() => fleet.group.primary?.usedSlots === 1);
   const stopped = first.front.stop();
   const answered = await answer;
   t.truthy(answered.done, answered.error);
