Confirm a primary before commits after a restore

Cause: records made from the databases' answers were settled and permitted commits. The holder can't know of an order in flight; only an order with a higher token, answered with success, makes it void. Change: such records are contested: the holder confirms the primary first, as after any contested change. Without fencing nothing makes an order void; that limit stays (docs/design/restores.md).

--- a/src/front/leader_recovery.ts
+++ b/src/front/leader_recovery.ts
@@ -6,7 +6,11 @@
  * records of the era as complete for the fronts that know nothing of them.
  */
 import {KnownDatabase} from '../core/directory.js';
-import {LeaderRecord, StoredLeaderRecord} from '../core/leader_record.js';
+import {
+  CommitRule,
+  LeaderRecord,
+  StoredLeaderRecord,
+} from '../core/leader_record.js';
 import {comparePositions} from '../core/position.js';
 import {JsonLog} from './json_log.js';
 import {EraSource, isMarked} from './store_era.js';
@@ -49,7 +53,9 @@
  * Returns the record that the databases' answers imply; undefined if too few
  * have answered. A database that leads the highest term is the primary. Without
  * one, no database may be used as primary until another is promoted: the record
- * names the one with the longest log, and is not settled.
+ * names the one with the longest log, and is not settled. Either way, an order
+ * of which no front knows any more may still be executed, so commits wait until
+ * the holder has made such orders void.
  */
 export function recordFromAnswers(
   service: string,
@@ -61,13 +67,15 @@
   const primary = answers.find(
     ({report}) => report.isLeader && report.term === term,
   );
-  if (primary) return {service, database: primary.entry.id, settled: true};
+  const commits = CommitRule.contested;
+  if (primary)
+    return {service, database: primary.entry.id, settled: true, commits};
   const longest = answers.reduce((best, answer) =>
     comparePositions(answer.report.position, best.report.position) > 0
       ? answer
       : best,
   );
-  return {service, database: longest.entry.id, settled: false};
+  return {service, database: longest.entry.id, settled: false, commits};
 }
 
 /** Whether this front knows all leader records, and how it restores them. */
--- a/test/front/leader_recovery.test.ts
+++ b/test/front/leader_recovery.test.ts
@@ -128,6 +128,8 @@
     state.answers = [answer('a', true, 3), answer('b', true, 4)];
     await runOnce();
     t.is(stored.get('orders')?.database, 'b');
+    // An order that no front knows of may still be executed.
+    t.is(stored.get('orders')?.commits, 'contested');
     t.true(recovery.isComplete);
   },
 );
@@ -138,6 +140,7 @@
     service: 'orders',
     database: 'c',
     settled: false,
+    commits: 'contested',
   });
   t.is(recordFromAnswers('orders', 3, answers.slice(1)), undefined);
 });
--- a/test/platform/primary_change.test.ts
+++ b/test/platform/primary_change.test.ts
@@ -22,6 +22,8 @@
 const PROMOTION_MS = 1_000;
 /** More than a platform that is late takes until an order has its effect. */
 const LATE_EFFECT_MS = 4_500;
+/** As much, and more than new fronts take until they acknowledge commits. */
+const FORGOTTEN_ORDER_MS = 10_000;
 /** Longer than fronts keep a database whose entry is missing. */
 const LAPSE_MS = 3_600;
 const CHANGE_LIMIT_MS = 15_000;
@@ -120,6 +122,22 @@
   t.teardown(() => ended);
 }
 
+/** Starts the fronts again after `endWithoutRelease`, with no memory. */
+async function startAgain(
+  t: ExecutionContext,
+  {fronts, store}: BusyFleet,
+): Promise<readonly RunningFront[]> {
+  const restarted: RunningFront[] = [];
+  t.teardown(() => Promise.all(restarted.map(({front}) => front.stop())));
+  for (const {settings} of fronts) {
+    const {vm, place} = settings;
+    const overrides = {isFirstStart: false};
+    restarted.push(await startFront(vm, place.zone, store, overrides));
+  }
+  await until(() => restarted.every(({front}) => front.isReady));
+  return restarted;
+}
+
 /** Waits until a promotion has had its effect and writes succeed after it. */
 async function untilChanged({group, callers}: BusyFleet): Promise<void> {
   await until(() => group.promotedAtMs < Infinity, CHANGE_LIMIT_MS);
@@ -129,7 +147,10 @@
 const untilServed = (callers: BusyCallers, sinceMs: number): Promise<void> =>
   until(() => callers.lastSuccessSentMs > sinceMs, CHANGE_LIMIT_MS);
 
-function assertNothingLost(t: ExecutionContext, {callers}: BusyFleet): void {
+function assertNothingLost(
+  t: ExecutionContext,
+  {callers}: Pick<BusyFleet, 'callers'>,
+): void {
   const {lost, succeeded} = callers;
   t.true(succeeded.size >= MIN_WRITES);
   t.is(lost.length, 0, `${lost.length} of ${succeeded.size} lost`);
@@ -240,6 +261,35 @@
   assertNothingLost(t, fleet);
 });
 
+// Guards against commits that are permitted by what the databases answer, while
+// an order of which no front knows any more may still be carried out.
+test('a late order that all fronts have forgotten costs no acknowledged commit', async t => {
+  const fleet = await startBusyFleet(t);
+  const {group, store} = fleet;
+  const [primary] = group.databases;
+  const copyMs = performance.now();
+  store.promotions.mode = 'late';
+  store.promotions.lateMs = FORGOTTEN_ORDER_MS;
+  primary.isUnresponsive = true;
+  const ordered = await untilOrdered(fleet);
+  const lateMs = performance.now() + FORGOTTEN_ORDER_MS + PROMOTION_MS;
+  primary.isUnresponsive = false;
+  store.promotions.mode = 'executed';
+  for (const {settings} of fleet.fronts)
+    endWithoutRelease(t, fleet, settings.vm);
+  store.restore(performance.now() - copyMs);
+  const chosen = group.databases.find(({id}) => id === ordered.id);
+  if (chosen) chosen.linkDelayMs = 2 * FORGOTTEN_ORDER_MS;
+  const restarted = await startAgain(t, fleet);
+  const callers = BusyCallers.start(group, restarted);
+  t.teardown(() => callers.stop());
+  await until(() => callers.succeeded.size >= MIN_WRITES, CHANGE_LIMIT_MS);
+  t.true(performance.now() < lateMs);
+  await until(() => performance.now() > lateMs + 500, CHANGE_LIMIT_MS);
+  await untilServed(callers, performance.now());
+  assertNothingLost(t, {callers});
+});
+
 // Guards against a draining primary that is used without a limit in time while
 // a change of primary waits for the log of a replica.
 test('a draining primary gets no statement after 5 s while a replica cannot be reached', async t => {
