Test of slow callers: no timer keeps the file from exiting

A caller that never reads again left a timer of 60 s, and the file ended that much later than its tests (63 s with 2 s of processor time), or 'did not exit' once tests had failed. Same assertions.

--- a/test/platform/slow_callers.test.ts
+++ b/test/platform/slow_callers.test.ts
@@ -58,7 +58,7 @@
       if (sincePauseBytes < chunkBytes) return;
       sincePauseBytes = 0;
       socket.pause();
-      setTimeout(() => this.isReading && socket.resume(), pauseMs);
+      setTimeout(() => this.isReading && socket.resume(), pauseMs).unref();
     });
   }
 
