Tests: a scripted database survives a reset, read by lines too

Cause, traced: gave the accepted socket a listener for errors, but readline emits an error of its input once more on its interface, which had none. Change: a listener on the interface; no check changes. No other test or program reads a socket by readline.

--- a/test/platform/worker.test.ts
+++ b/test/platform/worker.test.ts
@@ -37,9 +37,12 @@
   const sockets: Socket[] = [];
   const server = createServer(socket => {
     const connection = sockets.push(socket);
-    // A worker may close a connection with an answer that it has not read.
+    const reader = createInterface(socket);
+    // A worker may close a connection with an answer that it has not read; the
+    // reader emits the error of the socket again.
     socket.on('error', () => undefined);
-    createInterface(socket).on('line', line => {
+    reader.on('error', () => undefined);
+    reader.on('line', line => {
       lines.push(`${connection} ${line}`);
       socket.write(answer(line));
     });
