--- a/test/platform/front.test.ts
+++ b/test/platform/front.test.ts
@@ -3,7 +3,7 @@
  * platform.
  */
 import {connect, Socket} from 'node:net';
-import test from 'ava';
+import ava from 'ava';
 import {
   openSession,
   operatorConfig,
@@ -12,6 +12,9 @@
   WireClient,
 } from './fleet_fixture.js';
 
+// Fleets that share a thread slow each other down beyond the routes' timeouts.
+const test = ava.serial;
+
 /**
  * Opens a connection that sends nothing but counts towards the connection limit
  * of a database.
--- a/test/platform/slow_callers.test.ts
+++ b/test/platform/slow_callers.test.ts
@@ -1,6 +1,6 @@
 /** Callers that read slowly or not at all, or make a front keep too much. */
 import {connect, Socket} from 'node:net';
-import test from 'ava';
+import ava from 'ava';
 import {
   MAX_SESSION_BYTES,
   MAX_SESSION_ENTRIES,
@@ -13,6 +13,9 @@
   until,
 } from './fleet_fixture.js';
 
+// Fleets that share a thread slow each other down.
+const test = ava.serial;
+
 const ROW_BYTES = 900_000;
 const ROWS = 10;
 /** Long answers take a busy machine longer than the usual routes allow. */
@@ -104,91 +107,82 @@
 
 // Guards against answers that are cut off by a planned stop, since a session
 // counted as idle once its answer had been handed to the socket (review/9).
-test.serial(
-  'a planned stop delivers the answers that are on their way',
-  async t => {
-    const fleet = await startSlowFleet();
-    t.teardown(() => fleet.stop());
-    storeItem(fleet, 'long', ROWS);
-    const [{front, settings}] = fleet.fronts;
-    const {port} = settings.callerAddress;
-    const callers = await Promise.all(
-      [1, 2, 3].map(() => SlowCaller.start(port, 262_144, 25)),
-    );
-    callers.forEach((caller, n) => caller.send(`QUERY q${n} READ long`));
-    await until(() => callers.every(({receivedBytes}) => receivedBytes > 0));
-    const startedAtMs = performance.now();
-    await front.stop();
-    const tookMs = performance.now() - startedAtMs;
-    await until(() => callers.every(({isEnded}) => isEnded));
-    for (const caller of callers) {
-      t.true(caller.hasReady);
-      t.true(caller.receivedBytes > ROWS * ROW_BYTES);
-    }
-    t.true(tookMs < settings.shutdownGraceMs, `${tookMs}`);
-  },
-);
+test('a planned stop delivers the answers that are on their way', async t => {
+  const fleet = await startSlowFleet();
+  t.teardown(() => fleet.stop());
+  storeItem(fleet, 'long', ROWS);
+  const [{front, settings}] = fleet.fronts;
+  const {port} = settings.callerAddress;
+  const callers = await Promise.all(
+    [1, 2, 3].map(() => SlowCaller.start(port, 262_144, 25)),
+  );
+  callers.forEach((caller, n) => caller.send(`QUERY q${n} READ long`));
+  await until(() => callers.every(({receivedBytes}) => receivedBytes > 0));
+  const startedAtMs = performance.now();
+  await front.stop();
+  const tookMs = performance.now() - startedAtMs;
+  await until(() => callers.every(({isEnded}) => isEnded));
+  for (const caller of callers) {
+    t.true(caller.hasReady);
+    t.true(caller.receivedBytes > ROWS * ROW_BYTES);
+  }
+  t.true(tookMs < settings.shutdownGraceMs, `${tookMs}`);
+});
 
-test.serial(
-  'a caller that does not read does not keep a front past its grace',
-  async t => {
-    const fleet = await startSlowFleet();
-    t.teardown(() => fleet.stop());
-    storeItem(fleet, 'long', ROWS);
-    const [front] = fleet.fronts;
-    const {port} = front.settings.callerAddress;
-    const caller = await SlowCaller.start(port, ROW_BYTES, 60_000);
-    caller.send('QUERY q1 READ long');
-    await until(() => caller.receivedBytes > 0);
-    const idle = await openSession(front, 'primary', 'bea-key');
-    const startedAtMs = performance.now();
-    const stopping = front.front.stop();
-    await until(() => idle.isEnded, 500);
-    await stopping;
-    const tookMs = performance.now() - startedAtMs;
-    t.true(tookMs < front.settings.shutdownGraceMs, `${tookMs}`);
-    caller.socket.destroy();
-  },
-);
+test('a caller that does not read does not keep a front past its grace', async t => {
+  const fleet = await startSlowFleet();
+  t.teardown(() => fleet.stop());
+  storeItem(fleet, 'long', ROWS);
+  const [front] = fleet.fronts;
+  const {port} = front.settings.callerAddress;
+  const caller = await SlowCaller.start(port, ROW_BYTES, 60_000);
+  caller.send('QUERY q1 READ long');
+  await until(() => caller.receivedBytes > 0);
+  const idle = await openSession(front, 'primary', 'bea-key');
+  const startedAtMs = performance.now();
+  const stopping = front.front.stop();
+  await until(() => idle.isEnded, 500);
+  await stopping;
+  const tookMs = performance.now() - startedAtMs;
+  t.true(tookMs < front.settings.shutdownGraceMs, `${tookMs}`);
+  caller.socket.destroy();
+});
 
 const STATEMENTS = 60;
 const LATE_STATEMENTS = 8;
 
 // Guards against a front that ends for lack of memory, as one caller sends
 // statements and does not read the answers (review/10).
-test.serial(
-  'no statement runs for a caller that does not read its answers',
-  async t => {
-    const fleet = await startSlowFleet();
-    t.teardown(() => fleet.stop());
-    const [front] = fleet.fronts;
-    storeItem(fleet, 'wide', 1);
-    const {port} = front.settings.callerAddress;
-    const caller = await SlowCaller.start(port, ROW_BYTES, 0);
-    caller.pause();
-    const numbers = Array.from({length: STATEMENTS}, (_, n) => n);
-    caller.sendMore(numbers.map(n => `QUERY wide-${n} READ wide`));
-    const other = await openSession(front, 'primary', 'bea-key');
-    for (let n = 0; n < 20; n++) {
-      const {done, error} = await other.query('READ item');
-      t.truthy(done, error);
-      await new Promise(resolve => setTimeout(resolve, 50));
-    }
-    const ran = (): number =>
-      fleet.group.databases
-        .flatMap(database => database.executedStatements)
-        .filter(({requestId}) => requestId.startsWith('wide-')).length;
-    const ranUnread = ran();
-    t.true(ranUnread < STATEMENTS / 2, `${ranUnread}`);
-    t.is(front.events('caller_not_reading').length, 1);
-    caller.socket.destroy();
-    await until(() => front.events('caller_has_read').length === 1);
-    await new Promise(resolve => setTimeout(resolve, 200));
-    t.is(ran(), ranUnread);
-  },
-);
+test('no statement runs for a caller that does not read its answers', async t => {
+  const fleet = await startSlowFleet();
+  t.teardown(() => fleet.stop());
+  const [front] = fleet.fronts;
+  storeItem(fleet, 'wide', 1);
+  const {port} = front.settings.callerAddress;
+  const caller = await SlowCaller.start(port, ROW_BYTES, 0);
+  caller.pause();
+  const numbers = Array.from({length: STATEMENTS}, (_, n) => n);
+  caller.sendMore(numbers.map(n => `QUERY wide-${n} READ wide`));
+  const other = await openSession(front, 'primary', 'bea-key');
+  for (let n = 0; n < 20; n++) {
+    const {done, error} = await other.query('READ item');
+    t.truthy(done, error);
+    await new Promise(resolve => setTimeout(resolve, 50));
+  }
+  const ran = (): number =>
+    fleet.group.databases
+      .flatMap(database => database.executedStatements)
+      .filter(({requestId}) => requestId.startsWith('wide-')).length;
+  const ranUnread = ran();
+  t.true(ranUnread < STATEMENTS / 2, `${ranUnread}`);
+  t.is(front.events('caller_not_reading').length, 1);
+  caller.socket.destroy();
+  await until(() => front.events('caller_has_read').length === 1);
+  await new Promise(resolve => setTimeout(resolve, 200));
+  t.is(ran(), ranUnread);
+});
 
-test.serial('a caller that reads late gets all answers, in order', async t => {
+test('a caller that reads late gets all answers, in order', async t => {
   const fleet = await startSlowFleet();
   t.teardown(() => fleet.stop());
   const [front] = fleet.fronts;
@@ -209,7 +203,7 @@
   caller.socket.destroy();
 });
 
-test.serial('a caller that does not read keeps no transaction', async t => {
+test('a caller that does not read keeps no transaction', async t => {
   const fleet = await startSlowFleet();
   t.teardown(() => fleet.stop());
   const [front] = fleet.fronts;
@@ -228,29 +222,26 @@
 
 // Guards against a front that ends for lack of memory, as a session keeps ever
 // new values or statements.
-test.serial(
-  'a session keeps values and statements up to its limits',
-  async t => {
-    const fleet = await startSlowFleet();
-    t.teardown(() => fleet.stop());
-    const [front] = fleet.fronts;
-    const counted = await openSession(front, 'primary', 'ana-key');
-    for (let n = 0; n < MAX_SESSION_ENTRIES; n++) {
-      const text = n % 2 === 0 ? `SET v${n} x` : `PREPARE p${n} READ x`;
-      t.is((await counted.query(text)).done, '-');
-    }
-    t.is((await counted.query('SET v0 y')).done, '-');
-    t.truthy((await counted.query('READ item')).done);
-    const onceMore = await counted.query('SET more x');
-    t.regex(onceMore.error ?? '', /^TOOLARGE /);
-    t.truthy((await counted.query('READ item')).done);
-    const long = await openSession(front, 'primary', 'ana-key');
-    const value = 'x'.repeat(MAX_SESSION_BYTES / 4);
-    for (const name of ['a', 'b', 'c'])
-      t.is((await long.query(`SET ${name} ${value}`)).done, '-');
-    const tooLong = await long.query(`PREPARE d READ ${value}`);
-    t.regex(tooLong.error ?? '', /^TOOLARGE /);
-    t.is((await long.query('SET a x')).done, '-');
-    t.is((await long.query(`PREPARE d READ ${value}`)).done, '-');
-  },
-);
+test('a session keeps values and statements up to its limits', async t => {
+  const fleet = await startSlowFleet();
+  t.teardown(() => fleet.stop());
+  const [front] = fleet.fronts;
+  const counted = await openSession(front, 'primary', 'ana-key');
+  for (let n = 0; n < MAX_SESSION_ENTRIES; n++) {
+    const text = n % 2 === 0 ? `SET v${n} x` : `PREPARE p${n} READ x`;
+    t.is((await counted.query(text)).done, '-');
+  }
+  t.is((await counted.query('SET v0 y')).done, '-');
+  t.truthy((await counted.query('READ item')).done);
+  const onceMore = await counted.query('SET more x');
+  t.regex(onceMore.error ?? '', /^TOOLARGE /);
+  t.truthy((await counted.query('READ item')).done);
+  const long = await openSession(front, 'primary', 'ana-key');
+  const value = 'x'.repeat(MAX_SESSION_BYTES / 4);
+  for (const name of ['a', 'b', 'c'])
+    t.is((await long.query(`SET ${name} ${value}`)).done, '-');
+  const tooLong = await long.query(`PREPARE d READ ${value}`);
+  t.regex(tooLong.error ?? '', /^TOOLARGE /);
+  t.is((await long.query('SET a x')).done, '-');
+  t.is((await long.query(`PREPARE d READ ${value}`)).done, '-');
+});
