Write a leader record again only if it is of an earlier era

Cause: a new holder marks the records of the era as complete, and wrote each one again that its view did not show yet, so also the record by which it had just stopped commits. The change then found a newer record than its own, took commits for not stopped and was undone. Change: a record that was written in the present era is in the store; only older ones are written again.

--- a/src/front/front.ts
+++ b/src/front/front.ts
@@ -528,7 +528,6 @@
       queryStatus: entry =>
         runControlStatement(entry, ports.databaseCodec, {kind: 'status'}),
       latestRecord: service => leadership.latestRecord(service),
-      storedRecord: service => leadership.storedRecord(service),
       writeRecord: record => leadership.writeRecord(record),
       write: (key, value) => coordinatorLease.write(key, value),
       log: ports.log,
--- a/src/front/leader_recovery.ts
+++ b/src/front/leader_recovery.ts
@@ -13,6 +13,7 @@
 } from '../core/leader_record.js';
 import {comparePositions} from '../core/position.js';
 import {JsonLog} from './json_log.js';
+import {eraOf} from '../core/store_revision.js';
 import {EraSource, isMarked} from './store_era.js';
 import {DatabaseReport} from './wire_types.js';
 
@@ -31,8 +32,6 @@
   ) => Promise<DatabaseReport | undefined>;
   /** Newest known record of a service. */
   readonly latestRecord: (service: string) => StoredLeaderRecord | undefined;
-  /** Record of a service in the store as this front sees it. */
-  readonly storedRecord: (service: string) => StoredLeaderRecord | undefined;
   /** Writes a record while the lease is held; see `Leadership.writeRecord`. */
   readonly writeRecord: (
     record: LeaderRecord,
@@ -152,13 +151,14 @@
     return isDone;
   }
 
-  /** Writes the newest known record unless the store holds it. */
+  /**
+   * Writes the newest known record unless it was written in this era: the store
+   * holds it then, even if the view does not show it yet.
+   */
   private async rewrite(service: string): Promise<boolean> {
-    const {latestRecord, storedRecord, writeRecord} = this.options;
+    const {latestRecord, writeRecord, source} = this.options;
     const record = latestRecord(service);
-    if (!record || storedRecord(service)?.revision === record.revision) {
-      return true;
-    }
+    if (!record || eraOf(record.revision) === source.era) return true;
     const {database, settled, commits} = record;
     const written = await writeRecord({service, database, settled, commits});
     return written !== undefined;
--- a/test/front/leader_recovery.test.ts
+++ b/test/front/leader_recovery.test.ts
@@ -51,7 +51,6 @@
     queryStatus: async ({id}) =>
       state.answers.find(({entry}) => entry.id === id)?.report,
     latestRecord: service => records.get(service),
-    storedRecord: service => stored.get(service),
     writeRecord: async record => {
       const revision = qualifyRevision(source.era, 50);
       records.set(record.service, {...record, revision});
@@ -98,6 +97,24 @@
   },
 );
 
+// Guards against a change of primary that is undone, as the holder has replaced
+// the record by which it had just stopped commits.
+test.serial(
+  'a record of this era is not written again before the view shows it',
+  async t => {
+    const {source, records, stored, state} = createRecovery(t, {
+      era: 2,
+      isFirstStart: true,
+    });
+    const record = {service: 'orders', database: 'b', settled: true};
+    records.set('orders', {...record, revision: qualifyRevision(2, 40)});
+    state.isLeaseHeld = true;
+    await runOnce();
+    t.is(stored.get('orders'), undefined);
+    t.is(source.fleetItems$.value.get(MARK_KEY)?.value.toString(), '2');
+  },
+);
+
 // Guards against using a primary without the record that excludes it.
 test.serial(
   'a front that may have missed records uses no primary before the mark',
