Change of primary: one key for a start of a database, one list of shared options

Why: former_members and primary_change_runner each built the key of a database's start, and the runner's options repeated eight fields of the resumer's. Change: `startKey` in core/directory; `ChangeOptions`, which both extend. Behaviour stays as it is.

--- a/src/core/directory.ts
+++ b/src/core/directory.ts
@@ -87,6 +87,10 @@
   return isKnown ? known.coldUntilMs : Math.max(untilMs, known.coldUntilMs);
 }
 
+/** Identifies one start of a database, which may restart under its id. */
+export const startKey = ({id, startedAtUnixMs}: KnownDatabase): string =>
+  `${id} ${startedAtUnixMs}`;
+
 /**
  * Adds or replaces an entry that was written at `revision` and received at
  * `nowMs`.
--- a/src/core/former_members.ts
+++ b/src/core/former_members.ts
@@ -3,7 +3,7 @@
  * whose entry has lapsed may still run and receive, one that has just left or
  * restarted empty may have been the only replica that had received a commit.
  */
-import {KnownDatabase} from './directory.js';
+import {KnownDatabase, startKey} from './directory.js';
 
 /** A database that is not listed, or an earlier start of a listed one. */
 export interface FormerMember {
@@ -25,9 +25,6 @@
 const ASKED_MS = 60_000;
 const MAX_MEMBERS = 500;
 
-const startKey = ({id, startedAtUnixMs}: KnownDatabase): string =>
-  `${id} ${startedAtUnixMs}`;
-
 /** The databases that a front remembers. Times are of one steady clock. */
 export class FormerMembers {
   /** Members by id and start, in the order in which they disappeared. */
--- a/src/front/primary_change_runner.ts
+++ b/src/front/primary_change_runner.ts
@@ -2,7 +2,7 @@
  * Carries out one attempt to change the primary of a service; the state machine
  * of `core/primary_change.ts` says what comes next.
  */
-import {KnownDatabase} from '../core/directory.js';
+import {KnownDatabase, startKey} from '../core/directory.js';
 import {FormerMember} from '../core/former_members.js';
 import {FrontService} from '../core/front_config.js';
 import {CommitRule, isPromotionAllowed} from '../core/leader_record.js';
@@ -23,31 +23,21 @@
   TakeoverGroup,
 } from '../core/takeover.js';
 import {reportsLead, runControlStatement} from './control_link.js';
-import {CoordinatorLease} from './coordinator_lease.js';
-import {JsonLog} from './json_log.js';
-import {Leadership} from './leadership.js';
 import {PrimaryEvacuation} from './primary_evacuation.js';
-import {Promote} from './promoter.js';
 import {pauseReplicas, ReplicaReport} from './replica_pause.js';
-import {PROMOTION_DELAY_MS, ReplicaResumer} from './replica_resumer.js';
+import {
+  ChangeOptions,
+  PROMOTION_DELAY_MS,
+  ReplicaResumer,
+} from './replica_resumer.js';
 import type {TakeoverReason} from './takeover_runner.js';
 import {pause} from './timeout.js';
-import {UnconfirmedOrders} from './unconfirmed_orders.js';
-import {DatabaseCodec} from './wire_types.js';
 
-export interface PrimaryChangeOptions {
-  readonly self: string;
-  readonly coordinatorLease: CoordinatorLease;
-  readonly codec: DatabaseCodec;
-  readonly promote: Promote;
-  readonly leadership: Leadership;
-  readonly orders: UnconfirmedOrders;
+export interface PrimaryChangeOptions extends ChangeOptions {
   readonly resumer: ReplicaResumer;
   readonly evacuation: PrimaryEvacuation;
   readonly serviceOf: (name: string) => FrontService | undefined;
   readonly leaderOf: (service: string) => KnownDatabase | undefined;
-  /** Databases of a service other than `leader`. */
-  readonly replicasOf: (service: string, leader?: string) => KnownDatabase[];
   /** Databases of a service that are not listed but may hold commits. */
   readonly formerMembersOf: (service: string) => readonly FormerMember[];
   /** Number of a service's routes that a primary may serve by their homes. */
@@ -58,8 +48,6 @@
   readonly areOrdersSettled: (service: string) => boolean;
   /** Highest term that a reply has reported; 0 when there is none. */
   readonly termOf: (service: string) => number;
-  /** Whether what was begun for a service may go on in this tenure. */
-  readonly isTenureOf: (service: string) => boolean;
   /** Whether an order for another database may still be executed. */
   readonly isOrderInDoubt: (
     service: string,
@@ -72,7 +60,6 @@
     leader: KnownDatabase,
     reason: TakeoverReason,
   ) => Promise<boolean>;
-  readonly log: JsonLog;
 }
 
 /** How long an executed promotion may take to appear in the directory. */
@@ -93,10 +80,6 @@
   readonly untilMs: number;
 }
 
-/** Identifies one start of a database, which may restart under its id. */
-const startOf = ({id, startedAtUnixMs}: KnownDatabase): string =>
-  `${id} ${startedAtUnixMs}`;
-
 /** Databases whose logs were asked for, and what they reported. */
 interface ReadLogs {
   readonly term: number;
@@ -326,21 +309,21 @@
     const restarted = new Set(
       former
         .filter(({mayAnswer}) => !mayAnswer)
-        .map(({entry}) => startOf(entry)),
+        .map(({entry}) => startKey(entry)),
     );
     const reports = paused.reports.filter(
-      ({entry}) => !restarted.has(startOf(entry)),
+      ({entry}) => !restarted.has(startKey(entry)),
     );
-    const answered = new Set(reports.map(({entry}) => startOf(entry)));
+    const answered = new Set(reports.map(({entry}) => startKey(entry)));
     const nowMs = performance.now();
     const isListed = (entry: KnownDatabase): boolean =>
-      listed.some(other => startOf(other) === startOf(entry));
+      listed.some(other => startKey(other) === startKey(entry));
     const counted = former
       .filter(
         ({entry, countsUntilMs}) =>
           entry.id !== leader?.id &&
           !isListed(entry) &&
-          (nowMs < countsUntilMs || answered.has(startOf(entry))),
+          (nowMs < countsUntilMs || answered.has(startKey(entry))),
       )
       .map(({entry}) => entry);
     const isPrimaryCounted = !leader && counted.some(entry => entry.isLeader);
--- a/src/front/replica_resumer.ts
+++ b/src/front/replica_resumer.ts
@@ -17,7 +17,8 @@
 import {pause} from './timeout.js';
 import {DatabaseCodec} from './wire_types.js';
 
-export interface ReplicaResumerOptions {
+/** What ordering a promotion and telling the replicas takes. */
+export interface ChangeOptions {
   readonly self: string;
   readonly coordinatorLease: CoordinatorLease;
   readonly codec: DatabaseCodec;
@@ -28,9 +29,12 @@
   readonly replicasOf: (service: string, leader?: string) => KnownDatabase[];
   /** Whether what was begun for a service may go on in this tenure. */
   readonly isTenureOf: (service: string) => boolean;
+  readonly log: JsonLog;
+}
+
+export interface ReplicaResumerOptions extends ChangeOptions {
   /** Called when all replicas of a service have confirmed that they receive. */
   readonly onReceiving: (service: string) => void;
-  readonly log: JsonLog;
 }
 
 /** Time from an accepted order until the database acts as primary. */
@@ -46,9 +50,8 @@
 
   /**
    * Lets the replicas receive the log again, and the current primary take
-   * commits. A promotion order of this front or
-   * of an earlier lease holder that is executed afterwards would undo commits
-   * acknowledged since. An order to promote the current primary with a higher
+   * commits. A promotion order of this front or of an earlier lease holder that
+   * is executed afterwards would undo commits acknowledged since. An order to promote the current primary with a higher
    * fencing token, sent first, makes such an order void. Not sent while a
    * promotion of another database is known to be unanswered: executed after it,
    * the order would make the current primary lead again. Without fencing nothing
