Tests: one fixture for the entry of a database

Why: four test files wrote the same eleven fields; former_members.test had added one more copy. Assertions stay as they are.

--- a/test/front/decisions.test.ts
+++ b/test/front/decisions.test.ts
@@ -48,21 +48,10 @@
 } from '../../src/core/session_state.js';
 import {chooseTakeover, isPrimaryUnreachable} from '../../src/core/takeover.js';
 import {WorkQueue} from '../../src/core/work_queue.js';
+import {databaseEntry} from '../fixtures/database_entry.js';
 
-const entry = (id: string, changes: Partial<DatabaseEntry> = {}) => ({
-  id,
-  service: 's',
-  host: 'h',
-  port: 1,
-  zone: 'z1',
-  slots: 2,
-  leaving: false,
-  remainingWarmUpMs: 0,
-  isLeader: false,
-  startedAtUnixMs: 1,
-  sequence: 1,
-  ...changes,
-});
+const entry = (id: string, changes: Partial<DatabaseEntry> = {}) =>
+  databaseEntry(id, {zone: 'z1', ...changes});
 const PLACE = {zone: 'z1', region: 'r1'};
 
 test('the database that became leader last is the leader', t => {
--- a/test/front/directory_tracker.test.ts
+++ b/test/front/directory_tracker.test.ts
@@ -4,6 +4,7 @@
 import {qualifyRevision} from '../../src/core/store_revision.js';
 import {DirectoryTracker} from '../../src/front/directory_tracker.js';
 import {StoreEvent} from '../../src/store/key_values.js';
+import {databaseEntry} from '../fixtures/database_entry.js';
 
 const PREFIX = 'db/';
 const MISSING_GRACE_MS = 2_000;
@@ -28,20 +29,7 @@
   revision: number,
   changes: Partial<DatabaseEntry>,
 ): StoreEvent {
-  const entry: DatabaseEntry = {
-    id,
-    service: 's',
-    host: 'h',
-    port: 1,
-    zone: 'z',
-    slots: 2,
-    leaving: false,
-    remainingWarmUpMs: 0,
-    isLeader: false,
-    startedAtUnixMs: 1,
-    sequence: 1,
-    ...changes,
-  };
+  const entry = databaseEntry(id, changes);
   const value = Buffer.from(JSON.stringify(entry));
   return {kind: 'put', key: PREFIX + id, revision, value};
 }
--- a/test/front/former_members.test.ts
+++ b/test/front/former_members.test.ts
@@ -2,6 +2,7 @@
 import test from 'ava';
 import {KnownDatabase, putEntry} from '../../src/core/directory.js';
 import {FormerMembers} from '../../src/core/former_members.js';
+import {databaseEntry} from '../fixtures/database_entry.js';
 
 const entry = (
   id: string,
@@ -9,20 +10,7 @@
 ): KnownDatabase => {
   const known = putEntry(
     new Map(),
-    {
-      id,
-      service: 's',
-      host: '',
-      port: 1,
-      zone: 'z',
-      slots: 2,
-      leaving: false,
-      remainingWarmUpMs: 0,
-      isLeader: false,
-      startedAtUnixMs: 1,
-      sequence: 1,
-      ...changes,
-    },
+    databaseEntry(id, changes),
     {zone: 'z', region: 'r'},
     1,
   ).get(id);
--- a/test/front/warm_up.test.ts
+++ b/test/front/warm_up.test.ts
@@ -21,6 +21,7 @@
   WARM_UP_WINDOW_MS,
   WarmUpLimiter,
 } from '../../src/core/warm_up.js';
+import {databaseEntry} from '../fixtures/database_entry.js';
 
 const PLACE = {zone: 'z', region: 'r'};
 
@@ -116,20 +117,8 @@
   t.is(limiter.waitMs(9, 2), WARM_UP_WINDOW_MS - 1);
 });
 
-const entry = (overrides: Partial<DatabaseEntry> = {}): DatabaseEntry => ({
-  id: 'd',
-  service: 's',
-  host: '127.0.0.1',
-  port: 1,
-  zone: 'z',
-  slots: 2,
-  leaving: false,
-  remainingWarmUpMs: 0,
-  isLeader: false,
-  startedAtUnixMs: 100,
-  sequence: 1,
-  ...overrides,
-});
+const entry = (overrides: Partial<DatabaseEntry> = {}): DatabaseEntry =>
+  databaseEntry('d', {host: '127.0.0.1', startedAtUnixMs: 100, ...overrides});
 
 /** Receives entries in turn, each with the time of receipt. */
 function receive(
