Change of primary: log the positions that fronts saw acknowledged

No log line told the highest position that was acknowledged, so a loss before commits were stopped could not be told from one after the logs were read. Nothing is decided by them yet. A front of an earlier version reports nothing.

--- a/src/front/database_worker.ts
+++ b/src/front/database_worker.ts
@@ -4,6 +4,7 @@
  * their connection for the length of a transaction.
  */
 import {Result} from 'neverthrow';
+import {CommitPositions} from '../core/commit_positions.js';
 import {KnownDatabase} from '../core/directory.js';
 import {AnswerCounts} from '../core/load/answer_window.js';
 import {Exclusion} from '../core/exclusion.js';
@@ -54,6 +55,8 @@
    * `canServeAsPrimary` if absent.
    */
   readonly canCommit?: () => boolean;
+  /** Told of the positions of primaries and of acknowledged commits. */
+  readonly commitPositions?: CommitPositions;
   /** Whether no leader record can be missing; always if absent. */
   readonly isViewReliable?: () => boolean;
   /**
@@ -172,6 +175,8 @@
       sampleOnIdle: () => this.sampleOnIdleConnection(),
       sampleOnNew: () => this.sampleOnNewConnection(),
       onAnswered: () => this.recordAnswer(),
+      onSample: ({atMs, position}) =>
+        options.commitPositions?.recordReached(service, atMs, position),
     });
   }
 
@@ -576,7 +581,7 @@
     const {steps, statement} = encoded.value;
     connection.use = 'busy';
     connection.job = job;
-    job.sentAtMs = performance.now();
+    this.markSent(job);
     if (
       work.mode === ExecutionMode.open ||
       work.mode === ExecutionMode.openRead
@@ -731,7 +736,7 @@
       this.sampler.record(job.sentAtMs, begun);
     const isPrimaryOnly = job.work.mode === ExecutionMode.open;
     const lane = this.lanes.pin(connection, job, isPrimaryOnly);
-    job.sentAtMs = performance.now();
+    this.markSent(job);
     connection.link.run([statement], (_, answer) => {
       this.recordAnswerUnlessLost(answer);
       this.queue.end(job);
@@ -751,12 +756,19 @@
     if (job.work.access === Access.write)
       this.sampler.record(job.sentAtMs, answer);
     this.recordCommit(job, answer);
-    const reply = this.acknowledged(job.work, answer);
+    const reply = this.acknowledged(job, answer);
     this.finish(job, this.replyOf(reply, {state: TransactionState.idle}));
     this.connections.release(connection, answer.state);
     this.startQueuedJobs();
   }
 
+  private markSent(job: Job): void {
+    job.sentAtMs = performance.now();
+    job.reachedBefore = this.options.commitPositions?.reachedBy(
+      this.entry.service,
+    );
+  }
+
   private get canCommit(): boolean {
     const {canCommit, canServeAsPrimary} = this.options;
     return (canCommit ?? canServeAsPrimary)();
@@ -766,14 +778,20 @@
    * Returns the answer to a statement as it may be passed on: a commit must not
    * be acknowledged once a database may have been chosen that lacks it.
    */
-  private acknowledged(work: Work, answer: StepAnswer): StepAnswer {
+  private acknowledged(job: Job, answer: StepAnswer): StepAnswer {
+    const {work, reachedBefore} = job;
     const isCommit = answer.ok && isCommitting(kindOf(work));
-    if (!isCommit || this.canCommit) return answer;
-    const {isViewReliable} = this.options;
+    if (!isCommit) return answer;
+    const {isViewReliable, commitPositions} = this.options;
     const mayFinish =
       performance.now() < this.finishUntilMs &&
       (isViewReliable === undefined || isViewReliable());
-    if (mayFinish) return answer;
+    if (this.canCommit || mayFinish) {
+      const {service} = this.entry;
+      if (answer.position)
+        commitPositions?.recordCommit(service, reachedBefore, answer.position);
+      return answer;
+    }
     this.options.log('commit_unconfirmed', {
       request: work.requestId,
       transaction: work.transaction,
@@ -843,7 +861,7 @@
     }
     const steps = [...encoded.value.steps, encoded.value.statement];
     this.queue.begin(job);
-    job.sentAtMs = performance.now();
+    this.markSent(job);
     lane.hasWritten ||= job.work.access === Access.write;
     lane.connection.job = job;
     this.runSteps(job, lane.connection, steps, steps.length - 1, answer => {
@@ -939,9 +957,7 @@
     }
     const state =
       !isCommit && !hasNotRun ? TransactionState.failed : TransactionState.idle;
-    const confirmed = lane.hasWritten
-      ? this.acknowledged(job.work, answer)
-      : answer;
+    const confirmed = lane.hasWritten ? this.acknowledged(job, answer) : answer;
     const result =
       isLost && !isCommit ? {...answer, fault: Fault.aborted} : confirmed;
     this.finish(job, this.replyOf(result as StepAnswer, {state}));
--- a/src/front/dispatcher.ts
+++ b/src/front/dispatcher.ts
@@ -3,6 +3,7 @@
  * or another over its peer link. Falls back to the next front in rank when the
  * holder is unreachable.
  */
+import {CommitPositions} from '../core/commit_positions.js';
 import {FrontMember, Fronts, rankHolders} from '../core/fronts.js';
 import {Directory, KnownDatabase} from '../core/directory.js';
 import {FrontService} from '../core/front_config.js';
@@ -64,6 +65,8 @@
    * `canServeAsPrimary` if absent.
    */
   readonly canCommit?: (entry: KnownDatabase) => boolean;
+  /** Told of the positions of primaries and of acknowledged commits. */
+  readonly commitPositions?: CommitPositions;
   /**
    * Whether no leader record can be missing in this front's view; always if
    * absent.
@@ -263,6 +266,7 @@
         const {canCommit, canServeAsPrimary} = this.options;
         return (canCommit ?? canServeAsPrimary)(current());
       },
+      commitPositions: this.options.commitPositions,
       isViewReliable: this.options.isViewReliable,
       isZoneClosed: this.options.isZoneClosed,
       onRefused: reason =>
--- a/src/front/front.ts
+++ b/src/front/front.ts
@@ -10,6 +10,11 @@
 import {createServer, Server, Socket} from 'node:net';
 import {randomBytes} from 'node:crypto';
 import {map, merge, Subscription} from 'rxjs';
+import {
+  CommitPositions,
+  CommitReport,
+  receiveCommitReport,
+} from '../core/commit_positions.js';
 import {databasesOf, KnownDatabase} from '../core/directory.js';
 import {Exclusion, isDrained} from '../core/exclusion.js';
 import {FrontConfig} from '../core/front_config.js';
@@ -22,6 +27,7 @@
   unknownHomes,
 } from '../core/homes.js';
 import {Fronts} from '../core/fronts.js';
+import {StoredLeaderRecord} from '../core/leader_record.js';
 import {maxCommitViewAgeMs, maxConfigAgeMs} from '../core/freshness.js';
 import {
   createIdSource,
@@ -56,6 +62,7 @@
 import {
   decodeAnnouncedRecord,
   decodeCancel,
+  decodeCommitReport,
   decodeDatabase,
   decodeFollowRequest,
   decodeLaneEnd,
@@ -153,6 +160,7 @@
   private readonly accrual: Accrual;
   private readonly shares: RateShares;
   private readonly leadership: Leadership;
+  private readonly commitPositions = CommitPositions.create(performance.now());
   private cachedRates: {
     readonly config?: FrontConfig;
     readonly rates: ReadonlyMap<string, Rate>;
@@ -213,6 +221,7 @@
       dispatcher: this.dispatcher,
       mayLead: entry => this.leadership.mayLead(entry),
       mayCommit: entry => this.leadership.mayCommit(entry),
+      commitPositions: this.commitPositions,
       commitsStoppedAtMs: service =>
         this.leadership.commitsStoppedAtMs(service),
       random: Math.random,
@@ -370,6 +379,7 @@
       secret: () => this.registration.secret,
       canServeAsPrimary: entry => this.leadership.canServeAsPrimary(entry),
       canCommit: entry => this.leadership.canCommit(entry),
+      commitPositions: this.commitPositions,
       isViewReliable: () => this.leadership.isCommitViewReliable,
       isViewFresh: () => this.feed.isFresh,
       warmUpTolerance: settings.warmUpTolerance,
@@ -415,10 +425,12 @@
       coordinatorLease: () => this.coordinatorLease,
       codec: ports.databaseCodec,
       announce: async (vm, record) => {
-        if (vm === settings.vm) return this.leadership.receiveRecord(record);
-        const link = this.dispatcher.link(vm);
-        if (!link) throw new Error('front is not known yet');
-        await link.call(PeerMethodName.leader, record);
+        const requestedAtMs = performance.now();
+        const report = await this.announceRecord(vm, record);
+        const receivedAtMs = performance.now();
+        return (
+          report && receiveCommitReport(report, requestedAtMs, receivedAtMs)
+        );
       },
       listFronts: () => this.listFronts(),
       stopCommitsExcept: (service, allowed, finishMs) =>
@@ -429,6 +441,25 @@
     });
   }
 
+  /**
+   * Has a front obey a leader record; resolves to what it knows of the service's
+   * commits.
+   */
+  private async announceRecord(
+    vm: string,
+    record: StoredLeaderRecord,
+  ): Promise<CommitReport | undefined> {
+    if (vm === this.settings.vm) return this.obeyRecord(record);
+    const link = this.dispatcher.link(vm);
+    if (!link) throw new Error('front is not known yet');
+    return decodeCommitReport(await link.call(PeerMethodName.leader, record));
+  }
+
+  private async obeyRecord(record: StoredLeaderRecord): Promise<CommitReport> {
+    await this.leadership.receiveRecord(record);
+    return this.commitPositions.report(record.service, performance.now());
+  }
+
   private createRateLimiter(): RateLimiter {
     return RateLimiter.create({
       rates: () => this.customerRates(),
@@ -644,10 +675,8 @@
     const {dispatcher} = this;
     return {
       [PeerMethodName.ping]: () => true,
-      [PeerMethodName.leader]: async params => {
-        await this.leadership.receiveRecord(decodeAnnouncedRecord(params));
-        return true;
-      },
+      [PeerMethodName.leader]: params =>
+        this.obeyRecord(decodeAnnouncedRecord(params)),
       [PeerMethodName.run]: (params, from): Promise<Reply> =>
         dispatcher.runForPeer(decodeWork(params), from),
       [PeerMethodName.cancel]: params => {
--- a/src/front/leadership.ts
+++ b/src/front/leadership.ts
@@ -5,6 +5,11 @@
  * announced by the holder of the coordinator lease. The holder also uses it to
  * make sure that no front acts by an older record any more.
  */
+import {
+  combineReports,
+  FleetCommits,
+  ReceivedCommitReport,
+} from '../core/commit_positions.js';
 import {KnownDatabase} from '../core/directory.js';
 import {Fronts} from '../core/fronts.js';
 import {
@@ -22,6 +27,7 @@
   newerLeaderRecord,
   LeaderRecord,
 } from '../core/leader_record.js';
+import {Position} from '../core/position.js';
 import {eraOf} from '../core/store_revision.js';
 import {StoredItem} from '../store/key_values.js';
 import {runControlStatement} from './control_link.js';
@@ -64,9 +70,14 @@
   readonly coordinatorLease: () => CoordinatorLease;
   readonly codec: DatabaseCodec;
   /**
-   * Sends a record to another front; resolves once that front has applied it.
+   * Sends a record to a front; resolves once that front has applied it, to what
+   * it knows of the service's commits. A front of an earlier version tells
+   * nothing.
    */
-  readonly announce: (vm: string, record: StoredLeaderRecord) => Promise<void>;
+  readonly announce: (
+    vm: string,
+    record: StoredLeaderRecord,
+  ) => Promise<ReceivedCommitReport | undefined>;
   /**
    * Ends the work in progress at databases of a service other than its leader.
    */
@@ -138,6 +149,16 @@
   private readonly stoppedAtMs = new Map<string, number>();
   /** Revision of the record that every front obeys, by service. */
   private readonly obeyed = new Map<string, number>();
+  /** What each front reported since commits were stopped, by service and VM. */
+  private readonly reports = new Map<
+    string,
+    Map<string, ReceivedCommitReport>
+  >();
+  /** The fronts that were to report, by service. */
+  private readonly reporters = new Map<string, readonly string[]>();
+  private lastFronts: Fronts = new Map();
+  /** When a front was last found to be registered no more. */
+  private frontLostAtMs = -Infinity;
   /** This front's last write of each record, and when it was answered. */
   private readonly writes = new Map<string, {revision: number; atMs: number}>();
 
@@ -247,8 +268,42 @@
     await this.stopping.get(service);
   }
 
+  /**
+   * What the fronts know of a service's commits since these were stopped. The
+   * fronts that have not reported may know of later commits.
+   */
+  commitsOf(service: string): FleetCommits & {readonly unreported: number} {
+    const reports = this.reports.get(service) ?? new Map();
+    const vms = this.reporters.get(service);
+    const unreported = vms?.filter(vm => !reports.has(vm)).length ?? 0;
+    const isComplete = vms !== undefined && unreported === 0;
+    const unreportedBeforeMs = isComplete ? this.frontLostAtMs : Infinity;
+    return {
+      ...combineReports([...reports.values()], unreportedBeforeMs),
+      unreported,
+    };
+  }
+
+  /** What is known of a service's acknowledged commits, as it is logged. */
+  acknowledgedFields(service: string): object {
+    const {atLeast, atMost, unreported} = this.commitsOf(service);
+    const text = (position: Position | undefined): string | undefined =>
+      position && `${position.term}.${position.offset}`;
+    return {atLeast: text(atLeast), atMost: text(atMost), unreported};
+  }
+
+  /** Must be called when the set of registered fronts may have changed. */
+  recordFronts(): void {
+    const fronts = this.options.fronts();
+    if (fronts === this.lastFronts) return;
+    const isLost = [...this.lastFronts.keys()].some(vm => !fronts.has(vm));
+    if (isLost) this.frontLostAtMs = this.nowMs();
+    this.lastFronts = fronts;
+  }
+
   /** Applies the records that are new in the view of the store. */
   applyStoredRecords(): void {
+    this.recordFronts();
     for (const record of this.decodeChanged()) this.obey(record);
   }
 
@@ -308,6 +363,7 @@
     const known = this.latestRecord(service);
     const isStopped = known !== undefined && hasStoppedCommits(known);
     if (isStopped && this.obeyed.get(service) === known.revision) return true;
+    if (!isStopped) this.reports.delete(service);
     const record = isStopped
       ? known
       : await this.writeRecord(stoppedRecord(known, service, leader ?? ''));
@@ -321,6 +377,7 @@
       this.announce(record, [...this.options.fronts().keys()], told),
     ]);
     if (!vms) return false;
+    this.reporters.set(service, vms);
     const isOnlyAtFormer =
       known === undefined || known.database === stepDown?.former.id;
     const done = await this.awaitObedience(record, {
@@ -473,6 +530,7 @@
           confirmedByDatabase,
           fronts: vms.length,
           unanswered,
+          acknowledged: this.acknowledgedFields(record.service),
           tookMs: Math.round(this.nowMs() - startedMs),
         });
         const isRetired = done && coordinatorLease().isHeld;
@@ -540,8 +598,9 @@
     told: Set<string>,
   ): Promise<void> {
     try {
-      await this.options.announce(vm, record);
+      const report = await this.options.announce(vm, record);
       told.add(vm);
+      if (report) this.recordReport(record, vm, report);
     } catch (error) {
       const text = (error as Error).message;
       // Nothing listens there: the process has ended and uses no primary.
@@ -550,6 +609,22 @@
     }
   }
 
+  /** Keeps a report that was made while commits were stopped. */
+  private recordReport(
+    record: StoredLeaderRecord,
+    vm: string,
+    report: ReceivedCommitReport,
+  ): void {
+    const {service, revision} = record;
+    const newest = this.latestRecord(service);
+    const isStopped = newest !== undefined && hasStoppedCommits(newest);
+    if (!isStopped || !hasStoppedCommits(record) || revision > newest.revision)
+      return;
+    const reports = this.reports.get(service) ?? new Map();
+    reports.set(vm, report);
+    this.reports.set(service, reports);
+  }
+
   /** Decodes the records that changed since the last call and returns them. */
   private decodeChanged(): readonly StoredLeaderRecord[] {
     const {prefix, storedItems, log} = this.options;
--- a/src/front/peer_messages.ts
+++ b/src/front/peer_messages.ts
@@ -12,6 +12,7 @@
   isOptional,
   isText,
 } from '../core/fields.js';
+import {CommitReport} from '../core/commit_positions.js';
 import {LoadReport} from '../core/load/database_reports.js';
 import {FailingVote} from '../core/load/failing_primary.js';
 import {isCommitRule, StoredLeaderRecord} from '../core/leader_record.js';
@@ -250,6 +251,19 @@
     isCount(value.revision),
 );
 
+const isCommitReport = (value: unknown): value is CommitReport =>
+  isObject(value) &&
+  isOptional(value.atLeast, isPosition) &&
+  isOptional(value.atMost, isPosition) &&
+  isArrayOf(isSample)(value.samples) &&
+  isAmount(value.sinceAgeMs);
+
+/** A front of an earlier version answers a leader record with `true`. */
+export const decodeCommitReport = (value: unknown): CommitReport | undefined =>
+  value === true
+    ? undefined
+    : decoderOf('report of commits', isCommitReport)(value);
+
 export const decodeFollowRequest = decoderOf(
   'request for changes',
   (value): value is FollowRequest => isObject(value) && isCount(value.after),
--- a/src/front/position_sampler.ts
+++ b/src/front/position_sampler.ts
@@ -12,6 +12,8 @@
   readonly sampleOnNew: () => Promise<PositionSample | undefined>;
   /** Called when the extra connection was answered. */
   readonly onAnswered: () => void;
+  /** Called with each sample. */
+  readonly onSample?: (sample: PositionSample) => void;
 }
 
 /** Age from which the newest position sample is refreshed on request. */
@@ -32,8 +34,7 @@
   record(sentAtMs: number, answer: StepAnswer): void {
     if (!answer.ok || !answer.position) return;
     if (!this.options.canServeAsPrimary()) return;
-    const sample = {atMs: sentAtMs, position: answer.position};
-    this.samples = addPositionSample(this.samples, sample);
+    this.add({atMs: sentAtMs, position: answer.position});
   }
 
   /**
@@ -57,7 +58,11 @@
     const sample = await this.pendingSample;
     if (!sample) return;
     onAnswered();
-    if (!canServeAsPrimary()) return;
+    if (canServeAsPrimary()) this.add(sample);
+  }
+
+  private add(sample: PositionSample): void {
     this.samples = addPositionSample(this.samples, sample);
+    this.options.onSample?.(sample);
   }
 }
--- a/src/front/primary_change_runner.ts
+++ b/src/front/primary_change_runner.ts
@@ -241,7 +241,7 @@
     attempt: Attempt,
   ): Promise<{choice: TakeoverChoice; isPrimaryEndKnown: boolean}> {
     const {service, leader} = attempt;
-    const {log} = this.options;
+    const {log, leadership} = this.options;
     const {term, logs, group, leading} = await this.readLogs(attempt);
     if (leading.length > 0) {
       const names = leading.map(({entry}) => entry.id);
@@ -261,6 +261,7 @@
       term,
       size: group.size,
       primaryEnd: primaryEnd && `${primaryEnd.term}.${primaryEnd.offset}`,
+      acknowledged: leadership.acknowledgedFields(service),
       logs: logs.map(
         stopped =>
           `${stopped.database}=${stopped.position.term}.${stopped.position.offset}`,
--- a/src/front/router.ts
+++ b/src/front/router.ts
@@ -3,6 +3,7 @@
  * one provably did not run it. Tracks, from the replies, position samples of
  * the leaders (the primaries), the load of databases and their failures.
  */
+import {CommitPositions} from '../core/commit_positions.js';
 import {databasesOf, KnownDatabase, leaderOf} from '../core/directory.js';
 import {Exclusion} from '../core/exclusion.js';
 import {Freshness, RouteConfig} from '../core/front_config.js';
@@ -86,6 +87,8 @@
   readonly mayLead: (entry: KnownDatabase) => boolean;
   /** Whether a primary may take commits; any may if absent. */
   readonly mayCommit?: (entry: KnownDatabase) => boolean;
+  /** Told of the positions of primaries and of acknowledged commits. */
+  readonly commitPositions?: CommitPositions;
   /** When commits of a service were stopped for a change of its primary. */
   readonly commitsStoppedAtMs?: (service: string) => number | undefined;
   /**
@@ -258,13 +261,18 @@
     provesLeader: boolean,
   ): Promise<Reply> {
     const sentAtMs = performance.now();
+    const {service, access} = work;
+    const reachedBefore = this.options.commitPositions?.reachedBy(service);
     const {reply} = await this.options.dispatcher.run({
       ...work,
       key: this.options.newId(),
       mode: ExecutionMode.lane,
     });
-    if (provesLeader && reply.ok)
-      this.recordSample(work.service, sentAtMs, reply);
+    if (provesLeader && reply.ok) {
+      this.recordSample(service, sentAtMs, reply);
+      if (access === Access.commit)
+        this.recordCommit(service, reachedBefore, reply);
+    }
     if (work.access !== Access.rollback)
       this.observer.recordReply({...work, sentAtMs, isProbe: false}, reply);
     this.options.log('statement', {
@@ -565,7 +573,12 @@
       homes: request.homes,
     };
     request.onSent(work);
+    const {service} = entry;
+    const reachedBefore = this.options.commitPositions?.reachedBy(service);
     const {reply, holder} = await this.options.dispatcher.run(work);
+    const isCommit =
+      mode === ExecutionMode.single && request.access === Access.write;
+    if (isCommit) this.recordCommit(service, reachedBefore, reply);
     this.recordReply(entry, mode, request, sentAtMs, reply);
     const {isProbe} = target;
     this.observer.recordReply({...work, sentAtMs, isProbe}, reply);
@@ -655,10 +668,26 @@
     this.losses.set(service, {database: id, atMs});
   }
 
+  /** Records a commit that the caller is about to see acknowledged. */
+  private recordCommit(
+    service: string,
+    reachedBefore: Position | undefined,
+    {ok, position}: Reply,
+  ): void {
+    if (!ok || !position) return;
+    this.options.commitPositions?.recordCommit(
+      service,
+      reachedBefore,
+      position,
+    );
+  }
+
   private recordSample(service: string, sentAtMs: number, reply: Reply): void {
     if (!reply.position) return;
+    const {position} = reply;
+    this.options.commitPositions?.recordReached(service, sentAtMs, position);
     const samples = this.samples.get(service) ?? [];
-    const sample = {atMs: sentAtMs, position: reply.position};
+    const sample = {atMs: sentAtMs, position};
     this.samples.set(service, addPositionSample(samples, sample));
   }
 
--- a/src/front/statement_job.ts
+++ b/src/front/statement_job.ts
@@ -1,5 +1,6 @@
 /** A piece of work at a worker, from its arrival to its answer. */
 import {WorkOrigin} from '../core/process_ids.js';
+import {Position} from '../core/position.js';
 import {WarmUpPermit} from '../core/warm_up.js';
 import {SentWork} from '../core/load/in_flight.js';
 import {Access, ExecutionMode, Reply, Work} from '../core/work.js';
@@ -13,6 +14,8 @@
   timer: NodeJS.Timeout;
   /** When its newest statement was sent; 0 before. */
   sentAtMs: number;
+  /** Highest position of a primary that was known when it was sent. */
+  reachedBefore?: Position;
   isFinished: boolean;
   /** Counts its statement towards the limit of a cold database. */
   permit?: WarmUpPermit;
--- a/test/front/leadership.test.ts
+++ b/test/front/leadership.test.ts
@@ -65,7 +65,7 @@
       onAnnounce();
       return unresponsive.includes(vm)
         ? Promise.reject(new Error(error))
-        : Promise.resolve();
+        : Promise.resolve(undefined);
     },
     abortPrimaryWorkExcept: () => undefined,
     stopCommitsExcept: () => Promise.resolve(),
--- a/test/platform/takeover.test.ts
+++ b/test/platform/takeover.test.ts
@@ -87,7 +87,7 @@
     maxConfigAgeMs: 4_800,
     coordinatorLease: () => lease,
     codec: databaseCodec,
-    announce: () => Promise.resolve(),
+    announce: () => Promise.resolve(undefined),
     abortPrimaryWorkExcept: () => undefined,
     stopCommitsExcept: () => Promise.resolve(),
     log: () => undefined,
