Let a leaving or unlisted database lead if it alone has the newest commits

It waited for another one to catch up, though the primary that would have sent the log was gone. When the replica had ended, one without the commits was promoted; until then all writes were refused.

If the former primary does not answer as primary, a leaving database with the longest log is promoted if no other has as long a log.

--- a/src/core/takeover.ts
+++ b/src/core/takeover.ts
@@ -16,8 +16,8 @@
   readonly database: string;
   readonly position: Position;
   /**
-   * Whether the database is about to be removed from its group; it must not be
-   * promoted then.
+   * Whether the database is about to be removed from its group, or not listed.
+   * Others are preferred then.
    */
   readonly leaving: boolean;
   /** Whether its zone is being evacuated; others are preferred then. */
@@ -119,6 +119,12 @@
    * another one to catch up; by default it may.
    */
   readonly mayPromoteEvacuated?: boolean;
+  /**
+   * Whether a leaving database may be chosen if no other one has as long a log:
+   * nobody sends its log to the others, until it leads itself. By default it
+   * may not.
+   */
+  readonly mayPromoteLeaving?: boolean;
   /**
    * Whether any order that was chosen by other homes, or by other evacuations,
    * can no longer be executed; by default none can.
@@ -155,9 +161,10 @@
   );
   if (rules.isIncomplete(longest, group))
     return {kind: 'need_logs', missing: Math.max(1, missing)};
-  const eligible = candidates.filter(
-    log => !log.leaving && !rules.isBetter(longest, log),
-  );
+  const longestLogs = candidates.filter(log => !rules.isBetter(longest, log));
+  const staying = longestLogs.filter(log => !log.leaving);
+  const mayLeave = staying.length === 0 && preference.mayPromoteLeaving;
+  const eligible = mayLeave ? longestLogs : staying;
   if (eligible.length === 0) return {kind: 'catch_up'};
   const {ordered, areHomesSettled, areEvacuationsSettled} = preference;
   if (eligible.some(({database}) => database === ordered))
--- a/src/front/primary_change_runner.ts
+++ b/src/front/primary_change_runner.ts
@@ -22,6 +22,7 @@
   TakeoverGroup,
 } from '../core/takeover.js';
 import {reportsLead, runControlStatement} from './control_link.js';
+import {ReplicaReport} from './replica_pause.js';
 import {
   ChangeOptions,
   PROMOTION_DELAY_MS,
@@ -237,7 +238,8 @@
     const {log, leadership} = this.options;
     const read = await this.logReader.read(service, leader);
     const {term, logs, leading} = read;
-    if (leading.length > 0) {
+    const interim = this.interimLeader(service, leading);
+    if (leading.length > 0 && !interim) {
       const names = leading.map(({entry}) => entry.id);
       log('takeover_superseded', {service, leading: names});
       await Promise.all(leading.map(({entry}) => this.stepDown(entry, term)));
@@ -247,14 +249,17 @@
       } as const;
       return {choice, isPrimaryEndKnown: false};
     }
-    let {group} = read;
-    let isPrimaryGone = !leader;
-    let choice = this.choose(attempt, group, logs);
-    if (choice.kind !== 'promote' && leader) {
+    let group: TakeoverGroup = {
+      ...read.group,
+      primaryEnd: interim?.report.position,
+    };
+    let isPrimaryGone = !leader && !interim;
+    let choice = this.choose(attempt, group, logs, isPrimaryGone);
+    if (choice.kind !== 'promote' && leader && !interim) {
       const former = await this.formerPrimary(leader);
       isPrimaryGone = !former.isLeading;
       group = {...group, primaryEnd: former.end};
-      choice = this.choose(attempt, group, logs);
+      choice = this.choose(attempt, group, logs, isPrimaryGone);
     }
     const {primaryEnd} = group;
     if (choice.kind === 'need_logs' && isPrimaryGone)
@@ -274,6 +279,23 @@
     return {choice, isPrimaryEndKnown: primaryEnd !== undefined};
   }
 
+  /**
+   * A database that leads by this front's order although it is not listed: the
+   * lead passes on to one that has its log.
+   */
+  private interimLeader(
+    service: string,
+    leading: readonly ReplicaReport[],
+  ): ReplicaReport | undefined {
+    const {leadership, replicasOf} = this.options;
+    const [only] = leading;
+    const isInterim =
+      leading.length === 1 &&
+      leadership.latestRecord(service)?.database === only.entry.id &&
+      replicasOf(service).every(({id}) => id !== only.entry.id);
+    return isInterim ? only : undefined;
+  }
+
   /**
    * Returns a choice that needs no more than the logs of listed databases, once
    * a log with all acknowledged commits has been waited for in vain.
@@ -285,7 +307,7 @@
   ): TakeoverChoice {
     const {service} = attempt;
     const {leadership, log} = this.options;
-    const fallback = this.choose(attempt, listedGroup, logs);
+    const fallback = this.choose(attempt, listedGroup, logs, true);
     if (fallback.kind !== 'promote') return choice;
     if (!this.logWait.record(service, performance.now())) return choice;
     const acknowledged = leadership.acknowledgedFields(service);
@@ -297,12 +319,14 @@
     attempt: Attempt,
     group: TakeoverGroup,
     logs: readonly StoppedLog[],
+    mayPromoteLeaving: boolean,
   ): TakeoverChoice {
     const {service} = attempt;
     const {orders, areHomesSettled, areOrdersSettled} = this.options;
     return chooseTakeover(group, logs, SAFE_TAKEOVER, {
       ordered: orders.orderOf(service)?.database,
       mayPromoteEvacuated: this.mayPromoteEvacuated(attempt),
+      mayPromoteLeaving,
       areHomesSettled: areHomesSettled(service),
       areEvacuationsSettled: areOrdersSettled(service),
     });
--- a/src/front/takeover_runner.ts
+++ b/src/front/takeover_runner.ts
@@ -343,7 +343,10 @@
       tookMs: Math.round(performance.now() - startedMs),
     });
     if (reason === 'evacuated') this.evacuation.record(service, done);
-    this.pauseService(service, done ? TAKEOVER_PAUSE_MS : RETRY_PAUSE_MS);
+    // A leaving primary only leads until another database has its log.
+    const isInterim = this.options.leaderOf(service)?.leaving === true;
+    const isOver = done && !isInterim;
+    this.pauseService(service, isOver ? TAKEOVER_PAUSE_MS : RETRY_PAUSE_MS);
   }
 
   /**
--- a/test/front/decisions.test.ts
+++ b/test/front/decisions.test.ts
@@ -266,6 +266,22 @@
   t.is(chooseTakeover(group, [stoppedLog('a', 9)]).kind, 'need_logs');
 });
 
+// Guards against a leaving database that takes the newest commits with it.
+test('a leaving database with the longest log leads if nobody can send that log', t => {
+  const group = {size: 3, syncReplicas: 1};
+  const logs = [stoppedLog('a', 9), stoppedLog('b', 12, true)];
+  const preference = {mayPromoteLeaving: true};
+  t.deepEqual(chooseTakeover(group, logs, undefined, preference), {
+    kind: 'promote',
+    database: 'b',
+  });
+  const equal = [stoppedLog('a', 12), stoppedLog('b', 12, true)];
+  t.deepEqual(chooseTakeover(group, equal, undefined, preference), {
+    kind: 'promote',
+    database: 'a',
+  });
+});
+
 test('the wait for a log with all acknowledged commits ends after 15 s', t => {
   const waits = LogWait.create();
   t.false(waits.record('s', 0));
--- a/test/platform/newest_commits.test.ts
+++ b/test/platform/newest_commits.test.ts
@@ -23,6 +23,8 @@
 const DRAIN_MS = 6_000;
 /** Time from the end of a database to its replacement. */
 const REPLACED_MS = 4_000;
+/** Longer than fronts keep a database whose entry is missing. */
+const LAPSE_MS = 3_600;
 /** Longer than a change may wait for a log that does not come. */
 const CHANGE_LIMIT_MS = 25_000;
 
@@ -163,3 +165,20 @@
   await untilPrimaryChanged(splitFleet);
   assertNothingLost(t, fleet);
 });
+
+// Guards against a service without a primary until the only replica with the
+// newest commits is listed again, though it can be reached.
+test('the only replica with the newest commits is reachable but not listed: no acknowledged commit is lost', async t => {
+  const fleet = await startSplitFleet(t);
+  const {store, callers, primary, newest} = fleet;
+  newest.reachesStore = false;
+  store.remove(`servers/${newest.id}`);
+  await pause(LAPSE_MS);
+  const written = callers.succeeded.size;
+  await until(() => callers.succeeded.size >= written + MIN_WRITES);
+  await end(fleet, primary);
+  await untilChanged(fleet, CHANGE_LIMIT_MS);
+  t.not(fleet.group.primary, newest);
+  await untilPrimaryChanged(fleet);
+  assertNothingLost(t, fleet);
+});
