Change of primary: don't take a front that refuses connections for ended

Cause: the holder of the coordinator lease counted a front as ended if a connection to it was refused (ECONNREFUSED), and went on at once. A network that cuts a front off may refuse connections as well, while the front serves its callers and acknowledges commits by a view of the store that is up to 3 s old; a replica that joins then receives them.

Change: only an answer of the front, or the age of its view, counts. A process that was killed answers again once it is restarted; one that stops as planned gives up its registration before it closes its port, so neither is refused for long.

The test "a front that refuses connections does not delay the retirement" asserted the fault. It is replaced by one which asserts that such a front is waited for like one that does not answer.

--- a/src/core/leader_record.ts
+++ b/src/core/leader_record.ts
@@ -166,8 +166,8 @@
 /**
  * Whether no front can still use the former primary in a way that a record
  * forbids: the database has confirmed that it does not lead, every front has
- * acknowledged the record or ended, or enough time has passed that the view of
- * the other fronts is too old for them to use a primary.
+ * acknowledged the record, or enough time has passed that the view of the other
+ * fronts is too old for them to use a primary.
  */
 export const isFormerPrimaryRetired = (state: {
   readonly confirmedByDatabase: boolean;
--- a/src/front/leadership.ts
+++ b/src/front/leadership.ts
@@ -578,8 +578,8 @@
   }
 
   /**
-   * Sends a record to fronts and adds to `told` those that obey it, or have
-   * ended. Resolves when all have answered, or after a while.
+   * Sends a record to fronts and adds to `told` those that obey it. Resolves when
+   * all have answered, or after a while.
    */
   private async announce(
     record: StoredLeaderRecord,
@@ -602,9 +602,9 @@
       told.add(vm);
       if (report) this.recordReport(record, vm, report);
     } catch (error) {
+      // A refusal does not show that the process has ended: a network that
+      // cuts a front off may refuse connections to it as well.
       const text = (error as Error).message;
-      // Nothing listens there: the process has ended and uses no primary.
-      if (text.includes('ECONNREFUSED')) told.add(vm);
       this.options.log('leader_record_untold', {peer: vm, text});
     }
   }
--- a/test/front/leadership.test.ts
+++ b/test/front/leadership.test.ts
@@ -110,16 +110,23 @@
   },
 );
 
+// Guards against commits that a front acknowledges after it was taken for ended:
+// a cut that refuses connections looks like a process that has ended.
 test.serial(
-  'a front that refuses connections does not delay the retirement',
+  'a front that refuses connections is waited for until its view has expired',
   async t => {
     const {leadership} = createHolder(
       ['b'],
       'connect ECONNREFUSED 10.0.0.1:7560',
     );
-    const appointed = leadership.appoint('orders', 'db-2', undefined, 2);
-    await advance(50);
-    t.true(await appointed);
+    let outcome: boolean | undefined;
+    void leadership
+      .stopCommits('orders', 'db-1', undefined, NEVER)
+      .then(done => (outcome = done));
+    await advance(MAX_CONFIG_AGE_MS);
+    t.is(outcome, undefined);
+    await advance(600);
+    t.true(outcome);
   },
 );
 
