--- a/test/platform/unseen.test.ts
+++ b/test/platform/unseen.test.ts
@@ -12,15 +12,24 @@
   until,
   ZONES,
 } from './fleet_fixture.js';
-import {StandinGroup} from './standin_database.js';
+import {StandinDatabase, StandinGroup} from './standin_database.js';
 import {StandinLink} from './standin_link.js';
 import {StandinStore} from './standin_store.js';
 
 const PROMOTION_MS = 1_000;
+/** Link delay of a replica that receives nothing during a test. */
+const DEAF_MS = 120_000;
+/** Less than the log of a database whose entry has lapsed counts as missing. */
+const PRIMARY_DOWN_MS = 4_000;
 const LIMIT_MS = 15_000;
 const MIN_WRITES = 30;
+/** Key of the mark that the store has not been restored lately. */
+const ERA_KEY = 'mustardpass/era';
 const FRONTS_PREFIX = 'mustardpass/fronts/';
 
+const pause = (ms: number): Promise<void> =>
+  new Promise(resolve => setTimeout(resolve, ms));
+
 interface Platform {
   readonly group: StandinGroup;
   readonly store: StandinStore;
@@ -49,6 +58,7 @@
   t: ExecutionContext,
   {group, store}: Platform,
   names: readonly string[],
+  isFirstStart = true,
 ): Promise<Fleet> {
   const fronts: RunningFront[] = [];
   const links: StandinLink[] = [];
@@ -60,7 +70,7 @@
     const link = await StandinLink.start(store.port);
     links.push(link);
     const storeAddress = {host: '127.0.0.1', port: link.port};
-    const overrides = {shutdownGraceMs: 600, storeAddress};
+    const overrides = {shutdownGraceMs: 600, isFirstStart, storeAddress};
     fronts.push(await startFront(name, ZONES[index], store, overrides));
   }
   await until(() => fronts.every(({front}) => front.isReady));
@@ -69,22 +79,113 @@
   return {group, store, fronts, links, callers};
 }
 
-async function join({group, store}: Platform): Promise<void> {
-  await group.join('norte');
+/** Makes replicas deaf, and waits until commits were acknowledged since. */
+async function commitWithout(
+  deaf: readonly StandinDatabase[],
+  {callers}: Fleet,
+): Promise<void> {
+  for (const replica of deaf) replica.linkDelayMs = DEAF_MS;
+  const enough = callers.succeeded.size + MIN_WRITES;
+  await until(() => callers.succeeded.size >= enough);
+}
+
+async function join({group, store}: Platform): Promise<StandinDatabase> {
+  const joined = await group.join('norte');
   store.registerDatabases();
+  return joined;
+}
+
+/** Crashes a database, and removes its entry as after three missing beats. */
+async function lapse(
+  {store}: Platform,
+  database: StandinDatabase,
+): Promise<void> {
+  database.reachesStore = false;
+  await database.crash();
+  store.remove(`servers/${database.id}`);
+}
+
+/** Crashes a database, and starts it again with its log. */
+async function crash(database: StandinDatabase): Promise<void> {
+  await database.crash();
+  await pause(PRIMARY_DOWN_MS);
+  await database.start();
 }
 
-/** Waits until writes succeed, and checks the log that serves then. */
+/** Lets the replicas receive again, and checks the log that serves then. */
 async function assertNothingLost(
   t: ExecutionContext,
+  {group, store}: Platform,
   callers: BusyCallers,
 ): Promise<void> {
+  for (const database of group.databases) database.linkDelayMs = 0;
+  store.registerDatabases();
   const sinceMs = performance.now();
   await until(() => callers.lastSuccessSentMs > sinceMs, LIMIT_MS);
   const {lost, succeeded} = callers;
   t.is(lost.length, 0, `${lost.length} of ${succeeded.size} lost`);
 }
 
+// Guards against a count of logs that leaves out a replica which the holder has
+// seen lapse, and which alone had the newest commits.
+test.serial(
+  'a replica that lapsed just before the primary crashed costs no acknowledged commit',
+  async t => {
+    const platform = await startPlatform(t);
+    const fleet = await startFronts(t, platform, ['front-1', 'front-2']);
+    const [primary, newest, other] = platform.group.databases;
+    await until(() => fleet.callers.succeeded.size >= MIN_WRITES);
+    const joined = await join(platform);
+    await commitWithout([other, joined], fleet);
+    await lapse(platform, newest);
+    await crash(primary);
+    await assertNothingLost(t, platform, fleet.callers);
+  },
+);
+
+// Guards against the same where the holder has started after the entry had
+// lapsed, so that it has never seen it.
+test.serial(
+  'a replica that lapsed before the fronts started costs no acknowledged commit',
+  async t => {
+    const platform = await startPlatform(t);
+    const fleet = await startFronts(t, platform, ['front-1', 'front-2']);
+    const [primary, newest, other] = platform.group.databases;
+    // From then on a front that starts may take the lease at once.
+    await until(() => platform.store.get(ERA_KEY) !== undefined);
+    const joined = await join(platform);
+    await commitWithout([other, joined], fleet);
+    await lapse(platform, newest);
+    const names = ['front-3', 'front-4'];
+    const {callers} = await startFronts(t, platform, names, false);
+    await Promise.all(fleet.fronts.map(({front}) => front.stop()));
+    await crash(primary);
+    await fleet.callers.stop();
+    for (const data of fleet.callers.succeeded) callers.succeeded.add(data);
+    await assertNothingLost(t, platform, callers);
+  },
+);
+
+// Guards against an empty log that is counted: the entry in the store is still
+// the one of the start before.
+test.serial(
+  'a replica that has restarted empty behind its old entry costs no acknowledged commit',
+  async t => {
+    const platform = await startPlatform(t);
+    const fleet = await startFronts(t, platform, ['front-1', 'front-2']);
+    const [primary, newest, other] = platform.group.databases;
+    await until(() => fleet.callers.succeeded.size >= MIN_WRITES);
+    await commitWithout([other], fleet);
+    newest.reachesStore = false;
+    newest.linkDelayMs = DEAF_MS;
+    await newest.crash();
+    newest.log.splice(0);
+    await newest.start();
+    await crash(primary);
+    await assertNothingLost(t, platform, fleet.callers);
+  },
+);
+
 // Guards against a front that is taken for ended as connections to it are
 // refused: it is cut off from the other front and from the store, and serves on.
 test.serial(
@@ -110,6 +211,6 @@
     await until(() => store.promotions.received.length > 0, LIMIT_MS);
     await join(platform);
     await until(() => group.promotedAtMs < Infinity, LIMIT_MS);
-    await assertNothingLost(t, callers);
+    await assertNothingLost(t, platform, callers);
   },
 );
