Count a database that may have gone before this front knew of any

For 8 s after its first list, unless the platform starts for the first time, such a front counts one unseen database as missing, until a log has reached a position that the primary had reached after the list.

--- a/src/core/former_members.ts
+++ b/src/core/former_members.ts
@@ -7,12 +7,9 @@
 import {comparePositions, Position} from './position.js';
 import {floorSince, PositionSamples} from './position_samples.js';
 
-/** A database that is not listed, or an earlier start of a listed one. */
-export interface FormerMember {
-  readonly entry: KnownDatabase;
-  /** Whether the database may still run as it was listed. */
-  readonly mayAnswer: boolean;
-  /** Until when its log counts as missing if it does not answer. */
+/** Until when the log of a database counts that is not listed. */
+export interface MissingLog {
+  /** Until when it counts as missing if the database does not answer. */
   readonly countsUntilMs: number;
   /**
    * Since when it receives nothing any more, so that a log which reaches a later
@@ -22,6 +19,13 @@
   readonly goneSinceMs: number | undefined;
 }
 
+/** A database that is not listed, or an earlier start of a listed one. */
+export interface FormerMember extends MissingLog {
+  readonly entry: KnownDatabase;
+  /** Whether the database may still run as it was listed. */
+  readonly mayAnswer: boolean;
+}
+
 /**
  * How long the log of a database counts as missing after its entry lapsed, it
  * started again or left, unless another log has all that it may have held.
@@ -40,7 +44,7 @@
  * later. `samples` are positions of the primary.
  */
 export function isAccountedFor(
-  {goneSinceMs}: FormerMember,
+  {goneSinceMs}: MissingLog,
   logEnds: readonly Position[],
   samples: PositionSamples,
 ): boolean {
@@ -60,12 +64,29 @@
     FormerMember & {sinceMs: number}
   >();
 
+  private firstListAtMs = -Infinity;
+
   private constructor() {}
 
   static create(): FormerMembers {
     return new FormerMembers();
   }
 
+  /** Records when this front learned for the first time which databases exist. */
+  recordFirstList(nowMs: number): void {
+    this.firstListAtMs = nowMs;
+  }
+
+  /**
+   * A database that may have disappeared before the first list, so that this
+   * front has never seen it; undefined once it does not matter any more.
+   */
+  unseen(nowMs: number): MissingLog | undefined {
+    const goneSinceMs = this.firstListAtMs;
+    const countsUntilMs = goneSinceMs + COUNTS_MS;
+    return nowMs < countsUntilMs ? {countsUntilMs, goneSinceMs} : undefined;
+  }
+
   /** Records that the entry of a database has disappeared. */
   recordUnlisted(entry: KnownDatabase, nowMs: number): void {
     const goneSinceMs = entry.leaving ? nowMs + LEAVES_WITHIN_MS : undefined;
--- a/src/front/directory_tracker.ts
+++ b/src/front/directory_tracker.ts
@@ -14,7 +14,11 @@
   putEntry,
   removeEntry,
 } from '../core/directory.js';
-import {FormerMember, FormerMembers} from '../core/former_members.js';
+import {
+  FormerMember,
+  FormerMembers,
+  MissingLog,
+} from '../core/former_members.js';
 import {StoreEvent} from '../store/key_values.js';
 import {JsonLog} from './json_log.js';
 
@@ -87,6 +91,11 @@
     return this.former.of(service, this.nowMs());
   }
 
+  /** As `FormerMembers.unseen`. */
+  get unseenMember(): MissingLog | undefined {
+    return this.former.unseen(this.nowMs());
+  }
+
   /**
    * Whether the store must be listed again, because entries were passed over
    * after a restore and their databases have had time to write newer ones.
@@ -126,8 +135,9 @@
   }
 
   /** Called before a complete list is applied. */
-  beginList(): void {
+  beginList(isFirst: boolean): void {
     this.hasIgnored = false;
+    if (isFirst) this.former.recordFirstList(this.nowMs());
   }
 
   /** Drops the databases whose entries have been missing for too long. */
--- a/src/front/front.ts
+++ b/src/front/front.ts
@@ -573,6 +573,8 @@
       promote: ports.promote,
       directory: () => this.feed.directory,
       formerMembersOf: service => this.feed.formerMembersOf(service),
+      unseenMember: () =>
+        settings.isFirstStart ? undefined : this.feed.unseenMember,
       serviceOf: name => this.feed.config?.services.get(name),
       leaderOf: service => this.router.leader(service),
       serviceNames: () => [...(this.feed.config?.services.keys() ?? [])],
--- a/src/front/stopped_log_reader.ts
+++ b/src/front/stopped_log_reader.ts
@@ -1,6 +1,10 @@
 /** Reads the logs of the databases of a service for a change of primary. */
 import {KnownDatabase, startKey} from '../core/directory.js';
-import {FormerMember, isAccountedFor} from '../core/former_members.js';
+import {
+  FormerMember,
+  isAccountedFor,
+  MissingLog,
+} from '../core/former_members.js';
 import {FrontService} from '../core/front_config.js';
 import {hasStopped, StoppedLog, TakeoverGroup} from '../core/takeover.js';
 import {runControlStatement} from './control_link.js';
@@ -20,6 +24,8 @@
   readonly replicasOf: (service: string, leader?: string) => KnownDatabase[];
   /** Databases of a service that are not listed but may hold commits. */
   readonly formerMembersOf: (service: string) => readonly FormerMember[];
+  /** A database of any service that may have disappeared unseen. */
+  readonly unseenMember: () => MissingLog | undefined;
   /** Number of a service's routes that a primary may serve by their homes. */
   readonly allowedRoutes: (primary: KnownDatabase) => number;
   /** Highest term that a reply has reported; 0 when there is none. */
@@ -103,14 +109,22 @@
               !isAccountedFor(member, ends, commits.samples))),
       )
       .map(({entry}) => entry);
+    const unseen = this.options.unseenMember();
+    const isUnseenCounted =
+      unseen !== undefined && !isAccountedFor(unseen, ends, commits.samples);
     const isPrimaryCounted = !leader && counted.some(entry => entry.isLeader);
-    const size = listed.length + counted.length + (isPrimaryCounted ? 0 : 1);
-    if (unlisted.length > 0 || counted.length > 0) {
+    const size =
+      listed.length +
+      counted.length +
+      (isPrimaryCounted ? 0 : 1) +
+      (isUnseenCounted ? 1 : 0);
+    if (unlisted.length > 0 || counted.length > 0 || isUnseenCounted) {
       log('takeover_former_members', {
         service,
         size,
         asked: unlisted.map(({id}) => id),
         counted: counted.map(({id}) => id),
+        unseen: isUnseenCounted,
       });
     }
     const syncReplicas = this.options.serviceOf(service)?.syncReplicas ?? 0;
--- a/src/front/store_feed.ts
+++ b/src/front/store_feed.ts
@@ -12,7 +12,7 @@
   ConfigFreshness,
   newerFreshness,
 } from '../core/freshness.js';
-import {FormerMember} from '../core/former_members.js';
+import {FormerMember, MissingLog} from '../core/former_members.js';
 import {Evacuations} from '../core/evacuation.js';
 import {FrontConfig} from '../core/front_config.js';
 import {eraOf} from '../core/store_revision.js';
@@ -195,6 +195,11 @@
     return this.databases.formerMembersOf(service);
   }
 
+  /** A database that may have disappeared before this front knew of any. */
+  get unseenMember(): MissingLog | undefined {
+    return this.databases.unseenMember;
+  }
+
   get evacuations(): Evacuations {
     return this.evacuating.evacuations;
   }
@@ -375,7 +380,7 @@
     }));
     const isFirst = this.revision === 0;
     this.recordEra(eraOf(revision), isFirst);
-    this.databases.beginList();
+    this.databases.beginList(isFirst);
     this.storedVersion = NO_VERSION;
     this.applyEvents([...puts, ...removals], revision);
     if (isFirst) this.fleetItemsAtStart = this.fleetItems$.value;
--- a/src/front/takeover_runner.ts
+++ b/src/front/takeover_runner.ts
@@ -14,7 +14,7 @@
   isConfirmedFailing,
   isRefutedFailing,
 } from '../core/load/failing_primary.js';
-import {FormerMember} from '../core/former_members.js';
+import {FormerMember, MissingLog} from '../core/former_members.js';
 import {isPromotionAllowed, mayCommit} from '../core/leader_record.js';
 import {
   isPrimaryUnreachable,
@@ -40,6 +40,8 @@
   readonly directory: () => Directory;
   /** Databases of a service that are not listed but may hold commits. */
   readonly formerMembersOf: (service: string) => readonly FormerMember[];
+  /** A database of any service that may have disappeared unseen. */
+  readonly unseenMember: () => MissingLog | undefined;
   readonly serviceOf: (name: string) => FrontService | undefined;
   readonly leaderOf: (service: string) => KnownDatabase | undefined;
   readonly serviceNames: () => readonly string[];
--- a/test/platform/takeover.test.ts
+++ b/test/platform/takeover.test.ts
@@ -132,6 +132,7 @@
     collectFailingVotes: () => Promise.resolve([{failing: true}]),
     evacuations: () => Evacuations.none,
     formerMembersOf: () => [],
+    unseenMember: () => undefined,
     leadership,
     log: event => events.push(event),
     ...overrides,
