Don't take a primary's log end for complete if it is behind what is known

A primary that has restarted empty and leads on reports the beginning of its log, and any log that was read then counted as complete. The end is used only if no log that was read, and no acknowledged commit, lies above it.

--- a/src/core/takeover.ts
+++ b/src/core/takeover.ts
@@ -103,6 +103,19 @@
 ): boolean =>
   acknowledged?.atLeast !== undefined && !hasReached(log, acknowledged.atLeast);
 
+/**
+ * Whether a position that the primary reports can be the end of its log. One that
+ * has restarted may have lost what other databases or callers still know of.
+ */
+export const mayBePrimaryEnd = (
+  end: Position,
+  {acknowledged}: TakeoverGroup,
+  logs: readonly StoppedLog[],
+): boolean =>
+  [acknowledged?.atLeast, ...logs.map(({position}) => position)].every(
+    known => known === undefined || comparePositions(end, known) >= 0,
+  );
+
 export const SAFE_TAKEOVER: TakeoverRules = {
   logsNeeded,
   isComplete: isKnownComplete,
--- a/src/front/primary_change_runner.ts
+++ b/src/front/primary_change_runner.ts
@@ -16,6 +16,7 @@
 } from '../core/primary_change.js';
 import {
   chooseTakeover,
+  mayBePrimaryEnd,
   SAFE_TAKEOVER,
   StoppedLog,
   TakeoverChoice,
@@ -256,7 +257,7 @@
     let isPrimaryGone = !leader && !interim;
     let choice = this.choose(attempt, group, logs, isPrimaryGone);
     if (choice.kind !== 'promote' && leader && !interim) {
-      const former = await this.formerPrimary(leader);
+      const former = await this.formerPrimary(leader, read);
       isPrimaryGone = !former.isLeading;
       group = {...group, primaryEnd: former.end};
       choice = this.choose(attempt, group, logs, isPrimaryGone);
@@ -338,6 +339,7 @@
    */
   private async formerPrimary(
     leader: KnownDatabase,
+    {group, logs}: StoppedLogs,
   ): Promise<{isLeading: boolean; end?: Position}> {
     const {leadership, leaderOf, codec} = this.options;
     const {id, service, startedAtUnixMs} = leader;
@@ -347,8 +349,13 @@
     const hasRestarted = current?.startedAtUnixMs !== startedAtUnixMs;
     const report = await runControlStatement(leader, codec, {kind: 'status'});
     if (!report?.isLeader) return {isLeading: false};
-    const isEnd = isOnlyPrimary && current?.id === id && !hasRestarted;
-    return {isLeading: true, end: isEnd ? report.position : undefined};
+    const end = report.position;
+    const isEnd =
+      isOnlyPrimary &&
+      current?.id === id &&
+      !hasRestarted &&
+      mayBePrimaryEnd(end, group, logs);
+    return {isLeading: true, end: isEnd ? end : undefined};
   }
 
   /** Makes a database step down if the leader records name another one. */
--- a/test/front/decisions.test.ts
+++ b/test/front/decisions.test.ts
@@ -47,7 +47,11 @@
   valuesKeyOf,
 } from '../../src/core/session_state.js';
 import {LogWait} from '../../src/core/log_wait.js';
-import {chooseTakeover, isPrimaryUnreachable} from '../../src/core/takeover.js';
+import {
+  chooseTakeover,
+  isPrimaryUnreachable,
+  mayBePrimaryEnd,
+} from '../../src/core/takeover.js';
 import {WorkQueue} from '../../src/core/work_queue.js';
 import {databaseEntry} from '../fixtures/database_entry.js';
 
@@ -282,6 +286,17 @@
   });
 });
 
+// Guards against any log that counts as complete, as the primary has restarted
+// empty and leads on.
+test('a primary whose log is behind what is known does not tell where it ends', t => {
+  const acknowledged = {atLeast: {term: 1, offset: 10}};
+  const group = {size: 3, syncReplicas: 1, acknowledged};
+  const logs = [stoppedLog('a', 11)];
+  t.false(mayBePrimaryEnd({term: 1, offset: 0}, group, []));
+  t.false(mayBePrimaryEnd({term: 1, offset: 10}, group, logs));
+  t.true(mayBePrimaryEnd({term: 1, offset: 11}, group, logs));
+});
+
 test('the wait for a log with all acknowledged commits ends after 15 s', t => {
   const waits = LogWait.create();
   t.false(waits.record('s', 0));
