Pause replicas above terms that none of them has heard of

A leaving database had led term 2, had sent its log to nobody and ended. Each later change paused the others at term 2, which is not above the newest term, so without effect; they reported term 1, and their logs never counted.

A pause that a replica does not confirm is repeated a term higher, four times at most. The new test fails before (2 in place of 4) and passes.

--- a/src/front/replica_pause.ts
+++ b/src/front/replica_pause.ts
@@ -1,5 +1,6 @@
 /** Pauses the replicas of a service for a takeover. */
 import {KnownDatabase} from '../core/directory.js';
+import {hasStopped} from '../core/takeover.js';
 import {runControlStatement} from './control_link.js';
 import {DatabaseCodec, DatabaseReport} from './wire_types.js';
 
@@ -16,9 +17,16 @@
 }
 
 /**
- * Pauses replicas at a term; at a higher one if the replicas know of a primary
- * whose term is not below it, as a pause would have no effect then. `mayPause`
- * is called just before each replica is paused.
+ * How often a pause without effect is repeated at a higher term. A replica may
+ * not have heard of the newest terms: each of their primaries has ended since.
+ */
+const MAX_RAISES = 4;
+
+/**
+ * Pauses replicas at a term. A pause has no effect at a term that is not above
+ * the newest one; it is repeated above the terms that the replicas know of, and
+ * above those that none of them has heard of. `mayPause` is called just before
+ * each replica is paused.
  */
 export async function pauseReplicas(
   replicas: readonly KnownDatabase[],
@@ -26,15 +34,22 @@
   codec: DatabaseCodec,
   mayPause: () => boolean,
 ): Promise<ReplicaPause> {
-  const reports = await pauseAt(term, replicas, codec, mayPause);
-  const primaryTerms = reports.map(({report}) => report.primaryTerm);
-  const primaryTerm = Math.max(0, ...primaryTerms);
-  if (primaryTerm < term) return {term, reports};
-  const newTerm = primaryTerm + 1;
-  return {
-    term: newTerm,
-    reports: await pauseAt(newTerm, replicas, codec, mayPause),
-  };
+  let pausedAtTerm = term;
+  for (let raises = 0; ; raises++) {
+    const reports = await pauseAt(pausedAtTerm, replicas, codec, mayPause);
+    const primaryTerms = reports.map(({report}) => report.primaryTerm);
+    const isWithoutEffect = reports.some(
+      ({report}) => !report.isLeader && !hasStopped(report, pausedAtTerm),
+    );
+    const newestTerm = Math.max(
+      0,
+      ...primaryTerms,
+      isWithoutEffect ? pausedAtTerm : 0,
+    );
+    if (newestTerm < pausedAtTerm || raises === MAX_RAISES || !mayPause())
+      return {term: pausedAtTerm, reports};
+    pausedAtTerm = newestTerm + 1;
+  }
 }
 
 async function pauseAt(
--- a/test/platform/standin_database.ts
+++ b/test/platform/standin_database.ts
@@ -78,6 +78,8 @@
   /** Statements that it refused as its log is behind. */
   laggingCount = 0;
   executionMs = 1;
+  /** The newest term that it has heard of, if not that of its group. */
+  heardTerm: number | undefined;
   /** Whether it writes its entry to the store. */
   reachesStore = true;
   /** How much later than by `lagMs` a commit of the primary reaches it. */
--- a/test/platform/standin_session.ts
+++ b/test/platform/standin_session.ts
@@ -217,8 +217,9 @@
     }
     const {isPrimary, receivedPosition, group, pausedAtTerm} = this.database;
     const role = isPrimary ? 'primary' : 'replica';
+    const {heardTerm = group.term} = this.database;
     this.send(
-      `ROW ${role} ${group.term} ${receivedPosition} ${pausedAtTerm} 0 0 1`,
+      `ROW ${role} ${heardTerm} ${receivedPosition} ${pausedAtTerm} 0 0 1`,
     );
     this.sendDone();
   }
--- a/test/platform/takeover.test.ts
+++ b/test/platform/takeover.test.ts
@@ -6,6 +6,8 @@
 import {Evacuations} from '../../src/core/evacuation.js';
 import {CoordinatorLease} from '../../src/front/coordinator_lease.js';
 import {Leadership} from '../../src/front/leadership.js';
+import {hasStopped} from '../../src/core/takeover.js';
+import {pauseReplicas} from '../../src/front/replica_pause.js';
 import {ReplicaResumer} from '../../src/front/replica_resumer.js';
 import {UnconfirmedOrders} from '../../src/front/unconfirmed_orders.js';
 import {PromotionOrder, PromotionOutcome} from '../../src/front/promoter.js';
@@ -72,6 +74,29 @@
   isPresumedAlive: false,
 });
 
+// Guards against a service that is never served again: a database led for a
+// moment, sent its log to nobody and ended, and each pause is at its term.
+test('replicas that have not heard of the newest term are paused above it', async t => {
+  const group = await StandinGroup.start('orders', ZONES);
+  t.teardown(() => group.stop());
+  group.term = 3;
+  const [, ...replicas] = group.databases;
+  const commit = {term: 1, offset: 1, item: 'k', data: 'v', requestId: 'r'};
+  for (const replica of replicas) {
+    replica.heardTerm = 1;
+    replica.log.push(commit);
+  }
+  const entries = replicas.map(entryOf);
+  const {term, reports} = await pauseReplicas(
+    entries,
+    2,
+    databaseCodec,
+    () => true,
+  );
+  t.is(term, 4);
+  t.is(reports.filter(({report}) => hasStopped(report, term)).length, 2);
+});
+
 /** The leader records of the only front, on a platform with fencing. */
 function createLeadership(lease: CoordinatorLease): Leadership {
   return Leadership.create({
