Drop what fronts reported before commits were stopped anew

A holder of the lease that finds commits stopped by another holder kept what fronts had reported to it in an earlier tenure. A front that does not answer then seemed to have reported, and a log that has reached those positions to be complete. Found by reading; the new test fails before (atMost 1.5 in place of none) and passes.

--- a/src/front/leadership.ts
+++ b/src/front/leadership.ts
@@ -363,7 +363,7 @@
     const known = this.latestRecord(service);
     const isStopped = known !== undefined && hasStoppedCommits(known);
     if (isStopped && this.obeyed.get(service) === known.revision) return true;
-    if (!isStopped) this.reports.delete(service);
+    this.reports.delete(service);
     const record = isStopped
       ? known
       : await this.writeRecord(stoppedRecord(known, service, leader ?? ''));
--- a/test/front/leadership.test.ts
+++ b/test/front/leadership.test.ts
@@ -5,9 +5,11 @@
  */
 import {mock} from 'node:test';
 import test from 'ava';
+import {ReceivedCommitReport} from '../../src/core/commit_positions.js';
 import {KnownDatabase} from '../../src/core/directory.js';
 import {Fronts} from '../../src/core/fronts.js';
 import {
+  CommitRule,
   decodeLeaderRecord,
   encodeLeaderRecord,
   isPromotionAllowed,
@@ -28,7 +30,11 @@
  * Creates the leadership of the front that holds the coordinator lease; calls
  * that announce a leader to `unresponsive` fronts fail with `error`.
  */
-function createHolder(unresponsive: readonly string[], error = 'no answer') {
+function createHolder(
+  unresponsive: readonly string[],
+  error = 'no answer',
+  report: () => ReceivedCommitReport | undefined = () => undefined,
+) {
   const lease = {
     isHeld: true,
     write: (): Promise<number | undefined> => Promise.resolve(10),
@@ -65,7 +71,7 @@
       onAnnounce();
       return unresponsive.includes(vm)
         ? Promise.reject(new Error(error))
-        : Promise.resolve(undefined);
+        : Promise.resolve(report());
     },
     abortPrimaryWorkExcept: () => undefined,
     stopCommitsExcept: () => Promise.resolve(),
@@ -233,3 +239,32 @@
   const entry = {service: 'orders', id: 'db-2'} as KnownDatabase;
   t.true(leadership.mayCommit(entry));
 });
+
+// Guards against a log that is taken for complete by what fronts reported before
+// another holder of the lease permitted commits and stopped them again.
+test.serial('reports of an earlier stop do not count', async t => {
+  const reported = {
+    atMost: {term: 1, offset: 5},
+    samples: [{atMs: 100, position: {term: 1, offset: 4}}],
+    sinceMs: 0,
+  };
+  const unresponsive: string[] = [];
+  const {leadership} = createHolder(unresponsive, '', () => reported);
+  const stop = (): Promise<boolean> =>
+    leadership.stopCommits('orders', 'db-1', undefined, NEVER);
+  void stop();
+  await advance(500);
+  t.deepEqual(leadership.commitsOf('orders').atMost, reported.atMost);
+  const record = {service: 'orders', database: 'db-1', settled: true};
+  void leadership.receiveRecord({...record, revision: 11});
+  void leadership.receiveRecord({
+    ...record,
+    commits: CommitRule.stopped,
+    revision: 12,
+  });
+  unresponsive.push('b');
+  void stop();
+  await advance(500);
+  t.is(leadership.commitsOf('orders').atMost, undefined);
+  t.is(leadership.commitsOf('orders').unreported, 1);
+});
