--- a/src/core/commit_positions.ts
+++ b/src/core/commit_positions.ts
@@ -5,7 +5,7 @@
  * above every position that the primary had reached before the commit was sent,
  * and not above the position of its answer.
  */
-import {Position} from './position.js';
+import {comparePositions, Position} from './position.js';
 import {
   addPositionSample,
   floorSince,
@@ -59,7 +59,7 @@
   /** Highest position that a primary has reached, by service. */
   private readonly reached = new Map<string, Position>();
   private readonly samples = new Map<string, PositionSamples>();
-  private readonly bounds = new Map<string, CommitBounds>();
+  private readonly bounds = new Map<string, CommitBounds & {atMs: number}>();
 
   private constructor(private readonly startedAtMs: number) {}
 
@@ -77,6 +77,7 @@
    * that was sent at `atMs`.
    */
   recordReached(service: string, atMs: number, position: Position): void {
+    this.forgetIfLost(service, atMs, position);
     this.raiseReached(service, position);
     const samples = this.samples.get(service) ?? [];
     this.samples.set(service, addPositionSample(samples, {atMs, position}));
@@ -90,12 +91,14 @@
     service: string,
     reachedBefore: Position | undefined,
     position: Position,
+    nowMs: number,
   ): void {
-    const known = this.bounds.get(service) ?? {};
+    const known = this.bounds.get(service);
     const lowest = reachedBefore && nextPosition(reachedBefore);
     this.bounds.set(service, {
-      atLeast: laterPosition(known.atLeast, lowest),
-      atMost: laterPosition(known.atMost, position),
+      atLeast: laterPosition(known?.atLeast, lowest),
+      atMost: laterPosition(known?.atMost, position),
+      atMs: nowMs,
     });
     this.raiseReached(service, position);
   }
@@ -103,13 +106,31 @@
   /** Returns what to send to another front. */
   report(service: string, nowMs: number): CommitReport {
     const samples = this.samples.get(service) ?? [];
+    const {atLeast, atMost} = this.bounds.get(service) ?? {};
     return {
-      ...this.bounds.get(service),
+      atLeast,
+      atMost,
       samples: toSamplesByAge(samples, REPORTED_SAMPLES_MS, nowMs),
       sinceAgeMs: Math.floor(nowMs - this.startedAtMs),
     };
   }
 
+  /**
+   * Forgets commits that a primary lacks which was asked after they had been
+   * acknowledged: they are lost, and no log will reach them.
+   */
+  private forgetIfLost(
+    service: string,
+    atMs: number,
+    position: Position,
+  ): void {
+    const known = this.bounds.get(service);
+    if (!known?.atLeast || atMs <= known.atMs) return;
+    if (comparePositions(position, known.atLeast) >= 0) return;
+    this.bounds.delete(service);
+    this.reached.delete(service);
+  }
+
   private raiseReached(service: string, position: Position): void {
     const highest = laterPosition(this.reached.get(service), position);
     if (highest) this.reached.set(service, highest);
--- a/src/front/database_worker.ts
+++ b/src/front/database_worker.ts
@@ -787,9 +787,11 @@
       performance.now() < this.finishUntilMs &&
       (isViewReliable === undefined || isViewReliable());
     if (this.canCommit || mayFinish) {
+      const {position} = answer;
       const {service} = this.entry;
-      if (answer.position)
-        commitPositions?.recordCommit(service, reachedBefore, answer.position);
+      const nowMs = performance.now();
+      if (position)
+        commitPositions?.recordCommit(service, reachedBefore, position, nowMs);
       return answer;
     }
     this.options.log('commit_unconfirmed', {
--- a/src/front/primary_change_runner.ts
+++ b/src/front/primary_change_runner.ts
@@ -112,7 +112,8 @@
       };
       ({change, effect} = stepChange(change, event, facts));
       this.logPhase(attempt, change, event);
-      if (change.isDone) this.logWait.end(service);
+      const hasRecovered = event.type === 'formerChecked' && event.hasRecovered;
+      if (change.isDone || hasRecovered) this.logWait.end(service);
       if (event.type === 'leaseLost')
         resumer.logWithheld(service, 'lease lost');
     }
--- a/src/front/router.ts
+++ b/src/front/router.ts
@@ -679,6 +679,7 @@
       service,
       reachedBefore,
       position,
+      performance.now(),
     );
   }
 
