--- a/src/front/primary_change_runner.ts
+++ b/src/front/primary_change_runner.ts
@@ -251,9 +251,11 @@
       } as const;
       return {choice, isPrimaryEndKnown: false};
     }
+    const end = interim?.report.position;
+    const isEnd = end && mayBePrimaryEnd(end, read.group, logs);
     let group: TakeoverGroup = {
       ...read.group,
-      primaryEnd: interim?.report.position,
+      primaryEnd: isEnd ? end : undefined,
     };
     let isPrimaryGone = !leader && !interim;
     let choice = this.choose(attempt, group, logs, isPrimaryGone);
