Change of primary: look who is listed as primary once the logs were read

A primary other than the former one that is listed by then ends the choice; the attempt is undone and that primary confirmed.

--- a/src/front/primary_change_runner.ts
+++ b/src/front/primary_change_runner.ts
@@ -241,9 +241,17 @@
     const read = await this.logReader.read(service, leader);
     const {term, logs, leading} = read;
     const interim = this.interimLeader(service, leading);
-    if (leading.length > 0 && !interim) {
+    // The former primary may be back, under another id too, since the logs were
+    // asked for.
+    const current = this.options.leaderOf(service);
+    const isLed = current !== undefined && current.id !== leader?.id;
+    if ((leading.length > 0 && !interim) || isLed) {
       const names = leading.map(({entry}) => entry.id);
-      log('takeover_superseded', {service, leading: names});
+      log('takeover_superseded', {
+        service,
+        leading: names,
+        listed: current?.id,
+      });
       await Promise.all(leading.map(({entry}) => this.stepDown(entry, term)));
       const choice = {
         kind: 'need_logs',
--- a/test/platform/takeover.test.ts
+++ b/test/platform/takeover.test.ts
@@ -185,6 +185,26 @@
   t.deepEqual(orders, []);
 });
 
+// Guards against the loss of a primary's last commits: it crashed and is back
+// under another id, so that its log was not asked for.
+test('a primary that is listed again under another id while logs are read stays', async t => {
+  const group = await StandinGroup.start('orders', ZONES);
+  let isBack = false;
+  const {runner, entries, orders, events} = createRunner(t, group, {
+    // Called while the attempt pauses the replicas.
+    termOf: () => {
+      isBack = true;
+      return 1;
+    },
+    leaderOf: () =>
+      isBack ? {...entries[0], id: 'i-orders-again'} : entries[0],
+  });
+  runner.reportSuspect('orders', entries[0].id);
+  await until(() => events.includes('takeover_ended'), 15_000);
+  t.false(orders.some(({database}) => database === entries[1].id));
+  t.false(orders.some(({database}) => database === entries[2].id));
+});
+
 // Guards against the loss of acknowledged commits: the platform may execute an
 // order that confirms the primary late, after another database was promoted.
 test('an order after an unanswered confirmation of the primary makes it void', async t => {
