--- a/src/core/commit_positions.ts
+++ b/src/core/commit_positions.ts
@@ -94,7 +94,10 @@
     nowMs: number,
   ): void {
     const known = this.bounds.get(service);
-    const lowest = reachedBefore && nextPosition(reachedBefore);
+    const next = reachedBefore && nextPosition(reachedBefore);
+    // A commit that changed nothing has no position of its own.
+    const hasOwn = next && comparePositions(next, position) <= 0;
+    const lowest = hasOwn ? next : undefined;
     this.bounds.set(service, {
       atLeast: laterPosition(known?.atLeast, lowest),
       atMost: laterPosition(known?.atMost, position),
@@ -116,8 +119,8 @@
   }
 
   /**
-   * Forgets commits that a primary lacks which was asked after they had been
-   * acknowledged: they are lost, and no log will reach them.
+   * Lowers the bound below commits that a primary lacks which was asked after
+   * they had been acknowledged: they are lost, and no log will reach them.
    */
   private forgetIfLost(
     service: string,
@@ -127,7 +130,7 @@
     const known = this.bounds.get(service);
     if (!known?.atLeast || atMs <= known.atMs) return;
     if (comparePositions(position, known.atLeast) >= 0) return;
-    this.bounds.delete(service);
+    this.bounds.set(service, {...known, atLeast: undefined});
     this.reached.delete(service);
   }
 
--- a/test/front/commit_positions.test.ts
+++ b/test/front/commit_positions.test.ts
@@ -77,4 +77,16 @@
   front.recordReached(SERVICE, 500, at(8));
   t.is(combine([front], 1_000).atLeast, undefined);
   t.deepEqual(front.reachedBy(SERVICE), at(8));
+  // Too high a bound only costs a wait.
+  t.deepEqual(combine([front], 1_000).atMost, at(10));
+});
+
+// Guards against a bound that no log reaches, and against one that is dropped for
+// that reason.
+test('a commit that changed nothing raises no lower bound', t => {
+  const front = createFront(0, [9]);
+  front.recordCommit(SERVICE, at(9), at(9), 400);
+  const {atLeast, atMost} = combine([front], 1_000);
+  t.is(atLeast, undefined);
+  t.deepEqual(atMost, at(9));
 });
