Model of the change of primary: one database alone has the newest commits

Now a replica may leave, end, lapse (and go on receiving), or receive before anybody lists it, the primary may be lost for good, a front may end before it reports, and a new holder may know nothing of what had gone. The holder drives chooseTakeover, combineReports and isAccountedFor.

A missing commit counts as lost if a database that runs holds it when the promotion takes effect, or if its log was refused (catch_up) after the primary was lost. If all that held it have ended for good, no rule could keep it.

--- a/model/primary_change_holder_events.ts
+++ b/model/primary_change_holder_events.ts
@@ -3,8 +3,9 @@
  * of primary.
  */
 import {mayCommit} from '../src/core/leader_record.js';
+import {areAllRead} from './primary_change_members.js';
+import {ChangeModelRules} from './primary_change_rules.js';
 import {
-  ChangeModelRules,
   ChangeSystem,
   HolderEvent,
   isLeading,
@@ -47,11 +48,14 @@
         );
         return isShown || !rules.readsNewDirectory ? [{type: 'proceed'}] : [];
       }
-      const unread = asked.filter(database => lengths[database] === undefined);
+      const unread = asked.filter(
+        id => lengths[id] === undefined && databases[id].isRunning,
+      );
       return [
         ...unread.map(database => ({type: 'readLog', database}) as const),
         {type: 'choose', isEndRead: false},
         {type: 'choose', isEndRead: true},
+        ...lastChoices(system, rules),
       ];
     }
     case 'order':
@@ -103,6 +107,15 @@
   }
 }
 
+/** A choice after the longest wait for a log with all acknowledged commits. */
+const lastChoices = (
+  system: ChangeSystem,
+  {members}: ChangeModelRules,
+): HolderEvent[] =>
+  members.countsUntilSampled && areAllRead(system)
+    ? [{type: 'choose', isEndRead: false, isLast: true}]
+    : [];
+
 function idleEvents(system: ChangeSystem): HolderEvent[] {
   const {record, primary, leads} = system;
   if (system.attempts >= MAX_ATTEMPTS) return [];
--- a/src/core/former_members.ts
+++ b/src/core/former_members.ts
@@ -44,7 +44,7 @@
  * later. `samples` are positions of the primary.
  */
 export function isAccountedFor(
-  {goneSinceMs}: MissingLog,
+  {goneSinceMs}: Pick<MissingLog, 'goneSinceMs'>,
   logEnds: readonly Position[],
   samples: PositionSamples,
 ): boolean {
