Model: a step-down must not replace the reports of fronts

The models in which all fronts report now assume that those that answer have reported by then, as awaitObedience asks all of them before it looks at the step-down; a mutant without that is caught.

--- a/model/primary_change_holder_events.ts
+++ b/model/primary_change_holder_events.ts
@@ -7,6 +7,7 @@
 import {ChangeModelRules} from './primary_change_rules.js';
 import {
   ChangeSystem,
+  CUT_OFF,
   HolderEvent,
   isLeading,
   isObeyed,
@@ -33,7 +34,7 @@
   switch (effect.type) {
     case 'stopCommits': {
       if (progress === 0) return [{type: 'proceed'}];
-      if (isObeyed(system) || holder.hasSteppedDown)
+      if (isObeyed(system) || mayEndByStepDown(system, rules))
         return [...timeOuts, {type: 'proceed'}];
       const former = holder.change?.former;
       const isOnlyAtFormer = !record || record.database === former;
@@ -107,6 +108,17 @@
   }
 }
 
+const mayEndByStepDown = (
+  {holder, fronts}: ChangeSystem,
+  {members}: ChangeModelRules,
+): boolean =>
+  holder.hasSteppedDown &&
+  (!members.asksFrontsFirst ||
+    fronts.every(
+      ({isCurrent, hasEnded}, front) =>
+        front === CUT_OFF || isCurrent || hasEnded,
+    ));
+
 /** A choice after the longest wait for a log with all acknowledged commits. */
 const lastChoices = (
   system: ChangeSystem,
--- a/model/primary_change_member_checks.ts
+++ b/model/primary_change_member_checks.ts
@@ -11,6 +11,7 @@
   ALONE_FRONT_ENDED,
   ALONE_LEAVING,
   ALONE_REFUSED,
+  ALONE_STEPPED_DOWN,
   ALONE_UNLISTED,
   ALONE_UNREPORTED,
   ALONE_UNREPORTED_ENDED,
@@ -45,6 +46,7 @@
  */
 const ALL_REPORTED: Partial<MemberRules> = {
   silentFrontCommits: false,
+  asksFrontsFirst: true,
   countsForSomeTime: true,
   knowsEarlierGone: false,
 };
@@ -127,6 +129,10 @@
     ALONE_UNLISTED,
     {...ALL_REPORTED, knowsEndBefore: false},
   ),
+  mutant('a step-down replaces the reports of fronts', ALONE_STEPPED_DOWN, {
+    ...ALL_REPORTED,
+    asksFrontsFirst: false,
+  }),
   mutant(
     'the acknowledged end is taken from some fronts only',
     ALONE_UNREPORTED,
--- a/model/primary_change_model.ts
+++ b/model/primary_change_model.ts
@@ -31,6 +31,7 @@
   ChangeModelEvent,
   ChangeSystem,
   changeHolder,
+  CUT_OFF,
   expireView,
   INITIAL_SYSTEM,
   isLeading,
@@ -46,8 +47,6 @@
 
 const MAX_COMMITS = 2;
 const MAX_HOLDER_CHANGES = 2;
-/** The front that may be cut off from the store and the holder. */
-const CUT_OFF = 1;
 
 /** `prefix`: events from which the exploration begins. */
 export function primaryChangeModel(
--- a/model/primary_change_prefixes.ts
+++ b/model/primary_change_prefixes.ts
@@ -1,13 +1,10 @@
 /** Events from which explorations of the model of a change of primary begin. */
-import {ChangeModelEvent} from './primary_change_system.js';
+import {ChangeModelEvent, CUT_OFF} from './primary_change_system.js';
 
 type Events = readonly ChangeModelEvent[];
 
 const PROCEED = {type: 'proceed'} as const;
 
-/** The front that may be cut off, or end, before it reports. */
-const SILENT = 1;
-
 /** A database alone receives a commit, and a front acknowledges it. */
 const acknowledgedAt = (database: number, front = 0): Events => [
   {type: 'commit', front},
@@ -87,7 +84,7 @@
  */
 export const JOINED_WITH_A_COMMIT: Events = [
   {type: 'join', database: 3},
-  ...acknowledgedAt(3, SILENT),
+  ...acknowledgedAt(3, CUT_OFF),
   {type: 'begin'},
   ...STOP_UNREPORTED,
 ];
@@ -100,7 +97,7 @@
  */
 export const LAPSED_WITH_A_COMMIT: Events = [
   ...JOINED,
-  ...acknowledgedAt(1, SILENT),
+  ...acknowledgedAt(1, CUT_OFF),
   {type: 'lapse', database: 1},
   {type: 'begin'},
   ...STOP_UNREPORTED,
@@ -111,7 +108,7 @@
  * acknowledged it does not report.
  */
 export const READING_WITH_A_COMMIT: Events = [
-  ...acknowledgedAt(1, SILENT),
+  ...acknowledgedAt(1, CUT_OFF),
   {type: 'begin'},
   ...STOP_UNREPORTED,
   PROCEED,
@@ -123,7 +120,7 @@
  */
 export const COMMIT_AFTER_BEGIN: Events = [
   {type: 'begin'},
-  ...acknowledgedAt(1, SILENT),
+  ...acknowledgedAt(1, CUT_OFF),
   ...STOP_UNREPORTED,
   PROCEED,
 ];
@@ -149,6 +146,15 @@
   PROCEED,
 ];
 
+/** As `ALONE_ENDED`; the former primary steps down before a front reports. */
+export const ALONE_STEPPED_DOWN: Events = [
+  ...ALONE,
+  {type: 'end', database: 1},
+  {type: 'begin'},
+  PROCEED,
+  {type: 'stepDown'},
+];
+
 /**
  * As `ALONE_LEAVING`; the log of the replica is refused, and the replica ends.
  */
@@ -178,7 +184,7 @@
 /** As `ALONE`; the front that acknowledged the commit ends before it reports. */
 export const ALONE_FRONT_ENDED: Events = [
   ...JOINED,
-  ...acknowledgedAt(1, SILENT),
+  ...acknowledgedAt(1, CUT_OFF),
   {type: 'endFront'},
   {type: 'begin'},
   PROCEED,
@@ -189,7 +195,7 @@
 /** As `ALONE`; the front that acknowledged the commit does not report. */
 export const ALONE_UNREPORTED: Events = [
   ...JOINED,
-  ...acknowledgedAt(1, SILENT),
+  ...acknowledgedAt(1, CUT_OFF),
   {type: 'begin'},
   ...STOP_UNREPORTED,
 ];
@@ -197,7 +203,7 @@
 /** As `ALONE_UNREPORTED`; the replica has ended. */
 export const ALONE_UNREPORTED_ENDED: Events = [
   ...JOINED,
-  ...acknowledgedAt(1, SILENT),
+  ...acknowledgedAt(1, CUT_OFF),
   {type: 'end', database: 1},
   {type: 'begin'},
   ...STOP_UNREPORTED,
@@ -211,7 +217,7 @@
   ...JOINED,
   {type: 'lapse', database: 1},
   {type: 'sample'},
-  ...acknowledgedAt(1, SILENT),
+  ...acknowledgedAt(1, CUT_OFF),
   {type: 'begin'},
   ...STOP_UNREPORTED,
 ];
--- a/model/primary_change_rules.ts
+++ b/model/primary_change_rules.ts
@@ -90,6 +90,11 @@
   readonly needsAllFronts: boolean;
   /** Whether fronts that have ended are among them. */
   readonly countsEndedFronts: boolean;
+  /**
+   * Whether the fronts that answer have reported before a former primary that
+   * steps down ends the wait for them.
+   */
+  readonly asksFrontsFirst: boolean;
   /**
    * Whether a front knows the end of the primary's log when it sends a commit;
    * otherwise it knows one that is older by a commit.
@@ -111,6 +116,7 @@
   knowsEarlierGone: true,
   needsAllFronts: true,
   countsEndedFronts: true,
+  asksFrontsFirst: false,
   knowsEndBefore: true,
   silentFrontCommits: true,
   promotesLeaving: true,
--- a/model/primary_change_system.ts
+++ b/model/primary_change_system.ts
@@ -182,6 +182,8 @@
 
 export const SERVICE = 's';
 export const NO_LENGTHS = [undefined, undefined, undefined, undefined];
+/** The front that may be cut off from the store and the holder. */
+export const CUT_OFF = 1;
 /** The database that joins later. */
 export const JOINING = 3;
 
