--- a/model/primary_change_holder_events.ts
+++ b/model/primary_change_holder_events.ts
@@ -3,9 +3,11 @@
  * of primary.
  */
 import {mayCommit} from '../src/core/leader_record.js';
+import {areAllRead} from './primary_change_members.js';
+import {ChangeModelRules} from './primary_change_rules.js';
 import {
-  ChangeModelRules,
   ChangeSystem,
+  CUT_OFF,
   HolderEvent,
   isLeading,
   isObeyed,
@@ -32,7 +34,7 @@
   switch (effect.type) {
     case 'stopCommits': {
       if (progress === 0) return [{type: 'proceed'}];
-      if (isObeyed(system) || holder.hasSteppedDown)
+      if (isObeyed(system) || mayEndByStepDown(system, rules))
         return [...timeOuts, {type: 'proceed'}];
       const former = holder.change?.former;
       const isOnlyAtFormer = !record || record.database === former;
@@ -47,11 +49,14 @@
         );
         return isShown || !rules.readsNewDirectory ? [{type: 'proceed'}] : [];
       }
-      const unread = asked.filter(database => lengths[database] === undefined);
+      const unread = asked.filter(
+        id => lengths[id] === undefined && databases[id].isRunning,
+      );
       return [
         ...unread.map(database => ({type: 'readLog', database}) as const),
         {type: 'choose', isEndRead: false},
         {type: 'choose', isEndRead: true},
+        ...lastChoices(system, rules),
       ];
     }
     case 'order':
@@ -103,6 +108,26 @@
   }
 }
 
+const mayEndByStepDown = (
+  {holder, fronts}: ChangeSystem,
+  {members}: ChangeModelRules,
+): boolean =>
+  holder.hasSteppedDown &&
+  (!members.asksFrontsFirst ||
+    fronts.every(
+      ({isCurrent, hasEnded}, front) =>
+        front === CUT_OFF || isCurrent || hasEnded,
+    ));
+
+/** A choice after the longest wait for a log with all acknowledged commits. */
+const lastChoices = (
+  system: ChangeSystem,
+  {members}: ChangeModelRules,
+): HolderEvent[] =>
+  members.countsUntilSampled && areAllRead(system)
+    ? [{type: 'choose', isEndRead: false, isLast: true}]
+    : [];
+
 function idleEvents(system: ChangeSystem): HolderEvent[] {
   const {record, primary, leads} = system;
   if (system.attempts >= MAX_ATTEMPTS) return [];
