Count reports of commits only in the stop that they were made for

A front that reports at an earlier stop of commits may acknowledge more once they are permitted again. Leadership kept these reports if another holder had permitted and stopped commits since, and took answers to an earlier stop that came late; a front that then gave no answer counted as having reported, so that atMost was known and too low, and a log that lacked its commits was complete.

Cause: reports were dropped only when this holder itself began a stop. Change: a stop is the run of records that were written over each other with commits stopped; reports are dropped when it doesn't go on, and an answer to a record from before it counts for nothing.

--- a/src/front/leadership.ts
+++ b/src/front/leadership.ts
@@ -112,6 +112,12 @@
   readonly term: number;
 }
 
+/** Records by which commits of a service have been stopped without a break. */
+interface Stop {
+  readonly firstRevision: number;
+  readonly newestRevision: number;
+}
+
 /** What `awaitObedience` waits for. */
 interface ObedienceWait {
   /** Fronts that must acknowledge the record. */
@@ -149,7 +155,9 @@
   private readonly stoppedAtMs = new Map<string, number>();
   /** Revision of the record that every front obeys, by service. */
   private readonly obeyed = new Map<string, number>();
-  /** What each front reported since commits were stopped, by service and VM. */
+  /** The newest stop of commits, as far as it is known to be one, by service. */
+  private readonly stops = new Map<string, Stop>();
+  /** What each front reported in the newest stop, by service and VM. */
   private readonly reports = new Map<
     string,
     Map<string, ReceivedCommitReport>
@@ -338,6 +346,8 @@
     const revision = await coordinatorLease().write(key, text, known);
     if (revision === undefined) return undefined;
     this.writes.set(record.service, {revision, atMs: this.nowMs()});
+    if (hasStoppedCommits(record))
+      this.recordStop(record.service, revision, known);
     const written = {...record, revision};
     const former = this.latestRecord(record.service);
     const isObeyed = this.obeyed.get(record.service) === former?.revision;
@@ -363,7 +373,7 @@
     const known = this.latestRecord(service);
     const isStopped = known !== undefined && hasStoppedCommits(known);
     if (isStopped && this.obeyed.get(service) === known.revision) return true;
-    if (!isStopped) this.reports.delete(service);
+    if (isStopped) this.recordStop(service, known.revision, known.revision);
     const record = isStopped
       ? known
       : await this.writeRecord(stoppedRecord(known, service, leader ?? ''));
@@ -609,6 +619,22 @@
     }
   }
 
+  /**
+   * Records that commits are stopped by a record that was written over the one
+   * at `replacedRevision`. Drops the reports of an earlier stop.
+   */
+  private recordStop(
+    service: string,
+    revision: number,
+    replacedRevision: number,
+  ): void {
+    const stop = this.stops.get(service);
+    const goesOn = stop?.newestRevision === replacedRevision;
+    if (!goesOn) this.reports.delete(service);
+    const firstRevision = goesOn ? stop.firstRevision : revision;
+    this.stops.set(service, {firstRevision, newestRevision: revision});
+  }
+
   /** Keeps a report that was made while commits were stopped. */
   private recordReport(
     record: StoredLeaderRecord,
@@ -620,6 +646,8 @@
     const isStopped = newest !== undefined && hasStoppedCommits(newest);
     if (!isStopped || !hasStoppedCommits(record) || revision > newest.revision)
       return;
+    const {firstRevision = Infinity} = this.stops.get(service) ?? {};
+    if (revision < firstRevision) return;
     const reports = this.reports.get(service) ?? new Map();
     reports.set(vm, report);
     this.reports.set(service, reports);
--- a/test/front/leadership.test.ts
+++ b/test/front/leadership.test.ts
@@ -5,9 +5,11 @@
  */
 import {mock} from 'node:test';
 import test from 'ava';
+import {ReceivedCommitReport} from '../../src/core/commit_positions.js';
 import {KnownDatabase} from '../../src/core/directory.js';
 import {Fronts} from '../../src/core/fronts.js';
 import {
+  CommitRule,
   decodeLeaderRecord,
   encodeLeaderRecord,
   isPromotionAllowed,
@@ -48,6 +50,9 @@
     ]),
   );
   let onAnnounce = (): void => undefined;
+  const silent = new Set(unresponsive);
+  /** Replaces the answer of a front; it tells nothing of commits by default. */
+  const answers = new Map<string, () => Promise<ReceivedCommitReport>>();
   const leadership: Leadership = Leadership.create({
     isFenced: false,
     prefix: 'own/',
@@ -63,9 +68,8 @@
     codec: {} as DatabaseCodec,
     announce: vm => {
       onAnnounce();
-      return unresponsive.includes(vm)
-        ? Promise.reject(new Error(error))
-        : Promise.resolve(undefined);
+      if (silent.has(vm)) return Promise.reject(new Error(error));
+      return answers.get(vm)?.() ?? Promise.resolve(undefined);
     },
     abortPrimaryWorkExcept: () => undefined,
     stopCommitsExcept: () => Promise.resolve(),
@@ -75,7 +79,7 @@
   const setOnAnnounce = (action: () => void): void => {
     onAnnounce = action;
   };
-  return {leadership, lease, items$, setOnAnnounce};
+  return {leadership, lease, items$, setOnAnnounce, silent, answers};
 }
 
 const NEVER = (): boolean => false;
@@ -164,9 +168,10 @@
   database: string,
   era: number,
   revision: number,
+  commits?: CommitRule,
 ): Map<string, StoredItem> {
   const key = 'own/leaders/orders';
-  const record = {service: 'orders', database, settled: true};
+  const record = {service: 'orders', database, settled: true, commits};
   const value = Buffer.from(encodeLeaderRecord(record, era));
   return new Map([[key, {key, value, revision}]]);
 }
@@ -233,3 +238,78 @@
   const entry = {service: 'orders', id: 'db-2'} as KnownDatabase;
   t.true(leadership.mayCommit(entry));
 });
+
+/** The report of a front that saw commits up to an offset. */
+const reportUpTo = (offset: number): ReceivedCommitReport => {
+  const position = {term: 1, offset};
+  const samples = [{atMs: Date.now(), position}];
+  return {atLeast: position, atMost: position, samples, sinceMs: 0};
+};
+
+/** A holder to whom all fronts report commits up to `offset`. */
+function createHolderWithReports(offset: number) {
+  const holder = createHolder([]);
+  let revision = 10;
+  holder.lease.write = () => Promise.resolve(++revision);
+  for (const vm of ['a', 'b', 'c'])
+    holder.answers.set(vm, () => Promise.resolve(reportUpTo(offset)));
+  return holder;
+}
+
+// Guards against a log that is taken for complete by what a front had reported
+// before it acknowledged more: another holder permitted and stopped commits since.
+test.serial(
+  'reports of an earlier stop do not count in one of another holder',
+  async t => {
+    const {leadership, lease, items$, silent} = createHolderWithReports(5);
+    void leadership.stopCommits('orders', 'db-1', undefined, NEVER);
+    await advance(500);
+    t.deepEqual(leadership.commitsOf('orders').atMost, {term: 1, offset: 5});
+    items$.value = itemsWith('db-1', 0, 15);
+    leadership.applyStoredRecords();
+    items$.value = itemsWith('db-1', 0, 16, CommitRule.stopped);
+    leadership.applyStoredRecords();
+    lease.write = () => Promise.resolve(17);
+    silent.add('b');
+    void leadership.stopCommits('orders', 'db-1', undefined, NEVER);
+    await advance(MAX_CONFIG_AGE_MS + 600);
+    const {atMost, unreported} = leadership.commitsOf('orders');
+    t.is(unreported, 1);
+    t.is(atMost, undefined);
+  },
+);
+
+// Guards against the same by an answer to an earlier stop that comes late.
+test.serial(
+  'an answer to an earlier stop is no report of a later one',
+  async t => {
+    const {leadership, silent, answers} = createHolderWithReports(5);
+    let answerLate = (): void => undefined;
+    const late = new Promise<ReceivedCommitReport>(resolve => {
+      answerLate = () => resolve(reportUpTo(5));
+    });
+    answers.set('b', () => late);
+    void leadership.stopCommits('orders', 'db-1', undefined, () => true);
+    await advance(500);
+    void leadership.recordSettled('orders', 'db-1');
+    await advance(500);
+    silent.add('b');
+    void leadership.stopCommits('orders', 'db-1', undefined, NEVER);
+    await advance(500);
+    answerLate();
+    await advance(500);
+    t.is(leadership.commitsOf('orders').unreported, 1);
+  },
+);
+
+// Guards against reports that are asked for again, or dropped, while commits
+// stay stopped: a front that has answered may be gone by then.
+test.serial('reports last as long as commits stay stopped', async t => {
+  const {leadership, silent} = createHolderWithReports(5);
+  silent.add('c');
+  void leadership.stopCommits('orders', 'db-1', undefined, NEVER);
+  await advance(1_000);
+  silent.add('b');
+  await advance(MAX_CONFIG_AGE_MS);
+  t.is(leadership.commitsOf('orders').unreported, 1);
+});
