Don't raise the lowest complete log by a commit that wrote nothing

A commit whose answer shows no position above the one that the primary had reached before it wrote nothing, yet raised atLeast to the position after that, above atMost. No log reaches it until something else is written, so a change would refuse writes for 15 s though nothing is missing.

Evidence: the new test of commit_positions.test.ts failed before (1.10 in place of 1.8), 4 of 4 of the file pass now. Change: atLeast is raised only if the answer's position is new.

--- a/src/core/commit_positions.ts
+++ b/src/core/commit_positions.ts
@@ -5,7 +5,7 @@
  * above every position that the primary had reached before the commit was sent,
  * and not above the position of its answer.
  */
-import {Position} from './position.js';
+import {comparePositions, Position} from './position.js';
 import {
   addPositionSample,
   floorSince,
@@ -92,7 +92,10 @@
     position: Position,
   ): void {
     const known = this.bounds.get(service) ?? {};
-    const lowest = reachedBefore && nextPosition(reachedBefore);
+    // An answer without a new position is one to a commit that wrote nothing.
+    const hasWritten =
+      reachedBefore && comparePositions(position, reachedBefore) > 0;
+    const lowest = hasWritten ? nextPosition(reachedBefore) : undefined;
     this.bounds.set(service, {
       atLeast: laterPosition(known.atLeast, lowest),
       atMost: laterPosition(known.atMost, position),
--- a/test/front/commit_positions.test.ts
+++ b/test/front/commit_positions.test.ts
@@ -65,3 +65,14 @@
   const restarted = createFront(900, []);
   t.is(combine([front, restarted], 1_000).atMost, undefined);
 });
+
+// Guards against writes that wait for a log which nobody has: a transaction whose
+// only write was refused, or wrote nothing, commits without a new position.
+test('a commit that wrote nothing does not raise what a log must have reached', t => {
+  const front = createFront(0, [7, 9]);
+  front.recordCommit(SERVICE, at(7), at(9));
+  front.recordCommit(SERVICE, at(9), at(9));
+  const {atLeast, atMost} = combine([front], 1_000);
+  t.deepEqual(atLeast, at(8));
+  t.deepEqual(atMost, at(9));
+});
