Let the wait for the newest log go on over attempts that wait for a front

Callers got no write through, without end: the primary was silent but listed, the replica with the newest commits gone, and a front did not answer the holder.

Cause: an attempt that waits for that front takes 3.3 s of 4.2 s, and is undone, so that the logs are read every 5.25 s. LogWait took a pause of 5 s for the end of the wait, so that the 15 s began anew with each attempt. Evidence: the new test of unseen.test.ts failed before: no promotion in 35 s, need_logs in each of 6 attempts, 5.2 to 5.3 s apart; passes now in 22.8 s, with the other 4 tests of the file, and 28 of 28 of decisions.test.ts. Change: attempts up to 12 s apart are one wait; it ends when the former primary is found to serve again.

--- a/src/core/log_wait.ts
+++ b/src/core/log_wait.ts
@@ -9,8 +9,12 @@
  * store, takes to be back.
  */
 const WAIT_LIMIT_MS = 15_000;
-/** Pause between two attempts after which a wait counts as a new one. */
-const ATTEMPT_GAP_MS = 5_000;
+/**
+ * Time from one attempt's reading of logs to the next one's after which a wait
+ * counts as a new one. Longer than an attempt that waits for a front and for
+ * databases that don't answer.
+ */
+const ATTEMPT_GAP_MS = 12_000;
 
 /** The waits of all services. Times are of one steady clock. */
 export class LogWait {
@@ -31,7 +35,7 @@
     return nowMs - sinceMs >= WAIT_LIMIT_MS;
   }
 
-  /** Must be called when a service has a new primary. */
+  /** Must be called when a service has a new primary, or its former one again. */
   end(service: string): void {
     this.waits.delete(service);
   }
--- a/src/front/primary_change_runner.ts
+++ b/src/front/primary_change_runner.ts
@@ -159,6 +159,7 @@
         const hasRecovered =
           leader !== undefined &&
           !(await this.options.isReplaceable(leader, attempt.reason));
+        if (hasRecovered) this.logWait.end(service);
         await pause(ROUND_PAUSE_MS);
         const current = this.options.leaderOf(service)?.id;
         return {type: 'formerChecked', leader: current, hasRecovered};
--- a/test/platform/unseen.test.ts
+++ b/test/platform/unseen.test.ts
@@ -22,6 +22,8 @@
 /** Less than the log of a database whose entry has lapsed counts as missing. */
 const PRIMARY_DOWN_MS = 4_000;
 const LIMIT_MS = 15_000;
+/** Longer than a change may wait for a log that does not come. */
+const CHANGE_LIMIT_MS = 35_000;
 const MIN_WRITES = 30;
 /** Key of the mark that the store has not been restored lately. */
 const ERA_KEY = 'mustardpass/era';
@@ -214,3 +216,26 @@
     await assertNothingLost(t, platform, callers);
   },
 );
+
+// Guards against a wait for the newest commits that begins anew with each attempt,
+// as each one first waits for a front that does not answer.
+test.serial(
+  'a change ends though the newest log is gone and a front does not answer',
+  async t => {
+    const platform = await startPlatform(t);
+    const {group, store} = platform;
+    const refusingPort = await freePort();
+    store.rewriteOnRead = (key, text) =>
+      key.startsWith(FRONTS_PREFIX)
+        ? JSON.stringify({...JSON.parse(text), port: refusingPort})
+        : text;
+    const fleet = await startFronts(t, platform, ['front-1', 'front-2']);
+    const [primary, newest, other] = group.databases;
+    await until(() => fleet.callers.succeeded.size >= MIN_WRITES);
+    await commitWithout([other, await join(platform)], fleet);
+    await lapse(platform, newest);
+    primary.isUnresponsive = true;
+    await until(() => group.promotedAtMs < Infinity, CHANGE_LIMIT_MS);
+    t.not(group.primary, primary);
+  },
+);
