Count what may have come and gone before the store was listed anew

Callers saw commits acknowledged that the promoted database lacked: a replica had joined, received them alone and lapsed while a front was cut off from the store. The store had dropped its history, so that front listed it anew, took the lease and counted as if it had seen everything.

Cause: only the first list of a process counted as one before which a database may have disappeared unseen, and none in a fleet's first start. Fronts that came and went before a list were not taken into account for atMost either. Change: each list sets the time from which on this front knows what disappears; fronts before it count as unreported until the primary was seen later.

--- a/src/core/former_members.ts
+++ b/src/core/former_members.ts
@@ -64,7 +64,7 @@
     FormerMember & {sinceMs: number}
   >();
 
-  private firstListAtMs = -Infinity;
+  private listedAtMs = -Infinity;
 
   private constructor() {}
 
@@ -72,17 +72,20 @@
     return new FormerMembers();
   }
 
-  /** Records when this front learned for the first time which databases exist. */
-  recordFirstList(nowMs: number): void {
-    this.firstListAtMs = nowMs;
+  /**
+   * Records when this front learned which databases exist, without what had
+   * changed before.
+   */
+  recordList(nowMs: number): void {
+    this.listedAtMs = nowMs;
   }
 
   /**
-   * A database that may have disappeared before the first list, so that this
+   * A database that may have disappeared before the newest list, so that this
    * front has never seen it; undefined once it does not matter any more.
    */
   unseen(nowMs: number): MissingLog | undefined {
-    const goneSinceMs = this.firstListAtMs;
+    const goneSinceMs = this.listedAtMs;
     const countsUntilMs = goneSinceMs + COUNTS_MS;
     return nowMs < countsUntilMs ? {countsUntilMs, goneSinceMs} : undefined;
   }
--- a/src/front/directory_tracker.ts
+++ b/src/front/directory_tracker.ts
@@ -135,9 +135,9 @@
   }
 
   /** Called before a complete list is applied. */
-  beginList(isFirst: boolean): void {
+  beginList(): void {
     this.hasIgnored = false;
-    if (isFirst) this.former.recordFirstList(this.nowMs());
+    this.former.recordList(this.nowMs());
   }
 
   /** Drops the databases whose entries have been missing for too long. */
--- a/src/front/front.ts
+++ b/src/front/front.ts
@@ -412,6 +412,7 @@
       storedItems: () => feed.fleetItems$.value,
       knownRevision: () => feed.knownRevision,
       fronts: () => this.fronts(),
+      listedAtMs: () => feed.listedAtMs,
       isFreshAndRegistered: () =>
         feed.isFresh &&
         this.registration.isLeaseValid &&
@@ -574,7 +575,9 @@
       directory: () => this.feed.directory,
       formerMembersOf: service => this.feed.formerMembersOf(service),
       unseenMember: () =>
-        settings.isFirstStart ? undefined : this.feed.unseenMember,
+        settings.isFirstStart && !this.feed.hasListedAnew
+          ? undefined
+          : this.feed.unseenMember,
       serviceOf: name => this.feed.config?.services.get(name),
       leaderOf: service => this.router.leader(service),
       serviceNames: () => [...(this.feed.config?.services.keys() ?? [])],
--- a/src/front/leadership.ts
+++ b/src/front/leadership.ts
@@ -47,6 +47,8 @@
   /** Revision up to which this front's view of the store is complete. */
   readonly knownRevision: () => number;
   readonly fronts: () => Fronts;
+  /** When the store was last listed; fronts may have come and gone before. */
+  readonly listedAtMs?: () => number;
   /** Reads the VMs of the fronts that are registered in the store now. */
   readonly listFronts: () => Promise<readonly string[] | undefined>;
   /**
@@ -285,7 +287,9 @@
     const vms = this.reporters.get(service);
     const unreported = vms?.filter(vm => !reports.has(vm)).length ?? 0;
     const isComplete = vms !== undefined && unreported === 0;
-    const unreportedBeforeMs = isComplete ? this.frontLostAtMs : Infinity;
+    const listedAtMs = this.options.listedAtMs?.() ?? -Infinity;
+    const goneBeforeMs = Math.max(this.frontLostAtMs, listedAtMs);
+    const unreportedBeforeMs = isComplete ? goneBeforeMs : Infinity;
     return {
       ...combineReports([...reports.values()], unreportedBeforeMs),
       unreported,
--- a/src/front/store_feed.ts
+++ b/src/front/store_feed.ts
@@ -132,6 +132,10 @@
   /** Version of the configuration that the store holds, as far as known. */
   private storedVersion = NO_VERSION;
   private freshness: ConfigFreshness | undefined;
+  /** Steady time of the newest list; this front may have missed what came before. */
+  listedAtMs = -Infinity;
+  /** Whether the store was listed again, since its history was gone. */
+  hasListedAnew = false;
   /** Steady time of the first list of this era; undefined before it. */
   eraSeenAtMs: number | undefined;
   /** Era of the first list; 0 before it. */
@@ -195,7 +199,7 @@
     return this.databases.formerMembersOf(service);
   }
 
-  /** A database that may have disappeared before this front knew of any. */
+  /** As `FormerMembers.unseen`. */
   get unseenMember(): MissingLog | undefined {
     return this.databases.unseenMember;
   }
@@ -380,7 +384,9 @@
     }));
     const isFirst = this.revision === 0;
     this.recordEra(eraOf(revision), isFirst);
-    this.databases.beginList(isFirst);
+    this.listedAtMs = this.clocks().steadyMs;
+    this.hasListedAnew ||= !isFirst;
+    this.databases.beginList();
     this.storedVersion = NO_VERSION;
     this.applyEvents([...puts, ...removals], revision);
     if (isFirst) this.fleetItemsAtStart = this.fleetItems$.value;
--- a/test/front/directory_tracker.test.ts
+++ b/test/front/directory_tracker.test.ts
@@ -41,7 +41,7 @@
 });
 
 const lists = (tracker: DirectoryTracker, events: StoreEvent[]): void => {
-  tracker.beginList(false);
+  tracker.beginList();
   tracker.apply(events);
   tracker.removeUnlisted(new Set(events.map(({key}) => key)));
 };
--- a/test/front/leadership.test.ts
+++ b/test/front/leadership.test.ts
@@ -36,6 +36,7 @@
     write: (): Promise<number | undefined> => Promise.resolve(10),
   };
   const items$ = {value: new Map<string, StoredItem>()};
+  const listed = {atMs: -Infinity};
   const vms = ['a', 'b', 'c'];
   const fronts: Fronts = new Map(
     vms.map(vm => [
@@ -59,6 +60,7 @@
     storedItems: () => items$.value,
     knownRevision: () => 20,
     fronts: () => fronts,
+    listedAtMs: () => listed.atMs,
     listFronts: () => Promise.resolve(vms),
     isFreshAndRegistered: () => true,
     areRecordsComplete: () => true,
@@ -79,7 +81,7 @@
   const setOnAnnounce = (action: () => void): void => {
     onAnnounce = action;
   };
-  return {leadership, lease, items$, setOnAnnounce, silent, answers};
+  return {leadership, lease, items$, listed, setOnAnnounce, silent, answers};
 }
 
 const NEVER = (): boolean => false;
@@ -313,3 +315,19 @@
   await advance(MAX_CONFIG_AGE_MS);
   t.is(leadership.commitsOf('orders').unreported, 1);
 });
+
+// Guards against a log that is taken for complete although a front has come,
+// acknowledged more and gone before the holder listed the store anew.
+test.serial(
+  'no upper bound is known unless the primary was seen after the list',
+  async t => {
+    const {leadership, listed} = createHolderWithReports(5);
+    void leadership.stopCommits('orders', 'db-1', undefined, NEVER);
+    await advance(500);
+    listed.atMs = Date.now();
+    t.is(leadership.commitsOf('orders').unreported, 0);
+    t.is(leadership.commitsOf('orders').atMost, undefined);
+    listed.atMs = Date.now() - 1_000;
+    t.deepEqual(leadership.commitsOf('orders').atMost, {term: 1, offset: 5});
+  },
+);
--- a/test/platform/standin_link.ts
+++ b/test/platform/standin_link.ts
@@ -26,6 +26,11 @@
     for (const socket of this.sockets) socket.destroy();
   }
 
+  /** Accepts connections again after a cut. */
+  restore(): Promise<void> {
+    return new Promise(resolve => this.server.listen(this.port, HOST, resolve));
+  }
+
   private passOn(client: Socket): void {
     const target = connect({host: HOST, port: this.targetPort});
     for (const [from, to] of [
--- a/test/platform/unseen.test.ts
+++ b/test/platform/unseen.test.ts
@@ -25,6 +25,10 @@
 /** Longer than a change may wait for a log that does not come. */
 const CHANGE_LIMIT_MS = 35_000;
 const MIN_WRITES = 30;
+/** Less than a database counts that a front may have missed before its list. */
+const CHOICE_MS = 5_500;
+/** Longer than a front without the store acknowledges commits. */
+const COMMIT_VIEW_MS = 3_500;
 /** Key of the mark that the store has not been restored lately. */
 const ERA_KEY = 'mustardpass/era';
 const FRONTS_PREFIX = 'mustardpass/fronts/';
@@ -239,3 +243,42 @@
     t.not(group.primary, primary);
   },
 );
+
+// Guards against a count of logs that leaves out a replica which has joined and
+// lapsed while the holder was cut off from the store, whose history is gone.
+test.serial(
+  'a replica that came and lapsed before the holder listed the store anew costs no acknowledged commit',
+  async t => {
+    const platform = await startPlatform(t);
+    const {group, store} = platform;
+    const refusingPort = await freePort();
+    // Neither front hears of changes from the other one.
+    store.rewriteOnRead = (key, text) =>
+      key.startsWith(FRONTS_PREFIX)
+        ? JSON.stringify({...JSON.parse(text), port: refusingPort})
+        : text;
+    const fleet = await startFronts(t, platform, ['front-1', 'front-2']);
+    const {fronts, links, callers} = fleet;
+    const [primary, ...others] = group.databases;
+    await until(() => callers.succeeded.size >= MIN_WRITES);
+    const isHolder = ({front}: RunningFront): boolean =>
+      (front.dump() as {duty: {held: boolean}}).duty.held;
+    await until(() => fronts.some(isHolder));
+    const holder = fronts.findIndex(isHolder);
+    const link = links[1 - holder];
+    link.cut();
+    await pause(COMMIT_VIEW_MS);
+    const newest = await join(platform);
+    await commitWithout(others, fleet);
+    await lapse(platform, newest);
+    await primary.crash();
+    await fronts[holder].front.stop();
+    store.compact();
+    await link.restore();
+    const untilMs = performance.now() + CHOICE_MS;
+    const isOrdered = (): boolean => store.promotions.received.length > 0;
+    await until(() => isOrdered() || performance.now() > untilMs, LIMIT_MS);
+    await primary.start();
+    await assertNothingLost(t, platform, callers);
+  },
+);
