Replace a primary that leads unlisted before any record names one

Callers got no write through: the primary had lapsed from the store but ran on and led, and no change of primary had ever been recorded for the service.

Cause: with no primary listed, the record that stops commits names no database. A leading database that the record does not name is taken for a lead by another order (takeover_superseded) and told to step down, which is skipped as a record without a name lets any lead. Change: where no database is named, the only one that leads hands its lead over like one that leads by this front's order.

--- a/src/front/primary_change_runner.ts
+++ b/src/front/primary_change_runner.ts
@@ -282,8 +282,8 @@
   }
 
   /**
-   * A database that leads by this front's order although it is not listed: the
-   * lead passes on to one that has its log.
+   * A database that leads by this front's order, or without any, although it is
+   * not listed: the lead passes on to one that has its log.
    */
   private interimLeader(
     service: string,
@@ -291,9 +291,11 @@
   ): ReplicaReport | undefined {
     const {leadership, replicasOf} = this.options;
     const [only] = leading;
+    // Empty if commits were stopped before any record named a database.
+    const named = leadership.latestRecord(service)?.database || undefined;
     const isInterim =
       leading.length === 1 &&
-      leadership.latestRecord(service)?.database === only.entry.id &&
+      (named === undefined || named === only.entry.id) &&
       replicasOf(service).every(({id}) => id !== only.entry.id);
     return isInterim ? only : undefined;
   }
--- a/test/platform/unseen.test.ts
+++ b/test/platform/unseen.test.ts
@@ -282,3 +282,20 @@
     await assertNothingLost(t, platform, callers);
   },
 );
+
+// Guards against a service that takes no writes while its primary leads on,
+// though nobody lists it: no record has named it yet.
+test.serial(
+  'a primary that lapsed from the store and leads on is replaced',
+  async t => {
+    const platform = await startPlatform(t);
+    const {group, store} = platform;
+    const {callers} = await startFronts(t, platform, ['front-1', 'front-2']);
+    const [primary] = group.databases;
+    await until(() => callers.succeeded.size >= MIN_WRITES);
+    primary.reachesStore = false;
+    store.remove(`servers/${primary.id}`);
+    await until(() => group.promotedAtMs < Infinity, LIMIT_MS);
+    await assertNothingLost(t, platform, callers);
+  },
+);
