--- a/test/platform/primary_change.test.ts
+++ b/test/platform/primary_change.test.ts
@@ -6,74 +6,28 @@
 import test, {ExecutionContext} from 'ava';
 import {BusyCallers} from './busy_callers.js';
 import {
-  openSession,
-  operatorConfig,
-  RunningFront,
-  startFront,
-  until,
-  ZONES,
-} from './fleet_fixture.js';
-import {StandinDatabase, StandinGroup} from './standin_database.js';
-import {StandinLink} from './standin_link.js';
+  assertNothingLost,
+  BusyFleet,
+  CHANGE_LIMIT_MS,
+  MIN_WRITES,
+  pause,
+  PROMOTION_MS,
+  startBusyFleet,
+  untilChanged,
+  untilServed,
+} from './busy_fleet.js';
+import {openSession, RunningFront, startFront, until} from './fleet_fixture.js';
+import {StandinDatabase} from './standin_database.js';
 import {ReceivedPromotion} from './standin_promotions.js';
-import {StandinStore} from './standin_store.js';
 
-/** Time from the platform's acceptance of an order to its effect. */
-const PROMOTION_MS = 1_000;
 /** More than a platform that is late takes until an order has its effect. */
 const LATE_EFFECT_MS = 4_500;
 /** As much, and more than new fronts take until they acknowledge commits. */
 const FORGOTTEN_ORDER_MS = 10_000;
 /** Longer than fronts keep a database whose entry is missing. */
 const LAPSE_MS = 3_600;
-const CHANGE_LIMIT_MS = 15_000;
 /** A draining primary gets no statement later than this. */
 const DRAIN_LIMIT_MS = 5_000;
-const MIN_WRITES = 30;
-
-const pause = (ms: number): Promise<void> =>
-  new Promise(resolve => setTimeout(resolve, ms));
-
-/** Two fronts with callers at work; each front has a link to the store. */
-interface BusyFleet {
-  readonly group: StandinGroup;
-  readonly store: StandinStore;
-  readonly fronts: readonly RunningFront[];
-  readonly links: readonly StandinLink[];
-  readonly callers: BusyCallers;
-}
-
-async function startBusyFleet(
-  t: ExecutionContext,
-  prepare: (group: StandinGroup) => Promise<void> = async () => undefined,
-): Promise<BusyFleet> {
-  const group = await StandinGroup.start('orders', ZONES);
-  group.promotionMs = PROMOTION_MS;
-  await prepare(group);
-  const store = await StandinStore.start([group]);
-  store.put('op/config', operatorConfig('orders'));
-  const fronts: RunningFront[] = [];
-  const links: StandinLink[] = [];
-  for (const [index, zone] of ['norte', 'puerto'].entries()) {
-    const link = await StandinLink.start(store.port);
-    const address = {host: '127.0.0.1', port: link.port};
-    const name = `front-${index + 1}`;
-    const overrides = {storeAddress: address, promotionAddress: address};
-    links.push(link);
-    fronts.push(await startFront(name, zone, store, overrides));
-  }
-  await until(() => fronts.every(({front}) => front.isReady));
-  const callers = BusyCallers.start(group, fronts);
-  t.teardown(async () => {
-    await callers.stop();
-    await Promise.all(fronts.map(({front}) => front.stop()));
-    for (const link of links) link.cut();
-    await group.stop();
-    await store.stop();
-  });
-  await until(() => callers.succeeded.size >= MIN_WRITES);
-  return {group, store, fronts, links, callers};
-}
 
 const drain = ({group, store}: BusyFleet): void => {
   group.databases[0].isDraining = true;
@@ -138,24 +92,6 @@
   return restarted;
 }
 
-/** Waits until a promotion has had its effect and writes succeed after it. */
-async function untilChanged({group, callers}: BusyFleet): Promise<void> {
-  await until(() => group.promotedAtMs < Infinity, CHANGE_LIMIT_MS);
-  await untilServed(callers, group.promotedAtMs);
-}
-
-const untilServed = (callers: BusyCallers, sinceMs: number): Promise<void> =>
-  until(() => callers.lastSuccessSentMs > sinceMs, CHANGE_LIMIT_MS);
-
-function assertNothingLost(
-  t: ExecutionContext,
-  {callers}: Pick<BusyFleet, 'callers'>,
-): void {
-  const {lost, succeeded} = callers;
-  t.true(succeeded.size >= MIN_WRITES);
-  t.is(lost.length, 0, `${lost.length} of ${succeeded.size} lost`);
-}
-
 // Guards against losses by a change of primary as such.
 test('a planned change that nothing disturbs loses no acknowledged commit', async t => {
   const fleet = await startBusyFleet(t);
--- a/test/platform/standin_database.ts
+++ b/test/platform/standin_database.ts
@@ -5,6 +5,7 @@
  * Logs, executed statements and acknowledged commits are kept for assertions.
  */
 import {createServer, Server, Socket} from 'node:net';
+import type {StandinReplication} from './standin_replication.js';
 import {DatabaseEvent, StandinSession} from './standin_session.js';
 
 /** A write in the log; `term` and `offset` are its log position. */
@@ -40,6 +41,10 @@
   return last ? `${last.term}.${last.offset}` : `${term}.0`;
 };
 
+/** Term of the position that an empty log has. */
+const emptyTermOf = ({replication, term}: StandinGroup): number =>
+  replication ? 1 : term;
+
 /**
  * A database with its own log and server; `start` after `crash` serves the kept
  * log on the same port.
@@ -77,6 +82,8 @@
   reachesStore = true;
   /** How much later than by `lagMs` a commit of the primary reaches it. */
   linkDelayMs = 0;
+  /** When it begins to receive, by `performance.now()`; with `replication`. */
+  receivesFromMs = -Infinity;
   /**
    * When it received callers' single statements and the first ones of
    * transactions, also those that it refused.
@@ -137,12 +144,15 @@
 
   /** Position up to which it has replayed its log. */
   get position(): string {
-    return positionOf(this.log.slice(0, this.replayedCount), this.group.term);
+    return positionOf(
+      this.log.slice(0, this.replayedCount),
+      emptyTermOf(this.group),
+    );
   }
 
   /** Position up to which it has received the log. */
   get receivedPosition(): string {
-    return positionOf(this.log, this.group.term);
+    return positionOf(this.log, emptyTermOf(this.group));
   }
 
   /** Returns the store entry with which the database registers itself. */
@@ -189,6 +199,12 @@
   /** Time when the last promotion took effect, by `performance.now()`. */
   promotedAtMs = Infinity;
   onRoleChange: () => void = () => undefined;
+  /** Called as a promotion takes effect, before any log is rolled back. */
+  onPromotion: (promoted: StandinDatabase) => void = () => undefined;
+  /** Replaces `lagMs` and the delays of the databases. */
+  replication: StandinReplication | undefined;
+  /** Databases that have left, with the logs that they had. */
+  readonly former: StandinDatabase[] = [];
   /** Receives what the group's databases do, in order. */
   onEvent: (event: DatabaseEvent) => void = () => undefined;
   /**
@@ -219,16 +235,44 @@
     return group;
   }
 
-  /** Adds a running replica with the log of the primary. */
-  async join(zone: string): Promise<StandinDatabase> {
-    const id = `i-${this.service}-${this.databases.length}`;
+  /**
+   * Adds a running replica with the log of the primary, or with an empty one if
+   * it has to be sent over a link. One that replaces a database which has left
+   * has its address and its log.
+   */
+  async join(
+    zone: string,
+    replaced?: StandinDatabase,
+  ): Promise<StandinDatabase> {
+    const number = this.databases.length + this.former.length;
+    const id = `i-${this.service}-${number}`;
     const database = new StandinDatabase(this, id, zone);
+    if (replaced) database.port = replaced.port;
     await database.start();
-    database.log.push(...(this.primary?.log ?? []));
+    if (replaced) database.log.push(...this.keptLog(replaced));
+    else if (!this.replication) database.log.push(...(this.primary?.log ?? []));
     this.databases.push(database);
     return database;
   }
 
+  /** Ends a database for good. */
+  async remove(database: StandinDatabase): Promise<void> {
+    const index = this.databases.indexOf(database);
+    if (index < 0) return;
+    this.databases.splice(index, 1);
+    this.former.push(database);
+    database.isPrimary = false;
+    await database.crash();
+  }
+
+  /** The part of a former log that no promotion has rolled back since. */
+  private keptLog({log}: StandinDatabase): readonly CommittedChange[] {
+    const {primary} = this;
+    if (!primary) return log;
+    const end = log.findIndex((commit, i) => commit !== primary.log[i]);
+    return end < 0 ? log : log.slice(0, end);
+  }
+
   /** The primary; the last in the list if several databases claim the role. */
   get primary(): StandinDatabase | undefined {
     return this.databases.findLast(database => database.isPrimary);
@@ -244,6 +288,7 @@
    * before a replica has it.
    */
   replicate(from: StandinDatabase, commit: CommittedChange): Promise<void> {
+    if (this.replication) return this.replication.replicate(from, commit);
     return new Promise(resolve => {
       const startedMs = performance.now();
       const send = (): void => {
@@ -280,6 +325,8 @@
     if (!target?.isRunning) return false;
     if (target.isPrimary) return true;
     setTimeout(() => {
+      if (!this.databases.includes(target)) return;
+      this.onPromotion(target);
       this.term++;
       this.promotedAtMs = performance.now();
       for (const database of this.databases) {
@@ -295,6 +342,7 @@
   }
 
   async stop(): Promise<void> {
+    this.replication?.stop();
     await Promise.all(this.databases.map(database => database.crash()));
   }
 }
