--- a/soak/caller.ts
+++ b/soak/caller.ts
@@ -201,6 +201,7 @@
       front: this.options.front.name,
       writes,
       outcome,
+      answeredAtMs: performance.now(),
       answer: textOf(answer),
     });
   }
--- a/soak/commit_judge.ts
+++ b/soak/commit_judge.ts
@@ -19,6 +19,8 @@
   readonly front: string;
   readonly writes: readonly string[];
   readonly outcome: Outcome;
+  /** When the caller had the answer, by `performance.now()`. */
+  readonly answeredAtMs: number;
   /** The answer that the outcome was derived from. */
   readonly answer: string;
 }
--- a/soak/fault_schedule.ts
+++ b/soak/fault_schedule.ts
@@ -1,4 +1,9 @@
 /** Draws the faults of a run from its seed. */
+import {
+  PRIMARY_ODDS,
+  PRIMARY_PAUSE_MS,
+  PrimaryFaultKind,
+} from './primary_fault_kinds.js';
 import {Random} from './random.js';
 
 /** What happens to a front, a database or an entry of the store. */
@@ -54,18 +59,20 @@
 } as const;
 export type FaultKind = (typeof FaultKind)[keyof typeof FaultKind];
 
-/** A fault at a time of the run; `target` counts fronts or databases. */
+/** A fault at a time of the run; `target` counts fronts, databases or services. */
 export interface ScheduledFault {
   readonly atMs: number;
-  readonly kind: FaultKind;
+  readonly kind: FaultKind | PrimaryFaultKind;
   readonly target: number;
   readonly durationMs: number;
+  /** Seed of what else is drawn for a fault of a service. */
+  readonly choice?: number;
 }
 
-interface FaultOdds {
-  readonly kind: FaultKind;
+export interface FaultOdds {
+  readonly kind: FaultKind | PrimaryFaultKind;
   readonly weight: number;
-  readonly of: 'fronts' | 'databases' | 'spares';
+  readonly of: 'fronts' | 'databases' | 'spares' | 'services';
   readonly durationMs: readonly [number, number];
 }
 
@@ -148,11 +155,35 @@
 /** Pause between two faults, which may overlap. */
 const PAUSE_MS = [200, 1_400] as const;
 
+/** Named sets of faults. */
+export const FaultSet = {
+  /** Single faults of processes, databases and the store. */
+  single: 'single',
+  /** Faults around changes of primary, with the times of a site. */
+  primary: 'primary',
+} as const;
+export type FaultSet = (typeof FaultSet)[keyof typeof FaultSet];
+
+const SETS: Readonly<
+  Record<
+    FaultSet,
+    {
+      readonly odds: readonly FaultOdds[];
+      readonly pauseMs: readonly [number, number];
+    }
+  >
+> = {
+  single: {odds: ODDS, pauseMs: PAUSE_MS},
+  primary: {odds: PRIMARY_ODDS, pauseMs: PRIMARY_PAUSE_MS},
+};
+const MAX_CHOICE = 1_000_000;
+
 /** How many targets there are of each sort. */
 export interface FaultTargets {
   readonly fronts: number;
   readonly databases: number;
   readonly spares: number;
+  readonly services: number;
 }
 
 /** Returns the faults of a run, by time; only those of `kinds` if given. */
@@ -160,23 +191,29 @@
   seed: number,
   lengthMs: number,
   targets: FaultTargets,
-  kinds: readonly string[] = Object.values(FaultKind),
+  kinds?: readonly string[],
+  set: FaultSet = FaultSet.single,
 ): ScheduledFault[] {
   const random = Random.create(seed);
-  const bag = ODDS.filter(({kind}) => kinds.includes(kind)).flatMap(odds =>
-    new Array<FaultOdds>(odds.weight).fill(odds),
-  );
+  const {odds: all, pauseMs} = SETS[set];
+  const bag = all
+    .filter(({kind}) => kinds?.includes(kind) ?? true)
+    .flatMap(odds => new Array<FaultOdds>(odds.weight).fill(odds));
   const faults: ScheduledFault[] = [];
   let atMs = 0;
   for (;;) {
-    atMs += random.between(...PAUSE_MS);
+    atMs += random.between(...pauseMs);
     if (atMs >= lengthMs) return faults;
     const {kind, of, durationMs} = random.pick(bag);
-    faults.push({
+    const fault = {
       atMs,
       kind,
       target: random.between(0, targets[of] - 1),
       durationMs: random.between(...durationMs),
-    });
+    };
+    const isOfService = of === 'services';
+    faults.push(
+      isOfService ? {...fault, choice: random.between(1, MAX_CHOICE)} : fault,
+    );
   }
 }
--- a/soak/faults.ts
+++ b/soak/faults.ts
@@ -2,6 +2,7 @@
 import {frontEntryKey} from '../src/front/front_list.js';
 import {FaultKind, ScheduledFault} from './fault_schedule.js';
 import {FrontProcess} from './front_process.js';
+import {PRIMARY_EFFECTS} from './primary_faults.js';
 import {FLEET_PREFIX, World} from './world.js';
 import {StandinDatabase} from '../test/platform/standin_database.js';
 import {PromotionMode} from '../test/platform/standin_promotions.js';
@@ -10,7 +11,7 @@
 const pause = (ms: number): Promise<void> =>
   new Promise(resolve => setTimeout(resolve, ms));
 
-type Effect = (world: World, fault: ScheduledFault) => Promise<void>;
+export type Effect = (world: World, fault: ScheduledFault) => Promise<void>;
 
 const frontOf = (world: World, {target}: ScheduledFault): FrontProcess =>
   world.fronts[target];
@@ -167,6 +168,8 @@
   },
 };
 
+const ALL_EFFECTS = {...EFFECTS, ...PRIMARY_EFFECTS};
+
 /**
  * Applies each fault at its time, overlapping ones together; resolves once all
  * of them are over. `log` is called as a fault begins and ends.
@@ -180,7 +183,7 @@
     schedule.map(async fault => {
       await pause(fault.atMs);
       log('fault', fault);
-      await EFFECTS[fault.kind](world, fault);
+      await ALL_EFFECTS[fault.kind](world, fault);
       log('fault_over', fault);
     }),
   );
--- a/soak/front_process.ts
+++ b/soak/front_process.ts
@@ -22,6 +22,8 @@
   /** Loopback address of its own, as all fronts use the same ports. */
   readonly host: string;
   readonly program: string;
+  /** Address at which this front finds the store and the databases. */
+  readonly platformHost: string;
   readonly storePort: number;
   /** Folder of settings files and logs. */
   readonly folder: string;
@@ -31,7 +33,7 @@
 
 /** The settings file; JSON is valid YAML. */
 const settingsOf = (
-  {name, zone, host, storePort}: FrontProcessOptions,
+  {name, zone, host, platformHost, storePort}: FrontProcessOptions,
   isFirstStart: boolean,
 ): object => ({
   node_name: name,
@@ -52,8 +54,8 @@
     require_fence: true,
     evacuate_ms: EVACUATE_MS,
   },
-  platform: {addr: `127.0.0.1:${storePort}`, min_ttl_ms: 500},
-  cloud_api: {addr: `127.0.0.1:${storePort}`},
+  platform: {addr: `${platformHost}:${storePort}`, min_ttl_ms: 500},
+  cloud_api: {addr: `${platformHost}:${storePort}`},
 });
 
 /** A named front, its present process, if any, and the relay to it. */
@@ -93,6 +95,11 @@
     return this.options.name;
   }
 
+  /** Address at which this front finds the store and the databases. */
+  get platformHost(): string {
+    return this.options.platformHost;
+  }
+
   get host(): string {
     return this.options.host;
   }
--- a/soak/run.ts
+++ b/soak/run.ts
@@ -6,6 +6,7 @@
 import {join} from 'node:path';
 import {fileURLToPath} from 'node:url';
 import {cac} from 'cac';
+import {FaultSet} from './fault_schedule.js';
 import {hasPassed, runSoak} from './soak_run.js';
 
 const PROGRAM = fileURLToPath(new URL('../platform/main.js', import.meta.url));
@@ -16,6 +17,7 @@
   readonly minutes: number;
   readonly fronts: number;
   readonly callers: number;
+  readonly faults: FaultSet;
   readonly kinds?: string;
   readonly program: string;
   readonly logs: string;
@@ -33,6 +35,9 @@
   .option('--minutes <n>', 'time of faults for each seed', {default: 1})
   .option('--fronts <n>', 'number of front processes', {default: 6})
   .option('--callers <n>', 'callers at each front', {default: 8})
+  .option('--faults <set>', 'set of faults: single or primary', {
+    default: FaultSet.single,
+  })
   .option('--kinds <list>', 'kinds of faults, by commas; all by default')
   .option('--program <path>', 'entry point of a front', {default: PROGRAM})
   .option('--logs <folder>', 'folder for logs', {default: 'target/soak'})
@@ -47,6 +52,7 @@
         minutes: Number(options.minutes),
         fronts: Number(options.fronts),
         callersPerFront: Number(options.callers),
+        faults: options.faults,
         kinds: options.kinds?.split(','),
         program: options.program,
         folder,
--- a/soak/soak_run.ts
+++ b/soak/soak_run.ts
@@ -4,10 +4,14 @@
 import {runCaller} from './caller.js';
 import {Attempt, judgeCommits, Outcome} from './commit_judge.js';
 import {judgeEvacuations} from './evacuation_judge.js';
-import {drawSchedule} from './fault_schedule.js';
+import {drawSchedule, FaultSet} from './fault_schedule.js';
 import {applyFaults} from './faults.js';
+import {Members} from './members.js';
+import {PromotionJudge} from './promotion_judge.js';
 import {Random} from './random.js';
+import {ReplicationDelays} from './replication_delays.js';
 import {Finding, StatementJudge} from './statement_judge.js';
+import {StandinReplication} from '../test/platform/standin_replication.js';
 import {CUSTOMERS, SERVICES, World} from './world.js';
 
 export interface SoakOptions {
@@ -15,7 +19,9 @@
   readonly minutes: number;
   readonly fronts: number;
   readonly callersPerFront: number;
-  /** Kinds of faults; all by default. */
+  /** Set of faults; `single` by default. */
+  readonly faults?: FaultSet;
+  /** Kinds of faults; all of the set by default. */
   readonly kinds?: readonly string[];
   /** Entry point of a front. */
   readonly program: string;
@@ -45,6 +51,8 @@
 const RECOVERY_LIMIT_MS = 12_000;
 const PROGRESS_INTERVAL_MS = 1_000;
 const CALLER_SEED_FACTOR = 10_000;
+/** Time from the platform's acceptance of an order to its effect. */
+const PROMOTION_MS = 1_000;
 
 const pause = (ms: number): Promise<void> =>
   new Promise(resolve => setTimeout(resolve, ms));
@@ -95,10 +103,17 @@
   const judge = StatementJudge.create(recorder.report);
   // The writes that tell whether a service has recovered are not judged.
   let isProbing = false;
+  const random = Random.create(seed);
+  const isPrimarySet = options.faults === FaultSet.primary;
   const world = await World.start({
     frontCount: options.fronts,
     program: options.program,
     folder,
+    prepare: group => {
+      if (!isPrimarySet) return;
+      group.promotionMs = PROMOTION_MS;
+      StandinReplication.start(group, ReplicationDelays.create(random).of);
+    },
     onEvent: event => {
       if (isProbing) return;
       judge.observe(event);
@@ -114,13 +129,20 @@
     }
   };
   process.once('exit', endProcesses);
+  judgePromotions(world, judge, recorder);
+  if (isPrimarySet)
+    world.members = world.groups.map(group =>
+      Members.create(world, group, recorder.log),
+    );
   const targets = {
     fronts: world.fronts.length,
     databases: world.databases.length,
     spares: world.spares.length,
+    services: world.groups.length,
   };
   const lengthMs = options.minutes * 60_000;
-  const schedule = drawSchedule(seed, lengthMs, targets, options.kinds);
+  const {faults, kinds} = options;
+  const schedule = drawSchedule(seed, lengthMs, targets, kinds, faults);
   recorder.log('schedule', {...options, schedule});
   const callers = startCallers(options, world, judge, recorder);
   const progressTimer = setInterval(() => {
@@ -132,7 +154,7 @@
   recorder.isOver = true;
   await Promise.all(callers);
   clearInterval(progressTimer);
-  await world.untilLed();
+  await world.untilLed().catch(() => recorder.log('not_led', {}));
   isProbing = true;
   for (const service of await world.unrecoveredServices(RECOVERY_LIMIT_MS)) {
     const databases = world.databases
@@ -152,12 +174,46 @@
   await world.stop();
   process.off('exit', endProcesses);
   const {statements, succeeded, attempts, findings} = recorder;
-  const faults = schedule.length;
-  const result = {seed, faults, statements, succeeded, attempts, findings};
+  const faultCount = schedule.length;
+  const result = {
+    seed,
+    faults: faultCount,
+    statements,
+    succeeded,
+    attempts,
+    findings,
+  };
   recorder.log('result', result);
   return result;
 }
 
+/** Judges each promotion as it takes effect. */
+function judgePromotions(
+  {groups, store}: World,
+  judge: StatementJudge,
+  recorder: Recorder,
+): void {
+  const promotions = PromotionJudge.create({
+    isListed: ({id}) => store.get(`servers/${id}`) !== undefined,
+    databaseOf: id => judge.databaseOf(id),
+  });
+  for (const group of groups) {
+    const {service} = group;
+    group.onPromotion = (promoted, order) => {
+      const attempts = recorder.attemptsByService.get(service) ?? [];
+      const lost = promotions.judge(attempts, promoted, order);
+      const logs = group.databases.map(({id, receivedPosition}) => ({
+        id,
+        receivedPosition,
+      }));
+      const {id} = promoted;
+      const count = lost.length;
+      recorder.log('promotion', {service, id, order, lost: count, logs});
+      lost.forEach(recorder.report);
+    };
+  }
+}
+
 function startCallers(
   {seed, callersPerFront}: SoakOptions,
   world: World,
--- a/soak/statement_judge.ts
+++ b/soak/statement_judge.ts
@@ -76,6 +76,11 @@
     }
   }
 
+  /** Database that ran a statement last. */
+  databaseOf(id: string): string | undefined {
+    return this.ran.get(id)?.at(-1)?.connection.split('#')[0];
+  }
+
   /** Checks a success that a caller got for a read, write or commit. */
   succeeded(id: string, signature: string, rows: readonly string[]): void {
     const runs = this.ran.get(id) ?? [];
--- a/soak/world.ts
+++ b/soak/world.ts
@@ -14,6 +14,7 @@
 import {frontEntryKey} from '../src/front/front_list.js';
 import {ZoneEvacuations} from './evacuation_judge.js';
 import {FrontProcess, PEER_PROXY_PORT} from './front_process.js';
+import type {Members} from './members.js';
 
 export const CUSTOMERS = ['ana', 'bea', 'carla', 'dario'] as const;
 /** Home regions of customers; in the soak, each zone is a region of its own. */
@@ -27,10 +28,15 @@
 const START_LIMIT_MS = 30_000;
 const READY_POLL_MS = 100;
 
+/** Where databases say that they are, to any front. */
+const DATABASE_HOST = '127.0.0.1';
+
 export interface WorldOptions {
   readonly frontCount: number;
   readonly program: string;
   readonly folder: string;
+  /** Prepares a service before any front starts. */
+  readonly prepare?: (group: StandinGroup) => void;
   readonly onEvent: (event: DatabaseEvent) => void;
   readonly onFailure: (kind: string, details: object) => void;
 }
@@ -62,8 +68,13 @@
   return {version: 1, routes, services, tenants, limits};
 }
 
-/** Returns a front's entry with the port of the relay to it. */
-function withProxyPort(key: string, text: string): string {
+/**
+ * Returns an entry as a front reads it that finds the platform at `host`: other
+ * fronts at the port of the relay to them, databases at `host`.
+ */
+function asReadAt(key: string, text: string, host: string): string {
+  if (key.startsWith('servers/'))
+    return text.replace(`"addr":"${DATABASE_HOST}:`, `"addr":"${host}:`);
   if (!key.startsWith(frontEntryKey(FLEET_PREFIX, ''))) return text;
   return JSON.stringify({
     ...(JSON.parse(text) as object),
@@ -74,6 +85,8 @@
 /** A started platform with its fronts. */
 export class World {
   readonly evacuations: ZoneEvacuations;
+  /** Changes of the databases, by service; empty if they stay the same. */
+  members: readonly Members[] = [];
 
   private constructor(
     readonly store: StandinStore,
@@ -86,26 +99,30 @@
 
   /** Starts everything; resolves once all fronts but the spares are ready. */
   static async start(options: WorldOptions): Promise<World> {
+    const {frontCount, program, folder, onFailure} = options;
+    // Runs on one machine at the same time have different addresses.
+    const network = 1 + (process.pid % 250);
+    const indexes = Array.from({length: frontCount + SPARE_COUNT}, (_, i) => i);
+    const platformHosts = indexes.map(index => `127.${network}.2.${index + 1}`);
     const groups: StandinGroup[] = [];
     for (const service of SERVICES) {
-      const group = await StandinGroup.start(service, ZONES);
+      const group = await StandinGroup.start(service, ZONES, 0, platformHosts);
       group.slots = DATABASE_SLOTS;
       group.maxConnections = MAX_CONNECTIONS;
       group.onEvent = options.onEvent;
+      options.prepare?.(group);
       groups.push(group);
     }
-    const store = await StandinStore.start(groups);
+    const store = await StandinStore.start(groups, platformHosts);
     store.put('op/config', configuration());
-    store.rewriteOnRead = withProxyPort;
-    const {frontCount, program, folder, onFailure} = options;
-    // Runs on one machine at the same time have different addresses.
-    const network = 1 + (process.pid % 250);
+    store.rewriteOnRead = asReadAt;
     const create = (name: string, index: number): Promise<FrontProcess> =>
       FrontProcess.create({
         name,
         zone: ZONES[index % ZONES.length],
         host: `127.${network}.1.${index + 1}`,
         program,
+        platformHost: platformHosts[index],
         storePort: store.port,
         folder,
         onFailure,
--- a/test/platform/standin_database.ts
+++ b/test/platform/standin_database.ts
@@ -34,6 +34,15 @@
   readonly needsPrimary: boolean;
 }
 
+/** The order that a promotion carries out. */
+export interface PromotionOrder {
+  /** Front that it names as sender. */
+  readonly holder: string;
+  readonly fencingToken: number;
+  /** When it was received, by `performance.now()`. */
+  readonly receivedAtMs: number;
+}
+
 const VERSION = 'v1';
 
 const positionOf = (log: readonly CommittedChange[], term: number): string => {
@@ -63,6 +72,10 @@
   isDraining = false;
   /** Ignores all messages but keeps its connections open. */
   isUnresponsive = false;
+  /** The same for the connections to some of its addresses. */
+  readonly silentHosts = new Set<string>();
+  /** Addresses at which it closes new connections. */
+  readonly refusedHosts = new Set<string>();
   /** Executes statements but sends no response. */
   dropsResponses = false;
   /**
@@ -95,7 +108,7 @@
   readonly coldRequestsAtMs: number[] = [];
   usedSlots = 0;
   slotWaiters: Array<() => void> = [];
-  private server: Server | undefined;
+  private servers: readonly Server[] = [];
   private entryCount = 0;
 
   constructor(
@@ -107,20 +120,27 @@
   async start(): Promise<void> {
     this.pausedAtTerm = 0;
     this.coldUntilMs = performance.now() + this.group.coldStartMs;
-    this.server = createServer(socket => this.accept(socket));
-    await new Promise<void>(resolve =>
-      this.server?.listen(this.port, '127.0.0.1', resolve),
-    );
-    this.port = (this.server.address() as {port: number}).port;
+    const servers: Server[] = [];
+    for (const host of this.group.hosts) {
+      const server = createServer(socket => this.accept(socket));
+      await new Promise<void>(resolve =>
+        server.listen(this.port, host, resolve),
+      );
+      this.port = (server.address() as {port: number}).port;
+      servers.push(server);
+    }
+    this.servers = servers;
   }
 
   /** Closes the server and all connections; the log is kept. */
   async crash(): Promise<void> {
     this.crashCount++;
     for (const socket of this.sockets) socket.destroy();
-    const {server} = this;
-    this.server = undefined;
-    if (server) await new Promise(resolve => server.close(resolve));
+    const {servers} = this;
+    this.servers = [];
+    await Promise.all(
+      servers.map(server => new Promise(resolve => server.close(resolve))),
+    );
   }
 
   get isPaused(): boolean {
@@ -133,7 +153,7 @@
   }
 
   get isRunning(): boolean {
-    return this.server !== undefined;
+    return this.servers.length > 0;
   }
 
   /** Stops receiving the log, unless the term is not above the present one. */
@@ -174,6 +194,8 @@
   }
 
   private accept(socket: Socket): void {
+    if (this.refusedHosts.has(String(socket.localAddress)))
+      return void socket.destroy();
     this.connectionsOpened++;
     this.sockets.add(socket);
     socket.on('close', () => this.sockets.delete(socket));
@@ -185,6 +207,8 @@
 /** A service: the databases that replicate one log. */
 export class StandinGroup {
   readonly databases: StandinDatabase[] = [];
+  /** Addresses of the databases, each with the same port. */
+  hosts: readonly string[] = ['127.0.0.1'];
   term = 1;
   slots = 2;
   lagMs = 3;
@@ -200,7 +224,8 @@
   promotedAtMs = Infinity;
   onRoleChange: () => void = () => undefined;
   /** Called as a promotion takes effect, before any log is rolled back. */
-  onPromotion: (promoted: StandinDatabase) => void = () => undefined;
+  onPromotion: (promoted: StandinDatabase, order?: PromotionOrder) => void =
+    () => undefined;
   /** Replaces `lagMs` and the delays of the databases. */
   replication: StandinReplication | undefined;
   /** Databases that have left, with the logs that they had. */
@@ -219,8 +244,10 @@
     service: string,
     zones: readonly string[],
     coldStartMs = 0,
+    hosts: readonly string[] = ['127.0.0.1'],
   ): Promise<StandinGroup> {
     const group = new StandinGroup(service);
+    group.hosts = hosts;
     group.coldStartMs = coldStartMs;
     for (const [index, zone] of zones.entries()) {
       const database = new StandinDatabase(
@@ -320,13 +347,13 @@
    * Promotes a database after `promotionMs`; returns false, without any effect,
    * if it is not running.
    */
-  promote(id: string): boolean {
+  promote(id: string, order?: PromotionOrder): boolean {
     const target = this.find(id);
     if (!target?.isRunning) return false;
     if (target.isPrimary) return true;
     setTimeout(() => {
       if (!this.databases.includes(target)) return;
-      this.onPromotion(target);
+      this.onPromotion(target, order);
       this.term++;
       this.promotedAtMs = performance.now();
       for (const database of this.databases) {
--- a/test/platform/standin_session.ts
+++ b/test/platform/standin_session.ts
@@ -62,6 +62,8 @@
   private readonly connection: string;
   /** Crashes of the database before this connection was opened. */
   private readonly crashCount: number;
+  /** Address of the database that the connection was opened to. */
+  private readonly host: string;
 
   private constructor(
     private readonly database: StandinDatabase,
@@ -69,12 +71,18 @@
   ) {
     this.connection = `${database.id}#${database.connectionsOpened}`;
     this.crashCount = database.crashCount;
+    this.host = String(socket.localAddress);
     socket.on('data', chunk => this.receive(chunk.toString('latin1')));
     socket.on('close', () => {
       this.processing = this.processing.then(() => this.endTransaction());
     });
   }
 
+  private get isSilent(): boolean {
+    const {isUnresponsive, silentHosts} = this.database;
+    return isUnresponsive || silentHosts.has(this.host);
+  }
+
   /** Whether the database has crashed since the connection was opened. */
   private get isGone(): boolean {
     return this.crashCount !== this.database.crashCount;
@@ -105,7 +113,7 @@
   }
 
   private send(line: string): void {
-    if (!this.database.isUnresponsive && !this.database.dropsResponses) {
+    if (!this.isSilent && !this.database.dropsResponses) {
       this.socket.write(`${line}\r\n`, 'latin1');
     }
   }
@@ -128,7 +136,7 @@
 
   private async handleLine(line: string, atMs: number): Promise<void> {
     const {group, id} = this.database;
-    if (this.database.isUnresponsive || this.isGone) return;
+    if (this.isSilent || this.isGone) return;
     const [word, first, ...tail] = line.split(' ');
     if (word === 'START') {
       const [customer, expected] = tail;
--- a/test/platform/standin_store.ts
+++ b/test/platform/standin_store.ts
@@ -56,8 +56,16 @@
   port = 0;
   /** The platform's promotions, served at the same address. */
   readonly promotions: StandinPromotions;
-  /** Changes the text of items as clients read them. */
-  rewriteOnRead: (key: string, text: string) => string = (_, text) => text;
+  /**
+   * Changes the text of items as clients read them; `host` is the address of the
+   * store that the client uses.
+   */
+  rewriteOnRead: (key: string, text: string, host: string) => string = (
+    _,
+    text,
+  ) => text;
+  /** Addresses at which it does not respond. */
+  readonly silentHosts = new Set<string>();
   private revision = 1;
   private compactedRevision = 0;
   private readonly items = new Map<string, Item>();
@@ -70,22 +78,28 @@
     {ttlMs: number; timer: NodeJS.Timeout}
   >();
   private readonly watchers = new Set<() => void>();
-  private server: Server | undefined;
+  private servers: Server[] = [];
   private leaseCount = 0;
 
   private constructor(private readonly groups: readonly StandinGroup[]) {
     this.promotions = new StandinPromotions(groups);
   }
 
-  static async start(groups: readonly StandinGroup[]): Promise<StandinStore> {
+  static async start(
+    groups: readonly StandinGroup[],
+    hosts: readonly string[] = ['127.0.0.1'],
+  ): Promise<StandinStore> {
     const store = new StandinStore(groups);
-    store.server = createServer((request, response) =>
-      store.handleRequest(request, response),
-    );
-    await new Promise<void>(resolve =>
-      store.server?.listen(0, '127.0.0.1', resolve),
-    );
-    store.port = (store.server.address() as {port: number}).port;
+    for (const host of hosts) {
+      const server = createServer((request, response) =>
+        store.handleRequest(request, response),
+      );
+      await new Promise<void>(resolve =>
+        server.listen(store.port, host, resolve),
+      );
+      store.port = (server.address() as {port: number}).port;
+      store.servers.push(server);
+    }
     for (const group of groups)
       group.onRoleChange = () => store.registerDatabases();
     store.registerDatabases();
@@ -129,7 +143,7 @@
       else if (this.items.get(key)?.value !== value) this.write(key, value, 0);
     }
     this.watchers.clear();
-    this.server?.closeAllConnections();
+    for (const server of this.servers) server.closeAllConnections();
   }
 
   get(key: string): Item | undefined {
@@ -160,8 +174,10 @@
 
   async stop(): Promise<void> {
     for (const {timer} of this.leases.values()) clearTimeout(timer);
-    this.server?.closeAllConnections();
-    await new Promise(resolve => this.server?.close(resolve));
+    for (const server of this.servers) {
+      server.closeAllConnections();
+      await new Promise(resolve => server.close(resolve));
+    }
   }
 
   private write(key: string, value: string, leaseId: number): void {
@@ -208,7 +224,9 @@
     response: ServerResponse,
   ): void {
     this.requestCount++;
-    if (this.faultMode === StoreFaultMode.silent) return;
+    const host = String(request.socket.localAddress);
+    const isSilent = this.silentHosts.has(host);
+    if (isSilent || this.faultMode === StoreFaultMode.silent) return;
     if (this.faultMode === StoreFaultMode.busy) {
       response.statusCode = 503;
       response.setHeader('store-era', this.era);
@@ -220,7 +238,8 @@
       const text = Buffer.concat(chunks).toString();
       const body = text === '' ? {} : (JSON.parse(text) as object);
       const url = new URL(request.url ?? '/', 'http://store');
-      this.route(request, url, body, (status, answer) => {
+      this.route(request, url, body, host, (status, answer) => {
+        if (this.silentHosts.has(host)) return;
         if (this.faultMode === StoreFaultMode.dropsResponses) {
           return void request.socket.destroy();
         }
@@ -236,12 +255,13 @@
     request: IncomingMessage,
     url: URL,
     body: object,
+    host: string,
     answer: (status: number, body: object) => void,
   ): void {
     const path = `${request.method} ${url.pathname}`;
     const id = Number(url.pathname.split('/').pop());
-    if (path === 'GET /-/kv-range') return this.range(url, answer);
-    if (path === 'GET /-/kv-watch') return this.watch(url, answer);
+    if (path === 'GET /-/kv-range') return this.range(url, host, answer);
+    if (path === 'GET /-/kv-watch') return this.watch(url, host, answer);
     if (path === 'POST /-/kv-txn')
       return this.commitTransaction(body as Transaction, answer);
     if (path === 'POST /-/kv-lease') {
@@ -259,6 +279,7 @@
 
   private range(
     url: URL,
+    host: string,
     answer: (status: number, body: object) => void,
   ): void {
     const prefix = url.searchParams.get('prefix') ?? '';
@@ -268,21 +289,22 @@
       .filter(item => item.key.startsWith(prefix) && item.key > after)
       .sort((a, b) => (a.key < b.key ? -1 : 1));
     answer(200, {
-      items: found.slice(0, pageSize).map(item => this.asRead(item)),
+      items: found.slice(0, pageSize).map(item => this.asRead(item, host)),
       has_more: found.length > pageSize,
       as_of: this.revision,
     });
   }
 
-  private asRead(item: Item): Item {
+  private asRead(item: Item, host: string): Item {
     const text = Buffer.from(item.value, 'base64').toString();
-    const rewritten = this.rewriteOnRead(item.key, text);
+    const rewritten = this.rewriteOnRead(item.key, text, host);
     if (rewritten === text) return item;
     return {...item, value: Buffer.from(rewritten).toString('base64')};
   }
 
   private watch(
     url: URL,
+    host: string,
     answer: (status: number, body: object) => void,
   ): void {
     this.watchCount++;
@@ -299,7 +321,7 @@
       if (events.length > 0 || isTimedOut)
         end(200, {
           events: events.map(event =>
-            'value' in event ? this.asRead(event) : event,
+            'value' in event ? this.asRead(event, host) : event,
           ),
           as_of: this.revision,
         });
--- a/test/soak.test.ts
+++ b/test/soak.test.ts
@@ -191,6 +191,7 @@
     front: 'front-1',
     writes: ['a', 'b'],
     outcome,
+    answeredAtMs: 0,
     answer: '',
   };
   const changes = log.map((requestId, index) => ({
@@ -225,7 +226,7 @@
 });
 
 test('a seed draws the same schedule each time', t => {
-  const targets = {fronts: 6, databases: 9, spares: 2};
+  const targets = {fronts: 6, databases: 9, spares: 2, services: 3};
   const schedule = drawSchedule(7, 60_000, targets);
   t.deepEqual(drawSchedule(7, 60_000, targets), schedule);
   t.notDeepEqual(drawSchedule(8, 60_000, targets), schedule);
