--- a/soak/front_process.ts
+++ b/soak/front_process.ts
@@ -22,6 +22,8 @@
   /** Loopback address of its own, as all fronts use the same ports. */
   readonly host: string;
   readonly program: string;
+  /** Addresses at which other fronts find this one. */
+  readonly peerHosts: readonly string[];
   /** Address at which this front finds the store and the databases. */
   readonly platformHost: string;
   readonly storePort: number;
@@ -74,8 +76,9 @@
   static async create(options: FrontProcessOptions): Promise<FrontProcess> {
     const front = new FrontProcess(options);
     front.proxy = await PeerProxy.start(
-      options.host,
+      options.peerHosts,
       PEER_PROXY_PORT,
+      options.host,
       PEER_PORTS[0],
     );
     return front;
@@ -91,6 +94,20 @@
     this.proxy?.silence();
   }
 
+  /** Cuts off the fronts that find this one at some addresses, silently. */
+  silencePeersAt(hosts: readonly string[]): void {
+    for (const host of hosts) this.proxy?.silenceHost(host);
+  }
+
+  /** Ends `silencePeersAt`. */
+  restorePeersAt(hosts: readonly string[]): void {
+    for (const host of hosts) this.proxy?.restoreHost(host);
+  }
+
+  get peerHosts(): readonly string[] {
+    return this.options.peerHosts;
+  }
+
   get name(): string {
     return this.options.name;
   }
--- a/soak/primary_fault_kinds.ts
+++ b/soak/primary_fault_kinds.ts
@@ -13,6 +13,17 @@
    * restart, lapse, orders are late or the lease's holder is lost.
    */
   disturbedChange: 'disturbed_change',
+  /**
+   * A front is cut off from the store and the other fronts, but not from the
+   * databases, while the primary is out of the others' sight for a moment or
+   * leaves, and replicas restart and join.
+   */
+  isolatedFront: 'isolated_front',
+  /**
+   * The primary and the only replica that has the newest commits are out of the
+   * fronts' sight for a while.
+   */
+  cutPair: 'cut_pair',
   leaveReplica: 'leave_replica',
   leavePrimary: 'leave_primary',
   joinReplica: 'join_replica',
@@ -38,6 +49,8 @@
 export const PRIMARY_ODDS: readonly FaultOdds[] = [
   {kind: 'sole_holder', weight: 8, of, durationMs: [0, 0]},
   {kind: 'disturbed_change', weight: 6, of, durationMs: [0, 0]},
+  {kind: 'isolated_front', weight: 4, of, durationMs: [2_500, 6_000]},
+  {kind: 'cut_pair', weight: 3, of, durationMs: [3_000, 8_000]},
   {kind: 'leave_replica', weight: 1, of, durationMs: [2_000, 7_000]},
   {kind: 'leave_primary', weight: 2, of, durationMs: [3_000, 7_000]},
   {kind: 'join_replica', weight: 1, of, durationMs: [0, 0]},
@@ -55,6 +68,7 @@
   {kind: 'silent_store', weight: 1, of: 'fronts', durationMs: [500, 4_000]},
   {kind: 'kill_holder', weight: 1, of: 'fronts', durationMs: [0, 0]},
   {kind: 'freeze_holder', weight: 1, of: 'fronts', durationMs: [500, 4_000]},
+  {kind: 'freeze', weight: 2, of: 'fronts', durationMs: [500, 4_000]},
   {kind: 'kill', weight: 1, of: 'fronts', durationMs: [0, 0]},
 ];
 /** Pause between two faults, which may overlap. */
--- a/soak/primary_faults.ts
+++ b/soak/primary_faults.ts
@@ -71,13 +71,13 @@
 
 async function cutFronts(
   {world, members, random}: Scene,
-  primary: StandinDatabase,
+  database: StandinDatabase,
   durationMs: number,
   isAll: boolean,
 ): Promise<void> {
   const kind = random.pick(Object.values(CutKind));
   const fronts = world.fronts.filter(() => isAll || random.chance(50));
-  await members.cutFronts(primary, fronts, kind, durationMs);
+  await members.cutFronts(database, fronts, kind, durationMs);
 }
 
 /** What becomes of a primary that is to be lost. */
@@ -110,6 +110,8 @@
     members.lapse(newest, random.between(3_000, 9_000)),
   ({members, random}, newest) =>
     members.crash(newest, random.between(1_000, 6_000)),
+  (scene, newest) =>
+    cutFronts(scene, newest, scene.random.between(3_000, 9_000), true),
   async () => undefined,
 ];
 
@@ -210,6 +212,49 @@
   ]);
 }
 
+async function runIsolatedFront(scene: Scene): Promise<void> {
+  const {members, random, world, durationMs} = scene;
+  const {primary} = members;
+  const fronts = world.fronts.filter(front => front !== world.leaseHolder);
+  if (!primary?.isRunning) return;
+  const isolated = random.pick(fronts);
+  const others = world.fronts.filter(front => front !== isolated);
+  const isPlanned = random.chance(40);
+  const startMs = random.between(0, 800);
+  const outageMs = random.between(1_200, 3_500);
+  const restart = async (replica: StandinDatabase): Promise<void> => {
+    await pause(random.between(1_000, 3_500));
+    await members.crash(replica, random.between(50, 500));
+  };
+  await Promise.all([
+    world.isolate(isolated, durationMs),
+    pause(startMs).then(() =>
+      isPlanned
+        ? members.leave(primary, random.between(4_000, 7_000), 500)
+        : members.cutFronts(primary, others, CutKind.silent, outageMs),
+    ),
+    ...members.replicas.map(restart),
+  ]);
+}
+
+async function runCutPair(scene: Scene): Promise<void> {
+  const {members, random, world, durationMs} = scene;
+  const {primary} = members;
+  const newest = pickReplica(scene);
+  if (!primary?.isRunning || !newest) return;
+  const others = members.group.databases.filter(other => other !== newest);
+  const heal = members.cutReplication(primary, others);
+  await pause(random.between(300, 2_000));
+  const kind = random.pick(Object.values(CutKind));
+  await Promise.all([
+    ...[primary, newest].map(database =>
+      members.cutFronts(database, world.fronts, kind, durationMs),
+    ),
+    disturb(scene),
+  ]);
+  heal();
+}
+
 /** Runs one such effect at a time for a service; skips it while one runs. */
 const alone =
   (effect: SceneEffect): SceneEffect =>
@@ -245,6 +290,8 @@
 const SCENES: Readonly<Record<PrimaryFaultKind, SceneEffect>> = {
   sole_holder: alone(runSoleHolder),
   disturbed_change: alone(runDisturbedChange),
+  isolated_front: alone(runIsolatedFront),
+  cut_pair: alone(runCutPair),
   leave_replica: withReplica(({members, durationMs}, replica) =>
     members.leave(replica, durationMs, 500),
   ),
--- a/soak/world.ts
+++ b/soak/world.ts
@@ -68,18 +68,27 @@
   return {version: 1, routes, services, tenants, limits};
 }
 
+/** Third parts of the addresses of fronts, the platform and relays. */
+const FRONT_SUBNET = 1;
+const PLATFORM_SUBNET = 2;
+const FIRST_RELAY_SUBNET = 100;
+
+/** Address at which the front number `reader` finds another one, from 0. */
+const relayHost = (frontHost: string, reader: number): string =>
+  frontHost.replace(`.${FRONT_SUBNET}.`, `.${FIRST_RELAY_SUBNET + reader}.`);
+
 /**
  * Returns an entry as a front reads it that finds the platform at `host`: other
- * fronts at the port of the relay to them, databases at `host`.
+ * fronts at the relay to them, databases at `host`.
  */
 function asReadAt(key: string, text: string, host: string): string {
   if (key.startsWith('servers/'))
     return text.replace(`"addr":"${DATABASE_HOST}:`, `"addr":"${host}:`);
   if (!key.startsWith(frontEntryKey(FLEET_PREFIX, ''))) return text;
-  return JSON.stringify({
-    ...(JSON.parse(text) as object),
-    port: PEER_PROXY_PORT,
-  });
+  const entry = JSON.parse(text) as {host: string};
+  const reader = Number(host.split('.').pop()) - 1;
+  const relay = {host: relayHost(entry.host, reader), port: PEER_PROXY_PORT};
+  return JSON.stringify({...entry, ...relay});
 }
 
 /** A started platform with its fronts. */
@@ -103,7 +112,9 @@
     // Runs on one machine at the same time have different addresses.
     const network = 1 + (process.pid % 250);
     const indexes = Array.from({length: frontCount + SPARE_COUNT}, (_, i) => i);
-    const platformHosts = indexes.map(index => `127.${network}.2.${index + 1}`);
+    const platformHosts = indexes.map(
+      index => `127.${network}.${PLATFORM_SUBNET}.${index + 1}`,
+    );
     const groups: StandinGroup[] = [];
     for (const service of SERVICES) {
       const group = await StandinGroup.start(service, ZONES, 0, platformHosts);
@@ -116,17 +127,20 @@
     const store = await StandinStore.start(groups, platformHosts);
     store.put('op/config', configuration());
     store.rewriteOnRead = asReadAt;
-    const create = (name: string, index: number): Promise<FrontProcess> =>
-      FrontProcess.create({
+    const create = (name: string, index: number): Promise<FrontProcess> => {
+      const host = `127.${network}.${FRONT_SUBNET}.${index + 1}`;
+      return FrontProcess.create({
         name,
         zone: ZONES[index % ZONES.length],
-        host: `127.${network}.1.${index + 1}`,
+        host,
+        peerHosts: indexes.map(reader => relayHost(host, reader)),
         program,
         platformHost: platformHosts[index],
         storePort: store.port,
         folder,
         onFailure,
       });
+    };
     const fronts: FrontProcess[] = [];
     for (let index = 0; index < frontCount; index++) {
       fronts.push(await create(`front-${index + 1}`, index));
@@ -153,6 +167,20 @@
     return !homes || (database !== undefined && homes.includes(database.zone));
   }
 
+  /** Cuts a front off from the store and all other fronts, silently. */
+  async isolate(front: FrontProcess, durationMs: number): Promise<void> {
+    const all = [...this.fronts, ...this.spares];
+    const reader = all.indexOf(front);
+    const others = all.filter(other => other !== front);
+    this.store.silentHosts.add(front.platformHost);
+    front.silencePeersAt(front.peerHosts);
+    for (const other of others) other.silencePeersAt([other.peerHosts[reader]]);
+    await new Promise(resolve => setTimeout(resolve, durationMs));
+    this.store.silentHosts.delete(front.platformHost);
+    front.restorePeersAt(front.peerHosts);
+    for (const other of others) other.restorePeersAt([other.peerHosts[reader]]);
+  }
+
   /** The front that holds the coordinator lease, according to the store. */
   get leaseHolder(): FrontProcess | undefined {
     const item = this.store.get(`${FLEET_PREFIX}duty`);
--- a/test/platform/odd_entries.test.ts
+++ b/test/platform/odd_entries.test.ts
@@ -202,6 +202,7 @@
     zone: ZONES[0],
     host: `127.${1 + (process.pid % 250)}.3.1`,
     program: fileURLToPath(new URL('../../platform/main.js', import.meta.url)),
+    peerHosts: [`127.${1 + (process.pid % 250)}.3.1`],
     platformHost: '127.0.0.1',
     storePort: store.port,
     folder,
