--- a/soak/caller.ts
+++ b/soak/caller.ts
@@ -23,6 +23,8 @@
 const NAMES = ['one', 'two', 'three'] as const;
 const ITEM_COUNT = 40;
 const RECONNECT_MS = 150;
+/** Longest pause of a busy caller. */
+const BUSY_PAUSE_MS = 60;
 /** No route's time limit is that long. */
 const HUNG_AFTER_MS = 12_000;
 /** Answers that promise that nothing of the attempt is kept. */
@@ -54,6 +56,8 @@
   readonly customer: string;
   readonly services: readonly string[];
   readonly random: Random;
+  /** Whether pauses are short, so that commits are under way at any time. */
+  readonly isBusy?: boolean;
 }
 
 const pause = (ms: number): Promise<void> =>
@@ -115,10 +119,14 @@
       if (random.chance(30)) await this.changeState();
       if (random.chance(60)) await this.runTransaction(done);
       else await this.runSingle();
-      await pause(random.between(5, 300));
+      await pause(this.limitPause(random.between(5, 300)));
     }
   }
 
+  private limitPause(ms: number): number {
+    return this.options.isBusy ? Math.min(ms, BUSY_PAUSE_MS) : ms;
+  }
+
   private get isOver(): boolean {
     return this.client.isEnded || this.host.isOver();
   }
@@ -170,7 +178,7 @@
         if (!this.client.isEnded) await this.query('ROLLBACK');
         return;
       }
-      if (!this.host.isOver()) await pause(this.thinkMs());
+      if (!this.host.isOver()) await pause(this.limitPause(this.thinkMs()));
       if (random.chance(15)) await this.changeState();
     }
     if (this.client.isEnded || random.chance(15)) {
--- a/soak/front_process.ts
+++ b/soak/front_process.ts
@@ -108,6 +108,10 @@
     return this.options.peerHosts;
   }
 
+  get zone(): string {
+    return this.options.zone;
+  }
+
   get name(): string {
     return this.options.name;
   }
--- a/soak/members.ts
+++ b/soak/members.ts
@@ -12,6 +12,7 @@
 /** After that silence the platform removes the entry of a database. */
 const LAPSE_MS = 3_600;
 const STORE_POLL_MS = 100;
+const SHRINK_DRAIN_MS = 1_000;
 const MIN_SIZE = 3;
 const MAX_SIZE = 6;
 
@@ -59,10 +60,6 @@
     );
   }
 
-  get mayShrink(): boolean {
-    return this.group.databases.length > MIN_SIZE;
-  }
-
   get mayGrow(): boolean {
     return this.group.databases.length < MAX_SIZE;
   }
@@ -128,6 +125,19 @@
     await removed;
   }
 
+  /** Ends a replica that was more than the service needs. */
+  async shrink(): Promise<void> {
+    const surplus = this.replicas.find(replica => this.isListed(replica));
+    if (this.group.databases.length <= MIN_SIZE || !surplus) return;
+    this.note('ends', surplus);
+    surplus.isDraining = true;
+    await this.list(surplus);
+    await pause(SHRINK_DRAIN_MS);
+    surplus.reachesStore = false;
+    await this.group.remove(surplus);
+    this.unlist(surplus);
+  }
+
   /** A database crashes; it comes back with its log, or with an empty one. */
   async crash(
     database: StandinDatabase,
--- a/soak/primary_faults.ts
+++ b/soak/primary_faults.ts
@@ -217,14 +217,16 @@
   const {primary} = members;
   const fronts = world.fronts.filter(front => front !== world.leaseHolder);
   if (!primary?.isRunning) return;
-  const isolated = random.pick(fronts);
+  // Fronts near the primary have connections of their own to it.
+  const near = fronts.filter(({zone}) => zone === primary.zone);
+  const isolated = random.pick(near.length > 0 ? near : fronts);
   const others = world.fronts.filter(front => front !== isolated);
   const isPlanned = random.chance(40);
   const startMs = random.between(0, 800);
   const outageMs = random.between(1_200, 3_500);
   const restart = async (replica: StandinDatabase): Promise<void> => {
-    await pause(random.between(1_000, 3_500));
-    await members.crash(replica, random.between(50, 500));
+    await pause(startMs + random.between(300, 2_300));
+    await members.crash(replica, random.between(20, 200));
   };
   await Promise.all([
     world.isolate(isolated, durationMs),
@@ -234,7 +236,11 @@
         : members.cutFronts(primary, others, CutKind.silent, outageMs),
     ),
     ...members.replicas.map(restart),
+    pause(startMs + random.between(300, 1_500)).then(() =>
+      members.mayGrow ? members.join(random.pick(ZONES), 0, 500) : undefined,
+    ),
   ]);
+  await members.shrink();
 }
 
 async function runCutPair(scene: Scene): Promise<void> {
--- a/soak/soak_run.ts
+++ b/soak/soak_run.ts
@@ -215,7 +215,7 @@
 }
 
 function startCallers(
-  {seed, callersPerFront}: SoakOptions,
+  {seed, callersPerFront, faults}: SoakOptions,
   world: World,
   judge: StatementJudge,
   recorder: Recorder,
@@ -244,6 +244,7 @@
           customer: CUSTOMERS[number % CUSTOMERS.length],
           services: SERVICES,
           random,
+          isBusy: faults === FaultSet.primary,
         },
         host,
       );
--- a/soak/world.ts
+++ b/soak/world.ts
@@ -199,7 +199,10 @@
     const results = await Promise.all(
       this.groups.map(async group => {
         while (performance.now() < endMs) {
-          const isPaused = group.databases.some(database => database.isPaused);
+          // A pause concerns replicas only, and ends with the next promotion.
+          const isPaused = group.databases.some(
+            database => database.isPaused && !database.isPrimary,
+          );
           if (!isPaused && (await this.canWrite(group.service))) return [];
           await new Promise(resolve => setTimeout(resolve, READY_POLL_MS));
         }
