--- a/soak/primary_faults.ts
+++ b/soak/primary_faults.ts
@@ -8,6 +8,8 @@
 import {Random} from './random.js';
 import {World} from './world.js';
 
+/** Time from the platform's acceptance of an order to its effect. */
+export const PROMOTION_MS = 1_000;
 const LATE_ORDER_MS = [2_000, 12_000] as const;
 const ORDER_LIMIT_MS = 6_000;
 const ORDER_POLL_MS = 20;
@@ -58,6 +60,14 @@
   holder?.signal('SIGCONT');
 }
 
+/** Whether an order to promote a database may still be carried out. */
+function isOrdered({store}: World, {id}: StandinDatabase): boolean {
+  const sinceMs = performance.now() - LATE_ORDER_MS[1] - PROMOTION_MS;
+  return store.promotions.received.some(
+    order => order.id === id && order.receivedAtMs > sinceMs,
+  );
+}
+
 /** Resolves once a promotion is ordered for the service, or after a while. */
 async function untilOrdered({world, members}: Scene): Promise<void> {
   const {received} = world.store.promotions;
@@ -316,9 +326,11 @@
   crash_replica: withReplica(({members, durationMs}, replica) =>
     members.crash(replica, durationMs),
   ),
-  restart_empty: withReplica(({members, durationMs}, replica) =>
-    members.crash(replica, durationMs, true),
-  ),
+  restart_empty: withReplica(async ({world, members, durationMs}, replica) => {
+    // What was ordered to lead and has lost its log can't be stopped any more.
+    if (!isOrdered(world, replica))
+      await members.crash(replica, durationMs, true);
+  }),
   cut_replication: withPrimary(async ({members, durationMs}, primary) => {
     const [, ...some] = members.replicas;
     const heal = members.cutReplication(primary, some);
--- a/soak/soak_run.ts
+++ b/soak/soak_run.ts
@@ -7,6 +7,7 @@
 import {drawSchedule, FaultSet} from './fault_schedule.js';
 import {applyFaults} from './faults.js';
 import {Members} from './members.js';
+import {PROMOTION_MS} from './primary_faults.js';
 import {PromotionJudge} from './promotion_judge.js';
 import {Random} from './random.js';
 import {ReplicationDelays} from './replication_delays.js';
@@ -51,8 +52,6 @@
 const RECOVERY_LIMIT_MS = 12_000;
 const PROGRESS_INTERVAL_MS = 1_000;
 const CALLER_SEED_FACTOR = 10_000;
-/** Time from the platform's acceptance of an order to its effect. */
-const PROMOTION_MS = 1_000;
 
 const pause = (ms: number): Promise<void> =>
   new Promise(resolve => setTimeout(resolve, ms));
