--- a/test/soak.test.ts
+++ b/test/soak.test.ts
@@ -231,6 +231,9 @@
   t.deepEqual(drawSchedule(7, 60_000, targets), schedule);
   t.notDeepEqual(drawSchedule(8, 60_000, targets), schedule);
   t.true(schedule.length > 40);
+  const primary = drawSchedule(7, 60_000, targets, undefined, 'primary');
+  t.deepEqual(drawSchedule(7, 60_000, targets, undefined, 'primary'), primary);
+  t.true(primary.some(({choice}) => choice !== undefined));
   const kinds = drawSchedule(7, 60_000, targets, ['kill']).map(f => f.kind);
   t.deepEqual([...new Set(kinds)], ['kill']);
 });
@@ -238,7 +241,10 @@
 /** Runs a seed for `minutes` and expects that it breaks no rule. */
 async function expectPassed(
   t: ExecutionContext,
-  options: Pick<SoakOptions, 'seed' | 'minutes' | 'callersPerFront' | 'kinds'>,
+  options: Pick<
+    SoakOptions,
+    'seed' | 'minutes' | 'callersPerFront' | 'kinds' | 'faults'
+  >,
 ): Promise<void> {
   const folder = mkdtempSync(join(tmpdir(), 'mustardpass-soak-'));
   const result = await runSoak({
@@ -286,3 +292,15 @@
     ],
   }),
 );
+
+// Guards against a promotion without acknowledged commits that one replica alone
+// had, which left, lapsed or was out of sight while the primary was lost.
+test.serial('no promotion loses commits that one replica alone had', t =>
+  expectPassed(t, {
+    seed: 503,
+    minutes: 0.4,
+    callersPerFront: 6,
+    faults: 'primary',
+    kinds: ['sole_holder', 'cut_pair'],
+  }),
+);
