--- a/soak/primary_faults.ts
+++ b/soak/primary_faults.ts
@@ -3,6 +3,7 @@
 import {PromotionMode} from '../test/platform/standin_promotions.js';
 import {ZONES} from '../test/platform/fleet_fixture.js';
 import type {Effect} from './faults.js';
+import {FrontProcess} from './front_process.js';
 import {CutKind, Members} from './members.js';
 import {PrimaryFaultKind} from './primary_fault_kinds.js';
 import {Random} from './random.js';
@@ -46,11 +47,14 @@
   promotions.mode = PromotionMode.executed;
 }
 
+async function kill(front: FrontProcess): Promise<void> {
+  await front.end('SIGKILL');
+  front.start();
+}
+
 async function killHolder({world}: Scene): Promise<void> {
   const holder = world.leaseHolder;
-  if (!holder) return;
-  await holder.end('SIGKILL');
-  holder.start();
+  if (holder) await kill(holder);
 }
 
 async function freezeHolder({world, random}: Scene): Promise<void> {
@@ -262,7 +266,10 @@
   const heal = members.cutReplication(primary, others);
   await pause(random.between(300, 2_000));
   const kind = random.pick(Object.values(CutKind));
+  const killed = random.chance(50) ? world.fronts : [];
   await Promise.all([
+    // Fronts that start again don't know what was acknowledged.
+    ...killed.map(kill),
     ...[primary, newest].map(database =>
       members.cutFronts(database, world.fronts, kind, durationMs),
     ),
--- a/soak/world.ts
+++ b/soak/world.ts
@@ -14,6 +14,7 @@
 import {frontEntryKey} from '../src/front/front_list.js';
 import {ZoneEvacuations} from './evacuation_judge.js';
 import {FrontProcess, PEER_PROXY_PORT} from './front_process.js';
+import {Network} from './network.js';
 import type {Members} from './members.js';
 
 export const CUSTOMERS = ['ana', 'bea', 'carla', 'dario'] as const;
@@ -102,6 +103,7 @@
     readonly groups: readonly StandinGroup[],
     readonly fronts: readonly FrontProcess[],
     readonly spares: readonly FrontProcess[],
+    private readonly network: Network,
   ) {
     this.evacuations = ZoneEvacuations.create(store);
   }
@@ -109,11 +111,10 @@
   /** Starts everything; resolves once all fronts but the spares are ready. */
   static async start(options: WorldOptions): Promise<World> {
     const {frontCount, program, folder, onFailure} = options;
-    // Runs on one machine at the same time have different addresses.
-    const network = 1 + (process.pid % 250);
+    const network = await Network.claim();
     const indexes = Array.from({length: frontCount + SPARE_COUNT}, (_, i) => i);
     const platformHosts = indexes.map(
-      index => `127.${network}.${PLATFORM_SUBNET}.${index + 1}`,
+      index => `127.${network.number}.${PLATFORM_SUBNET}.${index + 1}`,
     );
     const groups: StandinGroup[] = [];
     for (const service of SERVICES) {
@@ -128,7 +129,7 @@
     store.put('op/config', configuration());
     store.rewriteOnRead = asReadAt;
     const create = (name: string, index: number): Promise<FrontProcess> => {
-      const host = `127.${network}.${FRONT_SUBNET}.${index + 1}`;
+      const host = `127.${network.number}.${FRONT_SUBNET}.${index + 1}`;
       return FrontProcess.create({
         name,
         zone: ZONES[index % ZONES.length],
@@ -149,7 +150,7 @@
     for (let index = 0; index < SPARE_COUNT; index++) {
       spares.push(await create(`spare-${index + 1}`, frontCount + index));
     }
-    const world = new World(store, groups, fronts, spares);
+    const world = new World(store, groups, fronts, spares, network);
     for (const front of fronts) front.start();
     await world.untilReady();
     return world;
@@ -239,6 +240,7 @@
     await Promise.all(processes.map(front => front.close()));
     for (const group of this.groups) await group.stop();
     await this.store.stop();
+    await this.network.release();
   }
 
   private async untilReady(): Promise<void> {
