--- a/soak/front_process.ts
+++ b/soak/front_process.ts
@@ -22,6 +22,10 @@
   /** Loopback address of its own, as all fronts use the same ports. */
   readonly host: string;
   readonly program: string;
+  /** Addresses at which other fronts find this one. */
+  readonly peerHosts: readonly string[];
+  /** Address at which this front finds the store and the databases. */
+  readonly platformHost: string;
   readonly storePort: number;
   /** Folder of settings files and logs. */
   readonly folder: string;
@@ -31,7 +35,7 @@
 
 /** The settings file; JSON is valid YAML. */
 const settingsOf = (
-  {name, zone, host, storePort}: FrontProcessOptions,
+  {name, zone, host, platformHost, storePort}: FrontProcessOptions,
   isFirstStart: boolean,
 ): object => ({
   node_name: name,
@@ -52,8 +56,8 @@
     require_fence: true,
     evacuate_ms: EVACUATE_MS,
   },
-  platform: {addr: `127.0.0.1:${storePort}`, min_ttl_ms: 500},
-  cloud_api: {addr: `127.0.0.1:${storePort}`},
+  platform: {addr: `${platformHost}:${storePort}`, min_ttl_ms: 500},
+  cloud_api: {addr: `${platformHost}:${storePort}`},
 });
 
 /** A named front, its present process, if any, and the relay to it. */
@@ -72,8 +76,9 @@
   static async create(options: FrontProcessOptions): Promise<FrontProcess> {
     const front = new FrontProcess(options);
     front.proxy = await PeerProxy.start(
-      options.host,
+      options.peerHosts,
       PEER_PROXY_PORT,
+      options.host,
       PEER_PORTS[0],
     );
     return front;
@@ -89,10 +94,33 @@
     this.proxy?.silence();
   }
 
+  /** Cuts off the fronts that find this one at some addresses, silently. */
+  silencePeersAt(hosts: readonly string[]): void {
+    for (const host of hosts) this.proxy?.silenceHost(host);
+  }
+
+  /** Ends `silencePeersAt`. */
+  restorePeersAt(hosts: readonly string[]): void {
+    for (const host of hosts) this.proxy?.restoreHost(host);
+  }
+
+  get peerHosts(): readonly string[] {
+    return this.options.peerHosts;
+  }
+
+  get zone(): string {
+    return this.options.zone;
+  }
+
   get name(): string {
     return this.options.name;
   }
 
+  /** Address at which this front finds the store and the databases. */
+  get platformHost(): string {
+    return this.options.platformHost;
+  }
+
   get host(): string {
     return this.options.host;
   }
--- a/soak/world.ts
+++ b/soak/world.ts
@@ -14,6 +14,8 @@
 import {frontEntryKey} from '../src/front/front_list.js';
 import {ZoneEvacuations} from './evacuation_judge.js';
 import {FrontProcess, PEER_PROXY_PORT} from './front_process.js';
+import {Network} from './network.js';
+import type {Members} from './members.js';
 
 export const CUSTOMERS = ['ana', 'bea', 'carla', 'dario'] as const;
 /** Home regions of customers; in the soak, each zone is a region of its own. */
@@ -27,10 +29,15 @@
 const START_LIMIT_MS = 30_000;
 const READY_POLL_MS = 100;
 
+/** Where databases say that they are, to any front. */
+const DATABASE_HOST = '127.0.0.1';
+
 export interface WorldOptions {
   readonly frontCount: number;
   readonly program: string;
   readonly folder: string;
+  /** Prepares a service before any front starts. */
+  readonly prepare?: (group: StandinGroup) => void;
   readonly onEvent: (event: DatabaseEvent) => void;
   readonly onFailure: (kind: string, details: object) => void;
 }
@@ -62,54 +69,79 @@
   return {version: 1, routes, services, tenants, limits};
 }
 
-/** Returns a front's entry with the port of the relay to it. */
-function withProxyPort(key: string, text: string): string {
+/** Third parts of the addresses of fronts, the platform and relays. */
+const FRONT_SUBNET = 1;
+const PLATFORM_SUBNET = 2;
+const FIRST_RELAY_SUBNET = 100;
+
+/** Address at which the front number `reader` finds another one, from 0. */
+const relayHost = (frontHost: string, reader: number): string =>
+  frontHost.replace(`.${FRONT_SUBNET}.`, `.${FIRST_RELAY_SUBNET + reader}.`);
+
+/**
+ * Returns an entry as a front reads it that finds the platform at `host`: other
+ * fronts at the relay to them, databases at `host`.
+ */
+function asReadAt(key: string, text: string, host: string): string {
+  if (key.startsWith('servers/'))
+    return text.replace(`"addr":"${DATABASE_HOST}:`, `"addr":"${host}:`);
   if (!key.startsWith(frontEntryKey(FLEET_PREFIX, ''))) return text;
-  return JSON.stringify({
-    ...(JSON.parse(text) as object),
-    port: PEER_PROXY_PORT,
-  });
+  const entry = JSON.parse(text) as {host: string};
+  const reader = Number(host.split('.').pop()) - 1;
+  const relay = {host: relayHost(entry.host, reader), port: PEER_PROXY_PORT};
+  return JSON.stringify({...entry, ...relay});
 }
 
 /** A started platform with its fronts. */
 export class World {
   readonly evacuations: ZoneEvacuations;
+  /** Changes of the databases, by service; empty if they stay the same. */
+  members: readonly Members[] = [];
 
   private constructor(
     readonly store: StandinStore,
     readonly groups: readonly StandinGroup[],
     readonly fronts: readonly FrontProcess[],
     readonly spares: readonly FrontProcess[],
+    private readonly network: Network,
   ) {
     this.evacuations = ZoneEvacuations.create(store);
   }
 
   /** Starts everything; resolves once all fronts but the spares are ready. */
   static async start(options: WorldOptions): Promise<World> {
+    const {frontCount, program, folder, onFailure} = options;
+    const network = await Network.claim();
+    const indexes = Array.from({length: frontCount + SPARE_COUNT}, (_, i) => i);
+    const platformHosts = indexes.map(
+      index => `127.${network.number}.${PLATFORM_SUBNET}.${index + 1}`,
+    );
     const groups: StandinGroup[] = [];
     for (const service of SERVICES) {
-      const group = await StandinGroup.start(service, ZONES);
+      const group = await StandinGroup.start(service, ZONES, 0, platformHosts);
       group.slots = DATABASE_SLOTS;
       group.maxConnections = MAX_CONNECTIONS;
       group.onEvent = options.onEvent;
+      options.prepare?.(group);
       groups.push(group);
     }
-    const store = await StandinStore.start(groups);
+    const store = await StandinStore.start(groups, platformHosts);
     store.put('op/config', configuration());
-    store.rewriteOnRead = withProxyPort;
-    const {frontCount, program, folder, onFailure} = options;
-    // Runs on one machine at the same time have different addresses.
-    const network = 1 + (process.pid % 250);
-    const create = (name: string, index: number): Promise<FrontProcess> =>
-      FrontProcess.create({
+    store.rewriteOnRead = asReadAt;
+    const create = (name: string, index: number): Promise<FrontProcess> => {
+      const host = `127.${network.number}.${FRONT_SUBNET}.${index + 1}`;
+      return FrontProcess.create({
         name,
         zone: ZONES[index % ZONES.length],
-        host: `127.${network}.1.${index + 1}`,
+        host,
+        peerHosts: indexes.map(reader => relayHost(host, reader)),
         program,
+        platformHost: platformHosts[index],
         storePort: store.port,
         folder,
         onFailure,
       });
+    };
     const fronts: FrontProcess[] = [];
     for (let index = 0; index < frontCount; index++) {
       fronts.push(await create(`front-${index + 1}`, index));
@@ -118,7 +150,7 @@
     for (let index = 0; index < SPARE_COUNT; index++) {
       spares.push(await create(`spare-${index + 1}`, frontCount + index));
     }
-    const world = new World(store, groups, fronts, spares);
+    const world = new World(store, groups, fronts, spares, network);
     for (const front of fronts) front.start();
     await world.untilReady();
     return world;
@@ -136,6 +168,20 @@
     return !homes || (database !== undefined && homes.includes(database.zone));
   }
 
+  /** Cuts a front off from the store and all other fronts, silently. */
+  async isolate(front: FrontProcess, durationMs: number): Promise<void> {
+    const all = [...this.fronts, ...this.spares];
+    const reader = all.indexOf(front);
+    const others = all.filter(other => other !== front);
+    this.store.silentHosts.add(front.platformHost);
+    front.silencePeersAt(front.peerHosts);
+    for (const other of others) other.silencePeersAt([other.peerHosts[reader]]);
+    await new Promise(resolve => setTimeout(resolve, durationMs));
+    this.store.silentHosts.delete(front.platformHost);
+    front.restorePeersAt(front.peerHosts);
+    for (const other of others) other.restorePeersAt([other.peerHosts[reader]]);
+  }
+
   /** The front that holds the coordinator lease, according to the store. */
   get leaseHolder(): FrontProcess | undefined {
     const item = this.store.get(`${FLEET_PREFIX}duty`);
@@ -154,7 +200,10 @@
     const results = await Promise.all(
       this.groups.map(async group => {
         while (performance.now() < endMs) {
-          const isPaused = group.databases.some(database => database.isPaused);
+          // A pause concerns replicas only, and ends with the next promotion.
+          const isPaused = group.databases.some(
+            database => database.isPaused && !database.isPrimary,
+          );
           if (!isPaused && (await this.canWrite(group.service))) return [];
           await new Promise(resolve => setTimeout(resolve, READY_POLL_MS));
         }
@@ -191,6 +240,7 @@
     await Promise.all(processes.map(front => front.close()));
     for (const group of this.groups) await group.stop();
     await this.store.stop();
+    await this.network.release();
   }
 
   private async untilReady(): Promise<void> {
