--- a/src/core/former_members.ts
+++ b/src/core/former_members.ts
@@ -32,6 +32,11 @@
  * Longer than a change waits for a front that does not answer.
  */
 const COUNTS_MS = 8_000;
+/**
+ * As `COUNTS_MS`, for a database that this front may never have seen: as long as
+ * a change waits for commits that it knows to be missing.
+ */
+const UNSEEN_COUNTS_MS = 15_000;
 /** How long a database that leaves may go on after its entry was removed. */
 const LEAVES_WITHIN_MS = 1_500;
 /** How long a database is asked for its log after its entry disappeared. */
@@ -86,7 +91,7 @@
    */
   unseen(nowMs: number): MissingLog | undefined {
     const goneSinceMs = this.listedAtMs;
-    const countsUntilMs = goneSinceMs + COUNTS_MS;
+    const countsUntilMs = goneSinceMs + UNSEEN_COUNTS_MS;
     return nowMs < countsUntilMs ? {countsUntilMs, goneSinceMs} : undefined;
   }
 
