A new holder knows the primaries that it saw before it held the lease

Services with a primary were only recorded while the lease was held, so this one was waited for like a service that never had one, 6 s; the leaving replica with the commits ended 3 s before that.

A front without the lease records once a second which services have a primary. The new test fails before (6 s) and passes (1 s).

--- a/src/front/takeover_runner.ts
+++ b/src/front/takeover_runner.ts
@@ -75,6 +75,8 @@
  * yet.
  */
 const INITIAL_LEADERLESS_LIMIT_MS = 6_000;
+/** How often a front without the lease records which services have a primary. */
+const LEADERS_INTERVAL_MS = 1_000;
 /** Pause after a takeover, in which the directory catches up. */
 const TAKEOVER_PAUSE_MS = 1_500;
 /**
@@ -107,6 +109,7 @@
   private readonly pausedUntilMs = new Map<string, number>();
   private readonly leaderlessSinceMs = new Map<string, number>();
   private readonly servicesWithLeader = new Set<string>();
+  private leadersRecordedAtMs = -Infinity;
   private readonly orders = UnconfirmedOrders.create();
   private readonly resumer: ReplicaResumer;
   private readonly supervisor: ResumeSupervisor;
@@ -225,12 +228,13 @@
   }
 
   private check(): void {
+    const nowMs = performance.now();
     if (this.options.coordinatorLease.tenure === undefined) {
       this.tenure = undefined;
+      this.recordLeaders(nowMs);
       return this.leaderlessSinceMs.clear();
     }
     this.followTenure();
-    const nowMs = performance.now();
     this.supervisor.run(nowMs);
     for (const service of this.options.serviceNames()) {
       const leader = this.options.leaderOf(service);
@@ -253,6 +257,19 @@
     }
   }
 
+  /**
+   * Records which services have a primary while another front holds the lease: if
+   * it vanishes as this front takes over, its change must not wait as long as for
+   * one that was never seen.
+   */
+  private recordLeaders(nowMs: number): void {
+    if (nowMs - this.leadersRecordedAtMs < LEADERS_INTERVAL_MS) return;
+    this.leadersRecordedAtMs = nowMs;
+    for (const service of this.options.serviceNames()) {
+      if (this.options.leaderOf(service)) this.servicesWithLeader.add(service);
+    }
+  }
+
   /**
    * In a new tenure, treats the unsettled orders of earlier lease holders as
    * unconfirmed, since the platform may still execute them, and has all replicas
--- a/test/platform/takeover.test.ts
+++ b/test/platform/takeover.test.ts
@@ -15,9 +15,15 @@
   TakeoverOptions,
   TakeoverRunner,
 } from '../../src/front/takeover_runner.js';
+import {pause} from '../../src/front/timeout.js';
 import {openSession, startFleet, until, ZONES} from './fleet_fixture.js';
 import {StandinDatabase, StandinGroup} from './standin_database.js';
 
+/** Longer than a front without the lease takes to see a primary. */
+const SEEN_MS = 400;
+/** Less than a primary that was never seen is waited for. */
+const LEADERLESS_LIMIT_MS = 3_000;
+
 // Guards against the loss of acknowledged commits: a pause at a term that is
 // not above the present one has no effect, so replicas go on acknowledging
 // commits of a primary that is only lost to the fronts.
@@ -185,6 +191,24 @@
   t.deepEqual(orders, []);
 });
 
+// Guards against a leaving replica that alone has the newest commits and is gone
+// when the change begins, as the new holder takes the primary for one never seen.
+test('a new holder replaces a primary that it has seen and that vanishes just then', async t => {
+  const group = await StandinGroup.start('orders', ZONES);
+  let isListed = true;
+  const {lease, entries, events} = createRunner(t, group, {
+    leaderOf: () => (isListed ? entries[0] : undefined),
+  });
+  const holder = lease as {tenure: number | undefined};
+  holder.tenure = undefined;
+  await pause(SEEN_MS);
+  isListed = false;
+  holder.tenure = 2;
+  const startedMs = performance.now();
+  await until(() => events.includes('takeover_begun'), 15_000);
+  t.true(performance.now() - startedMs < LEADERLESS_LIMIT_MS);
+});
+
 // Guards against the loss of a primary's last commits: it crashed and is back
 // under another id, so that its log was not asked for.
 test('a primary that is listed again under another id while logs are read stays', async t => {
