--- a/src/front/primary_change_runner.ts
+++ b/src/front/primary_change_runner.ts
@@ -112,7 +112,8 @@
       };
       ({change, effect} = stepChange(change, event, facts));
       this.logPhase(attempt, change, event);
-      if (change.isDone) this.logWait.end(service);
+      const hasRecovered = event.type === 'formerChecked' && event.hasRecovered;
+      if (change.isDone || hasRecovered) this.logWait.end(service);
       if (event.type === 'leaseLost')
         resumer.logWithheld(service, 'lease lost');
     }
@@ -240,9 +241,17 @@
     const read = await this.logReader.read(service, leader);
     const {term, logs, leading} = read;
     const interim = this.interimLeader(service, leading);
-    if (leading.length > 0 && !interim) {
+    // The former primary may be back, under another id too, since the logs were
+    // asked for.
+    const current = this.options.leaderOf(service);
+    const isLed = current !== undefined && current.id !== leader?.id;
+    if ((leading.length > 0 && !interim) || isLed) {
       const names = leading.map(({entry}) => entry.id);
-      log('takeover_superseded', {service, leading: names});
+      log('takeover_superseded', {
+        service,
+        leading: names,
+        listed: current?.id,
+      });
       await Promise.all(leading.map(({entry}) => this.stepDown(entry, term)));
       const choice = {
         kind: 'need_logs',
@@ -250,9 +259,11 @@
       } as const;
       return {choice, isPrimaryEndKnown: false};
     }
+    const end = interim?.report.position;
+    const isEnd = end && mayBePrimaryEnd(end, read.group, logs);
     let group: TakeoverGroup = {
       ...read.group,
-      primaryEnd: interim?.report.position,
+      primaryEnd: isEnd ? end : undefined,
     };
     let isPrimaryGone = !leader && !interim;
     let choice = this.choose(attempt, group, logs, isPrimaryGone);
