--- a/src/front/leadership.ts
+++ b/src/front/leadership.ts
@@ -5,11 +5,7 @@
  * announced by the holder of the coordinator lease. The holder also uses it to
  * make sure that no front acts by an older record any more.
  */
-import {
-  combineReports,
-  FleetCommits,
-  ReceivedCommitReport,
-} from '../core/commit_positions.js';
+import {ReceivedCommitReport} from '../core/commit_positions.js';
 import {KnownDatabase} from '../core/directory.js';
 import {Fronts} from '../core/fronts.js';
 import {
@@ -30,6 +26,7 @@
 import {Position} from '../core/position.js';
 import {eraOf} from '../core/store_revision.js';
 import {StoredItem} from '../store/key_values.js';
+import {CommitReports, ReportedCommits} from './commit_reports.js';
 import {runControlStatement} from './control_link.js';
 import {CoordinatorLease} from './coordinator_lease.js';
 import {JsonLog} from './json_log.js';
@@ -114,12 +111,6 @@
   readonly term: number;
 }
 
-/** Records by which commits of a service have been stopped without a break. */
-interface Stop {
-  readonly firstRevision: number;
-  readonly newestRevision: number;
-}
-
 /** What `awaitObedience` waits for. */
 interface ObedienceWait {
   /** Fronts that must acknowledge the record. */
@@ -157,18 +148,7 @@
   private readonly stoppedAtMs = new Map<string, number>();
   /** Revision of the record that every front obeys, by service. */
   private readonly obeyed = new Map<string, number>();
-  /** The newest stop of commits, as far as it is known to be one, by service. */
-  private readonly stops = new Map<string, Stop>();
-  /** What each front reported in the newest stop, by service and VM. */
-  private readonly reports = new Map<
-    string,
-    Map<string, ReceivedCommitReport>
-  >();
-  /** The fronts that were to report, by service. */
-  private readonly reporters = new Map<string, readonly string[]>();
-  private lastFronts: Fronts = new Map();
-  /** When a front was last found to be registered no more. */
-  private frontLostAtMs = -Infinity;
+  private readonly reports: CommitReports;
   /** This front's last write of each record, and when it was answered. */
   private readonly writes = new Map<string, {revision: number; atMs: number}>();
 
@@ -176,6 +156,7 @@
 
   private constructor(private readonly options: LeadershipOptions) {
     this.nowMs = options.nowMs ?? (() => performance.now());
+    this.reports = CommitReports.create({...options, nowMs: this.nowMs});
   }
 
   static create(options: LeadershipOptions): Leadership {
@@ -278,22 +259,9 @@
     await this.stopping.get(service);
   }
 
-  /**
-   * What the fronts know of a service's commits since these were stopped. The
-   * fronts that have not reported may know of later commits.
-   */
-  commitsOf(service: string): FleetCommits & {readonly unreported: number} {
-    const reports = this.reports.get(service) ?? new Map();
-    const vms = this.reporters.get(service);
-    const unreported = vms?.filter(vm => !reports.has(vm)).length ?? 0;
-    const isComplete = vms !== undefined && unreported === 0;
-    const listedAtMs = this.options.listedAtMs?.() ?? -Infinity;
-    const goneBeforeMs = Math.max(this.frontLostAtMs, listedAtMs);
-    const unreportedBeforeMs = isComplete ? goneBeforeMs : Infinity;
-    return {
-      ...combineReports([...reports.values()], unreportedBeforeMs),
-      unreported,
-    };
+  /** As `CommitReports.of`. */
+  commitsOf(service: string): ReportedCommits {
+    return this.reports.of(service);
   }
 
   /** What is known of a service's acknowledged commits, as it is logged. */
@@ -304,18 +272,9 @@
     return {atLeast: text(atLeast), atMost: text(atMost), unreported};
   }
 
-  /** Must be called when the set of registered fronts may have changed. */
-  recordFronts(): void {
-    const fronts = this.options.fronts();
-    if (fronts === this.lastFronts) return;
-    const isLost = [...this.lastFronts.keys()].some(vm => !fronts.has(vm));
-    if (isLost) this.frontLostAtMs = this.nowMs();
-    this.lastFronts = fronts;
-  }
-
   /** Applies the records that are new in the view of the store. */
   applyStoredRecords(): void {
-    this.recordFronts();
+    this.reports.recordFronts();
     for (const record of this.decodeChanged()) this.obey(record);
   }
 
@@ -351,7 +310,7 @@
     if (revision === undefined) return undefined;
     this.writes.set(record.service, {revision, atMs: this.nowMs()});
     if (hasStoppedCommits(record))
-      this.recordStop(record.service, revision, known);
+      this.reports.recordStop(record.service, revision, known);
     const written = {...record, revision};
     const former = this.latestRecord(record.service);
     const isObeyed = this.obeyed.get(record.service) === former?.revision;
@@ -377,7 +336,8 @@
     const known = this.latestRecord(service);
     const isStopped = known !== undefined && hasStoppedCommits(known);
     if (isStopped && this.obeyed.get(service) === known.revision) return true;
-    if (isStopped) this.recordStop(service, known.revision, known.revision);
+    if (isStopped)
+      this.reports.recordStop(service, known.revision, known.revision);
     const record = isStopped
       ? known
       : await this.writeRecord(stoppedRecord(known, service, leader ?? ''));
@@ -391,7 +351,7 @@
       this.announce(record, [...this.options.fronts().keys()], told),
     ]);
     if (!vms) return false;
-    this.reporters.set(service, vms);
+    this.reports.expectFrom(service, vms);
     const isOnlyAtFormer =
       known === undefined || known.database === stepDown?.former.id;
     const done = await this.awaitObedience(record, {
@@ -614,7 +574,8 @@
     try {
       const report = await this.options.announce(vm, record);
       told.add(vm);
-      if (report) this.recordReport(record, vm, report);
+      const newest = this.latestRecord(record.service);
+      if (report) this.reports.record(vm, report, record, newest);
     } catch (error) {
       // A refusal does not show that the process has ended: a network that
       // cuts a front off may refuse connections to it as well.
@@ -623,40 +584,6 @@
     }
   }
 
-  /**
-   * Records that commits are stopped by a record that was written over the one
-   * at `replacedRevision`. Drops the reports of an earlier stop.
-   */
-  private recordStop(
-    service: string,
-    revision: number,
-    replacedRevision: number,
-  ): void {
-    const stop = this.stops.get(service);
-    const goesOn = stop?.newestRevision === replacedRevision;
-    if (!goesOn) this.reports.delete(service);
-    const firstRevision = goesOn ? stop.firstRevision : revision;
-    this.stops.set(service, {firstRevision, newestRevision: revision});
-  }
-
-  /** Keeps a report that was made while commits were stopped. */
-  private recordReport(
-    record: StoredLeaderRecord,
-    vm: string,
-    report: ReceivedCommitReport,
-  ): void {
-    const {service, revision} = record;
-    const newest = this.latestRecord(service);
-    const isStopped = newest !== undefined && hasStoppedCommits(newest);
-    if (!isStopped || !hasStoppedCommits(record) || revision > newest.revision)
-      return;
-    const {firstRevision = Infinity} = this.stops.get(service) ?? {};
-    if (revision < firstRevision) return;
-    const reports = this.reports.get(service) ?? new Map();
-    reports.set(vm, report);
-    this.reports.set(service, reports);
-  }
-
   /** Decodes the records that changed since the last call and returns them. */
   private decodeChanged(): readonly StoredLeaderRecord[] {
     const {prefix, storedItems, log} = this.options;
--- a/test/platform/unseen.test.ts
+++ b/test/platform/unseen.test.ts
@@ -95,6 +95,15 @@
   await until(() => callers.succeeded.size >= enough);
 }
 
+/** Has each front refuse the connections of the others. */
+async function cutFronts(store: StandinStore): Promise<void> {
+  const refusingPort = await freePort();
+  store.rewriteOnRead = (key, text) =>
+    key.startsWith(FRONTS_PREFIX)
+      ? JSON.stringify({...JSON.parse(text), port: refusingPort})
+      : text;
+}
+
 async function join({group, store}: Platform): Promise<StandinDatabase> {
   const joined = await group.join('norte');
   store.registerDatabases();
@@ -199,12 +208,7 @@
   async t => {
     const platform = await startPlatform(t);
     const {group, store} = platform;
-    const refusingPort = await freePort();
-    // Neither front reaches the other one.
-    store.rewriteOnRead = (key, text) =>
-      key.startsWith(FRONTS_PREFIX)
-        ? JSON.stringify({...JSON.parse(text), port: refusingPort})
-        : text;
+    await cutFronts(store);
     const fleet = await startFronts(t, platform, ['front-1', 'front-2']);
     const {fronts, links, callers} = fleet;
     await until(() => callers.succeeded.size >= MIN_WRITES);
@@ -228,11 +232,7 @@
   async t => {
     const platform = await startPlatform(t);
     const {group, store} = platform;
-    const refusingPort = await freePort();
-    store.rewriteOnRead = (key, text) =>
-      key.startsWith(FRONTS_PREFIX)
-        ? JSON.stringify({...JSON.parse(text), port: refusingPort})
-        : text;
+    await cutFronts(store);
     const fleet = await startFronts(t, platform, ['front-1', 'front-2']);
     const [primary, newest, other] = group.databases;
     await until(() => fleet.callers.succeeded.size >= MIN_WRITES);
@@ -251,12 +251,7 @@
   async t => {
     const platform = await startPlatform(t);
     const {group, store} = platform;
-    const refusingPort = await freePort();
-    // Neither front hears of changes from the other one.
-    store.rewriteOnRead = (key, text) =>
-      key.startsWith(FRONTS_PREFIX)
-        ? JSON.stringify({...JSON.parse(text), port: refusingPort})
-        : text;
+    await cutFronts(store);
     const fleet = await startFronts(t, platform, ['front-1', 'front-2']);
     const {fronts, links, callers} = fleet;
     const [primary, ...others] = group.databases;
