--- a/src/front/primary_change_runner.ts
+++ b/src/front/primary_change_runner.ts
@@ -112,8 +112,7 @@
       };
       ({change, effect} = stepChange(change, event, facts));
       this.logPhase(attempt, change, event);
-      const hasRecovered = event.type === 'formerChecked' && event.hasRecovered;
-      if (change.isDone || hasRecovered) this.logWait.end(service);
+      if (change.isDone) this.logWait.end(service);
       if (event.type === 'leaseLost')
         resumer.logWithheld(service, 'lease lost');
     }
