--- a/src/front/stopped_log_reader.ts
+++ b/src/front/stopped_log_reader.ts
@@ -6,6 +6,8 @@
   MissingLog,
 } from '../core/former_members.js';
 import {FrontService} from '../core/front_config.js';
+import {Position} from '../core/position.js';
+import {PositionSamples} from '../core/position_samples.js';
 import {hasStopped, StoppedLog, TakeoverGroup} from '../core/takeover.js';
 import {runControlStatement} from './control_link.js';
 import {JsonLog} from './json_log.js';
@@ -45,6 +47,20 @@
   readonly leading: readonly ReplicaReport[];
 }
 
+/** What the number of databases is counted from. */
+interface Members {
+  readonly leader: KnownDatabase | undefined;
+  readonly listed: readonly KnownDatabase[];
+  /** Databases that are not listed and were asked for their logs. */
+  readonly unlisted: readonly KnownDatabase[];
+  readonly former: readonly FormerMember[];
+  /** Starts of databases that answered. */
+  readonly answered: ReadonlySet<string>;
+  readonly logEnds: readonly Position[];
+  /** Positions that the primary had reached. */
+  readonly samples: PositionSamples;
+}
+
 export class StoppedLogReader {
   private constructor(private readonly options: StoppedLogReaderOptions) {}
 
@@ -94,24 +110,51 @@
         allowedRoutes: this.options.allowedRoutes(entry),
       }));
     const commits = leadership.commitsOf(service);
-    const answered = new Set(reports.map(({entry}) => startKey(entry)));
-    const ends = logs.map(({position}) => position);
+    const {atLeast, atMost} = commits;
+    const size = this.countDatabases(service, {
+      leader,
+      listed,
+      unlisted,
+      former,
+      answered: new Set(reports.map(({entry}) => startKey(entry))),
+      logEnds: logs.map(({position}) => position),
+      samples: commits.samples,
+    });
+    const syncReplicas = this.options.serviceOf(service)?.syncReplicas ?? 0;
+    return {
+      term,
+      logs,
+      group: {size, syncReplicas, acknowledged: {atLeast, atMost}},
+      listedGroup: {size: listed.length + 1, syncReplicas},
+      leading: reports.filter(({report}) => report.isLeader),
+    };
+  }
+
+  /**
+   * Counts the databases that may hold commits, the primary included: the listed
+   * ones, and those that are gone unless a log has all that they may have held.
+   */
+  private countDatabases(
+    service: string,
+    {leader, listed, unlisted, former, answered, logEnds, samples}: Members,
+  ): number {
+    const {log, unseenMember} = this.options;
     const nowMs = performance.now();
-    const isListed = (entry: KnownDatabase): boolean =>
-      listed.some(other => startKey(other) === startKey(entry));
+    const listedKeys = new Set(listed.map(startKey));
+    const isMissing = (member: FormerMember): boolean =>
+      nowMs < member.countsUntilMs && !isAccountedFor(member, logEnds, samples);
     const counted = former
       .filter(
-        member =>
-          member.entry.id !== leader?.id &&
-          !isListed(member.entry) &&
-          (answered.has(startKey(member.entry)) ||
-            (nowMs < member.countsUntilMs &&
-              !isAccountedFor(member, ends, commits.samples))),
+        ({entry}) =>
+          entry.id !== leader?.id && !listedKeys.has(startKey(entry)),
+      )
+      .filter(
+        member => answered.has(startKey(member.entry)) || isMissing(member),
       )
       .map(({entry}) => entry);
-    const unseen = this.options.unseenMember();
+    const unseen = unseenMember();
     const isUnseenCounted =
-      unseen !== undefined && !isAccountedFor(unseen, ends, commits.samples);
+      unseen !== undefined && !isAccountedFor(unseen, logEnds, samples);
     const isPrimaryCounted = !leader && counted.some(entry => entry.isLeader);
     const size =
       listed.length +
@@ -127,15 +170,7 @@
         unseen: isUnseenCounted,
       });
     }
-    const syncReplicas = this.options.serviceOf(service)?.syncReplicas ?? 0;
-    const {atLeast, atMost} = commits;
-    return {
-      term,
-      logs,
-      group: {size, syncReplicas, acknowledged: {atLeast, atMost}},
-      listedGroup: {size: listed.length + 1, syncReplicas},
-      leading: reports.filter(({report}) => report.isLeader),
-    };
+    return size;
   }
 
   /**
