review: case 12, a moved key acts for its former tenant in a transaction

Cause: the checks before each statement of a transaction ask whether any customer holds the key, not whether it is the transaction's customer.

--- a/review/lib-3/world.mjs
+++ b/review/lib-3/world.mjs
@@ -23,11 +23,11 @@
 const METRICS_PORT = 9464;
 
 export const ZONES = {
-  'quito-norte': 'sierra',
-  'guayaquil-puerto': 'costa',
-  'cuenca-parque': 'austro',
+  'cv-uno': 'central-valley',
+  'pac-uno': 'pacifico',
+  'car-uno': 'caribe',
 };
-export const SERVICE = 'order-books';
+export const SERVICE = 'rota-db';
 export const BOUNDS = {
   seed_lag_s: 3,
   addr_reuse_s: 2,
@@ -37,7 +37,7 @@
   drain_ms: 7000,
   grace_s: 6,
   loss_slack_ms: 200,
-  config_apply_ms: 4000,
+  config_apply_ms: 3000,
   revert_slack_ms: 250,
   skew_max_ms: 15000,
   strict_revoke: true,
@@ -123,7 +123,7 @@
         port_range: PORTS.peers,
         seeds: [],
         bootstrap: isFirstStart,
-        limits: {cpu_share: 0.675, cores: 1, memory_mb: 350, max_fds: 4200},
+        limits: {cpu_share: 0.675, cores: 1, memory_mb: 350, max_fds: 4300},
         data_dir: null,
         discovery: 'platform',
         entry: 'vip',
@@ -257,7 +257,7 @@
   service: SERVICE,
   kind,
   timeout_ms: 1000,
-  slo_ms: 600,
+  slo_ms: 500,
   priority: 1,
   max_staleness_ms: kind === 'read_your_writes' ? 2500 : 1500,
   public: false,
@@ -274,7 +274,7 @@
 export const configuration = (version, tenants, overrides = {}) => ({
   version,
   routes: ['primary', 'bounded', 'read_your_writes'].map(kind => route(kind)),
-  services: [{name: SERVICE, max_conns: 16, sync_replicas: 1}],
+  services: [{name: SERVICE, max_conns: 36, sync_replicas: 1}],
   limits: {tx_idle_ms: 3000},
   tenants,
   ...overrides,
@@ -289,6 +289,12 @@
     world.record = record;
     world.folder = mkdtempSync(join(tmpdir(), 'mustardpass-review-'));
     world.group = await StandinGroup.start(SERVICE, Object.keys(ZONES));
+    Object.assign(world.group, {
+      slots: 3,
+      maxConnections: 36,
+      lagMs: 20,
+      promotionMs: 1000,
+    });
     world.store = await StandinStore.start([world.group]);
     world.store.put('op/config', config);
     world.beat = setInterval(() => world.beats(), BEAT_MS);
