--- a/review/lib-3/world.mjs
+++ b/review/lib-3/world.mjs
@@ -50,6 +50,8 @@
   thaw_ms: 300,
 };
 const BEAT_MS = 1200;
+/** The platform starts a process again that has ended. */
+const RESTART_MS = 500;
 
 export const pause = ms => new Promise(resolve => setTimeout(resolve, ms));
 
@@ -156,7 +158,10 @@
     this.ended = new Promise(resolve =>
       child.once('exit', (code, signal) => {
         this.exits.push({atMs: performance.now(), code, signal});
+        world.record(`${name} ended: ${signal ?? `code ${code}`}`);
         resolve();
+        if (world.restarts && !world.isStopping)
+          setTimeout(() => world.isStopping || this.start(false), RESTART_MS);
       }),
     );
   }
@@ -256,7 +261,7 @@
   host: kind.replaceAll('_', ''),
   service: SERVICE,
   kind,
-  timeout_ms: 1000,
+  timeout_ms: kind === 'bounded' ? 2000 : 1000,
   slo_ms: 500,
   priority: 1,
   max_staleness_ms: kind === 'read_your_writes' ? 2500 : 1500,
@@ -282,11 +287,11 @@
 
 /** Store, databases and fronts; `record` writes to the case's record. */
 export class World {
-  static async start({config, fronts = 3, record}) {
+  static async start({config, fronts = 3, restarts = false, record}) {
     const {StandinGroup} = await import(join(BUILT, 'standin_database.js'));
     const {StandinStore} = await import(join(BUILT, 'standin_store.js'));
     const world = new World();
-    world.record = record;
+    Object.assign(world, {record, restarts});
     world.folder = mkdtempSync(join(tmpdir(), 'mustardpass-review-'));
     world.group = await StandinGroup.start(SERVICE, Object.keys(ZONES));
     Object.assign(world.group, {
@@ -338,6 +343,7 @@
   }
 
   async stop() {
+    this.isStopping = true;
     clearInterval(this.beat);
     for (const front of this.fronts ?? []) {
       front.signal('SIGCONT');
