End what a session began for a customer when its key passes on

Cause: before each statement the front checked that some customer held the key, not that it was the customer for which the transaction had been begun; the new customer's name went along with the former one's connection, and the front that holds the connection compared the transaction, not the customer. The same check was missing where a statement waits: for a token, a primary, a link to another front or a connection, and when it is sent again.

Change: a transaction keeps the customer of its BEGIN. core/session_rights.ts decides, before each statement, after the wait for a token and at each new configuration, whether the key still stands for it. If not, the transaction is rolled back at the database at once, unsent work is canceled where it waits (also while a connection or link is being opened), and the caller gets ABORTED: nothing was kept, and the retry runs as the present holder. A transaction that was ended between two statements (also for its idle time) tells so with the first answer after it; that was MALFORMED. On public routes the customer's own transactions need a fresh configuration too.

--- a/src/core/errors.ts
+++ b/src/core/errors.ts
@@ -60,6 +60,8 @@
   primary_unavailable: defineAnswer('57P03', Outcome.notRun, RETRYABLE),
   backend_unreachable: defineAnswer('08001', Outcome.notRun, RETRYABLE),
   transaction_lost: defineAnswer('40000', Outcome.notRun),
+  /** The key has passed to another customer since the request was begun. */
+  customer_changed: defineAnswer('40000', Outcome.notRun),
   canceled: defineAnswer('57014', Outcome.notRun),
   outcome_unknown: defineAnswer('08007', Outcome.unknown),
   /** The local configuration is too old to accept a key. */
--- a/src/core/lanes.ts
+++ b/src/core/lanes.ts
@@ -35,6 +35,8 @@
   notOpen: 'not_open',
   /** The lane was opened for another transaction. */
   otherTransaction: 'other_transaction',
+  /** The lane's connection was opened for another customer. */
+  otherCustomer: 'other_customer',
 } as const;
 export type LaneRefusal = (typeof LaneRefusal)[keyof typeof LaneRefusal];
 
--- a/src/front/caller_session.ts
+++ b/src/front/caller_session.ts
@@ -15,6 +15,11 @@
 import {Homes, homesOf} from '../core/homes.js';
 import {laterPosition} from '../core/position_samples.js';
 import {Position} from '../core/position.js';
+import {
+  customerOfKey,
+  refusalOf,
+  withdrawalOf,
+} from '../core/session_rights.js';
 import {
   deallocate,
   EMPTY_SESSION,
@@ -75,6 +80,8 @@
   /** Identifies the transaction in logs of all fronts. */
   readonly id: string;
   readonly readOnly: boolean;
+  /** Holder of the session's key at its BEGIN; all of it runs as this one. */
+  readonly customer: string;
   readonly route: RouteConfig;
   /** Homes at its BEGIN; later configurations do not change them. */
   readonly homes: Homes;
@@ -120,6 +127,8 @@
   private transaction: Transaction | undefined;
   /** Whether a transaction has failed and awaits its ROLLBACK or COMMIT. */
   private hasFailed = false;
+  /** Whether it failed between two statements, so that no answer told of it. */
+  private isLossUntold = false;
   /** Position of the newest reply, which each READY reports to the caller. */
   private position: Position | undefined;
   private lastCommit: Position | undefined;
@@ -134,6 +143,8 @@
   private isAwaitingReading = false;
   private hasLeft = false;
   private runningWork: Work | undefined;
+  /** Whether the key of the running statement has been withdrawn meanwhile. */
+  private isRunningWithdrawn: () => boolean = () => false;
   private idleTimer: NodeJS.Timeout | undefined;
   /** Encoded answers that are not yet written to the socket. */
   private output = '';
@@ -184,6 +195,23 @@
     if (!this.transaction || isRunning) return;
     this.rollBack(reason);
     this.hasFailed = true;
+    this.isLossUntold = true;
+  }
+
+  /**
+   * Ends what was begun for a customer that no longer holds the session's key:
+   * the open transaction and a statement that no database has been sent. Must be
+   * called when the configuration changes.
+   */
+  reauthorize(): void {
+    if (this.runningWork && this.isRunningWithdrawn())
+      this.host.cancel(this.runningWork);
+    const {transaction} = this;
+    if (
+      transaction &&
+      this.isWithdrawn(transaction.route, transaction.customer)
+    )
+      this.abortTransaction('key withdrawn');
   }
 
   private receiveData(chunk: Buffer): void {
@@ -243,6 +271,8 @@
     this.queuedBytes = 0;
     if (this.hasLeft) return this.rollBack('caller disconnected');
     if (this.socket.isPaused()) this.socket.resume();
+    // The key may have been withdrawn while a statement of the transaction ran.
+    this.reauthorize();
     if (this.host.isStopping()) this.closeIfIdle();
     else if (this.transaction) this.startIdleTimer();
   }
@@ -317,7 +347,7 @@
       statement.kind !== 'rollback' &&
       statement.kind !== 'commit'
     ) {
-      return this.sendError('transaction_failed', 'transaction has failed');
+      return this.refuseInFailed(query);
     }
     switch (statement.kind) {
       case 'set':
@@ -333,7 +363,7 @@
         return this.beginTransaction(statement.readOnly, arrivedAtMs);
       case 'rollback':
         this.rollBack('rolled back by the caller');
-        this.hasFailed = false;
+        this.hasFailed = this.isLossUntold = false;
         return this.sendDone();
       case 'commit':
         return this.commit(query, arrivedAtMs);
@@ -375,6 +405,7 @@
     this.transaction = {
       id: this.host.newId(),
       readOnly,
+      customer: customerOfKey(config, this.key),
       route,
       homes: this.homesOn(config, route),
       startedAtMs: arrivedAtMs,
@@ -388,7 +419,7 @@
 
   private async commit(query: Query, arrivedAtMs: number): Promise<void> {
     if (this.hasFailed) {
-      this.hasFailed = false;
+      this.hasFailed = this.isLossUntold = false;
       this.rollBack('has failed before');
       return this.sendError('transaction_lost', 'rolled back');
     }
@@ -404,24 +435,13 @@
     prepared: PreparedStatement | undefined,
     arrivedAtMs: number,
   ): Promise<void> {
-    const config = this.host.config();
-    const route = this.transaction?.route ?? config?.routes.get(this.database);
-    const rejection = this.rejectionReason(config, route);
-    if (rejection || !route || !config) {
-      this.host.log('request_refused', {
-        request: query.id,
-        transaction: this.transaction?.id,
-        database: this.database,
-        error: rejection,
-        version: config?.version,
-        fresh: this.host.isConfigFresh(),
-      });
-      const error = rejection ?? 'not_ready';
-      const retryDelay = this.retryDelayText(RETRY_AFTER_MS);
-      return this.sendError(error, refusalText(error, retryDelay));
-    }
-    const customer = this.customerOf(config);
     const {transaction} = this;
+    const config = this.host.config();
+    const route = transaction?.route ?? config?.routes.get(this.database);
+    const refusal = this.refusalOf(route, transaction?.customer);
+    if (refusal || !route || !config)
+      return this.refuse(query, refusal ?? 'not_ready');
+    const customer = transaction?.customer ?? customerOfKey(config, this.key);
     const isFirst = transaction?.lane === undefined;
     if (isFirst && !(await this.isWithinRate(customer))) {
       this.host.log('rate_refused', {
@@ -435,13 +455,13 @@
       );
     }
     if (this.hasLeft) return;
-    // The configuration may have become too old during the wait for a token.
-    if (isFirst && !this.host.isConfigFresh()) {
-      return this.sendError(
-        'stale_configuration',
-        this.retryDelayText(RETRY_AFTER_MS),
-      );
-    }
+    // The configuration may have changed, or become too old, during the wait for
+    // a token.
+    const lateRefusal = isFirst ? this.refusalOf(route, customer) : undefined;
+    if (lateRefusal) return this.refuse(query, lateRefusal);
+    if (isFirst && !this.host.isConfigFresh())
+      return this.refuse(query, 'stale_configuration');
+    this.isRunningWithdrawn = () => this.isWithdrawn(route, customer);
     const deadlineMs = arrivedAtMs + route.timeoutMs - ANSWER_RESERVE_MS;
     const homes = transaction?.homes ?? this.homesOn(config, route);
     const reply = isFirst
@@ -462,6 +482,18 @@
       if (reply.ok && access === Access.commit) this.transaction = undefined;
       return;
     }
+    const withdrawal =
+      !reply.ok && provesNotRun(reply.fault)
+        ? withdrawalOf(this.host.config() ?? config, {
+            key: this.key,
+            route,
+            customer,
+          })
+        : undefined;
+    if (withdrawal) {
+      if (transaction) transaction.lane = reply.lane ?? transaction.lane;
+      return this.refuse(query, withdrawal);
+    }
     this.host.onAnswered(
       reply.ok ? 'ok' : reply.fault,
       performance.now() - arrivedAtMs,
@@ -470,29 +502,58 @@
   }
 
   /**
-   * Returns why the session may not run statements at present, if so. Checked
-   * before each statement, as keys can be withdrawn during a session.
+   * Returns why a statement may not run at present, if so. Checked before each
+   * one, as keys can be withdrawn during a session.
    */
-  private rejectionReason(
-    config: FrontConfig | undefined,
+  private refusalOf(
     route: RouteConfig | undefined,
+    customer: string | undefined,
   ): ErrorKind | undefined {
-    if (!config) return 'not_ready';
-    if (!route) return 'service_unknown';
-    if (config.unusableKeys?.has(this.key)) return 'customer_unusable';
-    if (!route.open) {
-      if (!this.host.isConfigFresh()) return 'stale_configuration';
-      if (!config.customerOfKey.has(this.key)) return 'key_withdrawn';
-    }
-    return undefined;
+    const {config, isConfigFresh} = this.host;
+    const claim = {key: this.key, route, customer};
+    return refusalOf(config(), isConfigFresh(), claim);
+  }
+
+  /** Whether the session's key no longer allows work on a route as a customer. */
+  private isWithdrawn(route: RouteConfig, customer: string): boolean {
+    const config = this.host.config();
+    const claim = {key: this.key, route, customer};
+    return config !== undefined && withdrawalOf(config, claim) !== undefined;
   }
 
-  private customerOf(config: FrontConfig): string {
-    return config.customerOfKey.get(this.key) ?? ANONYMOUS;
+  /** Refuses a statement that no database was sent, and fails its transaction. */
+  private refuse(query: Query, error: ErrorKind): void {
+    this.host.log('request_refused', {
+      request: query.id,
+      transaction: this.transaction?.id,
+      database: this.database,
+      error,
+      customer: this.transaction?.customer,
+      version: this.host.config()?.version,
+      fresh: this.host.isConfigFresh(),
+    });
+    const retryDelay = this.retryDelayText(RETRY_AFTER_MS);
+    this.sendError(error, refusalText(error, retryDelay));
+  }
+
+  /**
+   * Refuses a statement of a transaction that has failed. The first one after a
+   * loss that no answer told of is told that the transaction was rolled back.
+   */
+  private refuseInFailed(query: Query): void {
+    if (!this.isLossUntold)
+      return this.sendError('transaction_failed', 'transaction has failed');
+    this.isLossUntold = false;
+    const route = this.host.config()?.routes.get(this.database);
+    const error = this.refusalOf(route, undefined) ?? 'transaction_lost';
+    this.refuse(query, error);
   }
 
   private homesOn(config: FrontConfig, route: RouteConfig): Homes {
-    return homesOf(route, config.customers.get(this.customerOf(config)));
+    return homesOf(
+      route,
+      config.customers.get(customerOfKey(config, this.key)),
+    );
   }
 
   private isWithinRate(customer: string): boolean | Promise<boolean> {
@@ -530,7 +591,7 @@
       deadlineMs,
       lastCommit: this.lastCommit,
       onSent: work => (this.runningWork = work),
-      hasCallerLeft: () => this.hasLeft,
+      isCancelled: () => this.hasLeft || this.isRunningWithdrawn(),
     });
     if (transaction) {
       transaction.database = database;
@@ -569,6 +630,7 @@
         homes,
       },
       provesLeader,
+      work => (this.runningWork = work),
     );
   }
 
--- a/src/front/database_worker.ts
+++ b/src/front/database_worker.ts
@@ -329,13 +329,17 @@
     });
   }
 
-  /** Drops queued work whose caller has disconnected; running work goes on. */
+  /**
+   * Drops work that its front no longer wants to run, unless it has been sent to
+   * the database.
+   */
   cancel(key: string): void {
     const job = this.jobs.get(key);
-    const text = 'caller disconnected';
+    const text = 'canceled by its front';
     if (job && this.queue.remove(job)) this.reject(job, text, 'caller_left');
     else if (job && isWaitingInLane(job))
       this.refuseInLane(job, faultReply(Fault.busy, text));
+    else if (job && job.sentAtMs === 0) this.reject(job, text, 'caller_left');
   }
 
   /** Rolls back the transaction of the lane `id`. */
--- a/src/front/dispatcher.ts
+++ b/src/front/dispatcher.ts
@@ -129,6 +129,11 @@
   /** Cache of ranked fronts by database, valid for `rankedFronts`. */
   private readonly rankedHolders = new Map<string, FrontMember[]>();
   private rankedFronts: Fronts | undefined;
+  /** This front's work under way, by key, and the front that it was sent to. */
+  private readonly underWay = new Map<
+    string,
+    {holder: string; isCancelled: boolean}
+  >();
   private isClosed = false;
   private readonly holderHistory: HolderHistory;
 
@@ -147,6 +152,15 @@
 
   /** Runs work for a caller of this front. */
   async run(work: Work): Promise<DispatchedReply> {
+    this.underWay.set(work.key, {holder: '', isCancelled: false});
+    try {
+      return await this.runUnderWay(work);
+    } finally {
+      this.underWay.delete(work.key);
+    }
+  }
+
+  private async runUnderWay(work: Work): Promise<DispatchedReply> {
     if (work.mode === ExecutionMode.lane) return this.runInLane(work);
     const entry = this.options.directory().get(work.database);
     if (!entry) return this.unreachable('database is not listed');
@@ -155,7 +169,7 @@
     let lastReply: DispatchedReply | undefined;
     for (const holder of frontsToTry) {
       const leftWork = withElapsed(work, performance.now() - startedAtMs);
-      if (leftWork.budgetMs <= 0) break;
+      if (leftWork.budgetMs <= 0 || this.isCancelled(work)) break;
       const dispatched = await this.runAt(holder, leftWork);
       if (
         dispatched &&
@@ -208,15 +222,25 @@
     return unansweredReply(work, text);
   }
 
-  /** Cancels work that is still queued, here and at the holder. */
+  /** Cancels this front's work unless a database has been sent it. */
   cancel(work: Work): void {
-    this.cancelLocally(work.database, work.key);
-    const entry = this.options.directory().get(work.database);
-    const [holder] = entry ? this.allowedHolders(entry, work.homes) : [];
-    if (holder && holder.vm !== this.options.self.vm) {
-      const params = {database: work.database, key: work.key};
-      this.links.get(holder.vm)?.notify(PeerMethodName.cancel, params);
-    }
+    const {database, key} = work;
+    const sent = this.underWay.get(key);
+    if (!sent) return;
+    sent.isCancelled = true;
+    if (sent.holder === this.options.self.vm)
+      return this.cancelLocally(database, key);
+    const params = {database, key};
+    this.links.get(sent.holder)?.notify(PeerMethodName.cancel, params);
+  }
+
+  private isCancelled({key}: Work): boolean {
+    return this.underWay.get(key)?.isCancelled === true;
+  }
+
+  private recordHolder({key}: Work, holder: string): void {
+    const sent = this.underWay.get(key);
+    if (sent) sent.holder = holder;
   }
 
   cancelLocally(database: string, cancelKey: string): void {
@@ -478,6 +502,7 @@
     work: Work,
   ): Promise<DispatchedReply | undefined> {
     const {self} = this.options;
+    this.recordHolder(work, holder.vm);
     if (holder.vm === self.vm) {
       const reply = await this.runLocally(work, this.ownOrigin);
       return {reply: withQualifiedLane(reply, self.vm), holder: self.vm};
@@ -495,6 +520,7 @@
     const {self} = this.options;
     const {holder, lane} = parseLaneName(work.lane ?? '');
     const localWork = {...work, lane};
+    this.recordHolder(work, holder);
     if (holder === self.vm) {
       const reply = await this.runLocally(localWork, this.ownOrigin);
       return {reply: withQualifiedLane(reply, self.vm), holder};
@@ -531,7 +557,11 @@
       );
     });
     try {
-      const call = link.call(PeerMethodName.run, work);
+      const call = link.call(
+        PeerMethodName.run,
+        work,
+        () => !this.isCancelled(work),
+      );
       return decodeReply(await Promise.race([call, timeout]));
     } catch (error) {
       const sent = !(error instanceof PeerUnavailableError) || error.wasSent;
--- a/src/front/front.ts
+++ b/src/front/front.ts
@@ -773,6 +773,7 @@
       config$.subscribe(config => {
         if (config)
           this.homePreference.update(config.routes.values(), performance.now());
+        for (const session of this.sessions) session.reauthorize();
         for (const unknown of config ? unknownHomes(config, regions) : [])
           this.ports.log('home_region_unknown', {...unknown});
       }),
--- a/src/front/peer_link.ts
+++ b/src/front/peer_link.ts
@@ -104,14 +104,19 @@
 
   /**
    * Calls a method; rejects as soon as the connection is lost. The caller checks
-   * the reply.
+   * the reply. `maySend` is asked once the link is connected.
    */
-  async call(method: string, params: unknown): Promise<unknown> {
+  async call(
+    method: string,
+    params: unknown,
+    maySend: () => boolean = () => true,
+  ): Promise<unknown> {
     const bytes = maxEncodedBytes(params);
     if (bytes > MAX_CONTENT_BYTES) throw new MessageTooLongError(bytes);
     await this.ensureConnected();
     const {client} = this;
     if (!client) throw new PeerUnavailableError('not connected', false);
+    if (!maySend()) throw new PeerUnavailableError('canceled', false);
     this.unanswered++;
     this.startSilenceCheck();
     try {
--- a/src/front/router.ts
+++ b/src/front/router.ts
@@ -69,7 +69,8 @@
   readonly lastCommit: Position | undefined;
   /** Called with each piece of work before it is sent, for cancellation. */
   readonly onSent: (work: Work) => void;
-  readonly hasCallerLeft: () => boolean;
+  /** Whether it must not be sent any more. */
+  readonly isCancelled: () => boolean;
 }
 
 /** A reply and the id of the database that gave it; empty if there was none. */
@@ -200,11 +201,11 @@
     this.retryBudget.deposit();
     for (
       let tries = 0;
-      tries < MAX_ATTEMPTS && !request.hasCallerLeft();
+      tries < MAX_ATTEMPTS && !request.isCancelled();
       tries++
     ) {
       const target = await this.chooseTarget(request, tried, startedAtMs);
-      if (!target) break;
+      if (!target || request.isCancelled()) break;
       const routedReply = await this.runOn(request, target, tries);
       if (routedReply.reply.ok) return routedReply;
       const {fault} = routedReply.reply;
@@ -254,20 +255,21 @@
   /**
    * Runs a further statement of a transaction on the connection that the lane
    * reserves for it. `provesLeader`: only a primary can complete the statement,
-   * so the position in its reply counts as a sample.
+   * so the position in its reply counts as a sample. `onSent` is called with the
+   * work before it is sent, for cancellation.
    */
   async runInLane(
-    work: Omit<Work, 'key' | 'mode'>,
+    statement: Omit<Work, 'key' | 'mode'>,
     provesLeader: boolean,
+    onSent: (work: Work) => void,
   ): Promise<Reply> {
     const sentAtMs = performance.now();
-    const {service, access} = work;
+    const {service, access} = statement;
     const reachedBefore = this.options.commitPositions?.reachedBy(service);
-    const {reply} = await this.options.dispatcher.run({
-      ...work,
-      key: this.options.newId(),
-      mode: ExecutionMode.lane,
-    });
+    const key = this.options.newId();
+    const work: Work = {...statement, key, mode: ExecutionMode.lane};
+    onSent(work);
+    const {reply} = await this.options.dispatcher.run(work);
     if (provesLeader && reply.ok) {
       this.recordSample(service, sentAtMs, reply);
       if (access === Access.commit)
@@ -352,7 +354,7 @@
     tried: ReadonlySet<string>,
     startedAtMs: number,
   ): Promise<Target | undefined> {
-    while (!needsLeader(request) && !request.hasCallerLeft()) {
+    while (!needsLeader(request) && !request.isCancelled()) {
       if (!this.hasFreshSample(request))
         await this.awaitSamples(request.route.service);
       const target = this.chooseReplica(request, tried);
@@ -527,7 +529,7 @@
       if (this.eligibility.primaryExclusion(request)) return undefined;
       if (leader && this.isPausedAsCold(leader, request)) return undefined;
       if (leader && !isStopped && avoidUntilMs <= nowMs) return leader;
-      if (nowMs >= untilMs || request.hasCallerLeft()) return undefined;
+      if (nowMs >= untilMs || request.isCancelled()) return undefined;
       await new Promise(resolve => setTimeout(resolve, LEADER_POLL_MS));
     }
   }
--- a/src/front/transaction_lanes.ts
+++ b/src/front/transaction_lanes.ts
@@ -48,12 +48,22 @@
     return this.lanes.get(id);
   }
 
-  /** Returns the lane in which a job's statement may run; logs a refusal. */
+  /**
+   * Returns the lane in which a job's statement may run; logs a refusal. Rolls
+   * back a transaction that its caller would go on with as another customer.
+   */
   find(job: Job): LaneLookup<Lane> {
     const {work, origin} = job;
     const found = this.lanes.find(work.lane, work.transaction, origin);
-    if (!found.lane) this.logRefusal(job, found.refusal);
-    return found;
+    if (!found.lane) {
+      this.logRefusal(job, found.refusal);
+      return found;
+    }
+    if (found.lane.connection.customer === work.customer) return found;
+    const refusal = LaneRefusal.otherCustomer;
+    this.logRefusal(job, refusal);
+    this.release(found.lane, 'its caller has become another customer');
+    return {lane: undefined, refusal};
   }
 
   /** Reserves a connection for the transaction that a job opens. */
--- a/test/front/work_keys.test.ts
+++ b/test/front/work_keys.test.ts
@@ -37,6 +37,7 @@
       budgetMs: 100,
     },
     false,
+    () => undefined,
   );
   return sent[0];
 }
--- a/test/platform/lane_fixture.ts
+++ b/test/platform/lane_fixture.ts
@@ -6,7 +6,11 @@
 import {createIdSource, ProcessIdentity} from '../../src/core/process_ids.js';
 import {Access, ExecutionMode, Reply, Work} from '../../src/core/work.js';
 import {Dispatcher, PeerMethodName} from '../../src/front/dispatcher.js';
-import {decodeLaneEnd, decodeWork} from '../../src/front/peer_messages.js';
+import {
+  decodeCancel,
+  decodeLaneEnd,
+  decodeWork,
+} from '../../src/front/peer_messages.js';
 import {servePeers} from '../../src/front/peer_service.js';
 import {freePort} from './fleet_fixture.js';
 import {StandinDatabase, StandinGroup} from './standin_database.js';
@@ -124,6 +128,10 @@
             const {database, lane} = decodeLaneEnd(params);
             dispatcher.endLocalLane(database, lane);
           },
+          [PeerMethodName.cancel]: params => {
+            const {database, key} = decodeCancel(params);
+            dispatcher.cancelLocally(database, key);
+          },
         },
         onDisconnect: ({connection}) => dispatcher.endLanesOf(connection),
         log,
@@ -181,23 +189,32 @@
   requestId: string,
   text: string,
 ): Promise<Reply> {
-  const {lane} = transaction;
-  const work: Work = {
-    key: `${transaction.transaction}/${++keyCount}`,
+  const work = workIn(database, transaction, requestId, text);
+  const {reply} = await front.dispatcher.run(work);
+  transaction.lane = reply.lane ?? transaction.lane;
+  return reply;
+}
+
+/** Returns one statement of a transaction as work; the first one opens it. */
+export function workIn(
+  database: StandinDatabase,
+  {customer, transaction, lane}: TestTransaction,
+  requestId: string,
+  text: string,
+): Work {
+  return {
+    key: `${transaction}/${++keyCount}`,
     service: SERVICE,
     database: database.id,
-    customer: transaction.customer,
+    customer,
     requestId,
     text,
     access: text === 'COMMIT' ? Access.commit : Access.write,
     mode: lane === undefined ? ExecutionMode.open : ExecutionMode.lane,
     lane,
-    transaction: transaction.transaction,
+    transaction,
     session: {values: [], prepared: undefined},
     priority: 1,
     budgetMs: 1_000,
   };
-  const {reply} = await front.dispatcher.run(work);
-  transaction.lane = reply.lane ?? lane;
-  return reply;
 }
--- a/test/platform/lanes.test.ts
+++ b/test/platform/lanes.test.ts
@@ -4,8 +4,10 @@
 import {
   awaitReconnect,
   runIn,
+  sleep,
   startLaneFleet,
   TestTransaction,
+  workIn,
 } from './lane_fixture.js';
 
 const hasRun = (database: StandinDatabase, requestId: string): boolean =>
@@ -145,3 +147,44 @@
   t.true((await runIn(first, database, bea, 'b2', 'COMMIT')).ok);
   t.false(hasRun(database, 'a2'));
 });
+
+// Guards against a front that passes a transaction on for another customer than
+// the one it was begun for: an earlier version does when a key changes hands.
+test('a statement for another customer ends the transaction that it names', async t => {
+  const fleet = await startLaneFleet(['front-1']);
+  t.teardown(() => fleet.stop());
+  const {database} = fleet;
+  const first = await fleet.start('front-1');
+  await fleet.start(fleet.holder);
+  const ana = openTransaction('ana');
+  t.true((await runIn(first, database, ana, 'a1', 'WRITE k 1')).ok);
+  const moved = {...ana, customer: 'bea'};
+  const late = await runIn(first, database, moved, 'a2', 'WRITE k 2');
+  t.like(late, {ok: false, fault: 'aborted'});
+  t.false(hasRun(database, 'a2'));
+  t.like(await runIn(first, database, ana, 'a3', 'COMMIT'), {ok: false});
+  t.deepEqual(database.log, []);
+});
+
+// Guards against work that waits for a connection and is sent after its front
+// has canceled it, since the caller's key has passed to another customer.
+test('work that waits for a connection is not sent once it is canceled', async t => {
+  const fleet = await startLaneFleet(['front-1']);
+  t.teardown(() => fleet.stop());
+  const {database} = fleet;
+  const remote = await fleet.start('front-1');
+  const holder = await fleet.start(fleet.holder);
+  database.isUnresponsive = true;
+  const works = [holder, remote].map(front => {
+    const transaction = openTransaction(front === holder ? 'ana' : 'bea');
+    const work = workIn(database, transaction, transaction.customer, 'WRITE a');
+    return {front, work, reply: front.dispatcher.run(work)};
+  });
+  await sleep(100);
+  for (const {front, work} of works) front.dispatcher.cancel(work);
+  for (const {reply} of works)
+    t.like((await reply).reply, {ok: false, fault: 'busy'});
+  database.isUnresponsive = false;
+  await sleep(100);
+  t.false(hasRun(database, 'ana') || hasRun(database, 'bea'));
+});
