Record which databases a service had, so that a start need not wait for others

Change: what a front can't know at its start is in the store. The holder of the lease records the databases of each service, in members/SERVICE: the listed ones, and those that went in the last minute, each with a position that the primary reached after it was gone. Written when they change. A front that lists the store compares: a recorded database that isn't listed counts for 15 s, unless a log has reached that position. If there is a record of the present era, the only database that can still be unseen is one that has joined lately, so it counts for as long as a running database may take to be listed, three heartbeats, also after a failure of the store. Without a record the 15 s stay. A recorded primary that isn't listed is replaced after 2.5 s, not the 6 s for a service that may never have had one.

--- a/src/core/commit_positions.ts
+++ b/src/core/commit_positions.ts
@@ -72,6 +72,11 @@
     return this.reached.get(service);
   }
 
+  /** Positions that the primaries of a service are known to have reached. */
+  samplesOf(service: string): PositionSamples {
+    return this.samples.get(service) ?? [];
+  }
+
   /**
    * Records a position in an answer that only a primary gives, to a request
    * that was sent at `atMs`.
--- a/src/core/directory.ts
+++ b/src/core/directory.ts
@@ -88,7 +88,10 @@
 }
 
 /** Identifies one start of a database, which may restart under its id. */
-export const startKey = ({id, startedAtUnixMs}: KnownDatabase): string =>
+export const startKey = ({
+  id,
+  startedAtUnixMs,
+}: Pick<KnownDatabase, 'id' | 'startedAtUnixMs'>): string =>
   `${id} ${startedAtUnixMs}`;
 
 /**
--- a/src/core/former_members.ts
+++ b/src/core/former_members.ts
@@ -4,6 +4,7 @@
  * restarted empty may have been the only replica that had received a commit.
  */
 import {KnownDatabase, startKey} from './directory.js';
+import {MemberRecord, RecordedMember} from './member_records.js';
 import {comparePositions, Position} from './position.js';
 import {floorSince, PositionSamples} from './position_samples.js';
 
@@ -17,6 +18,13 @@
    * undefined if it may still receive.
    */
   readonly goneSinceMs: number | undefined;
+  /** A position that the primary is known to have reached after that time. */
+  readonly coveredBy?: Position;
+}
+
+/** A database that a record names and that was not listed when it was read. */
+export interface RecordedLog extends MissingLog, RecordedMember {
+  readonly service: string;
 }
 
 /** A database that is not listed, or an earlier start of a listed one. */
@@ -33,8 +41,9 @@
  */
 const COUNTS_MS = 8_000;
 /**
- * As `COUNTS_MS`, for a database that this front may never have seen: as long as
- * a change waits for commits that it knows to be missing.
+ * As `COUNTS_MS`, for a database that this front has never seen: as long as a
+ * change waits for commits that it knows to be missing. Without a record of the
+ * service's databases, there may be one that nobody knows of.
  */
 const UNSEEN_COUNTS_MS = 15_000;
 /** How long a database that leaves may go on after its entry was removed. */
@@ -49,15 +58,16 @@
  * later. `samples` are positions of the primary.
  */
 export function isAccountedFor(
-  {goneSinceMs}: Pick<MissingLog, 'goneSinceMs'>,
+  {goneSinceMs, coveredBy}: Pick<MissingLog, 'goneSinceMs' | 'coveredBy'>,
   logEnds: readonly Position[],
   samples: PositionSamples,
 ): boolean {
-  if (goneSinceMs === undefined) return false;
-  const reached = floorSince(samples, goneSinceMs);
-  return (
-    reached !== undefined &&
-    logEnds.some(end => comparePositions(end, reached) >= 0)
+  const sampled =
+    goneSinceMs === undefined ? undefined : floorSince(samples, goneSinceMs);
+  return [coveredBy, sampled].some(
+    reached =>
+      reached !== undefined &&
+      logEnds.some(end => comparePositions(end, reached) >= 0),
   );
 }
 
@@ -69,12 +79,20 @@
     FormerMember & {sinceMs: number}
   >();
 
+  /** Databases that only records tell of, by start. */
+  private readonly recorded = new Map<string, RecordedLog>();
+  /** Services whose databases were recorded when the store was listed. */
+  private readonly recordedServices = new Set<string>();
   private listedAtMs = -Infinity;
 
-  private constructor() {}
+  private constructor(private readonly joinsWithinMs: number) {}
 
-  static create(): FormerMembers {
-    return new FormerMembers();
+  /**
+   * `joinsWithinMs`: how long a database that runs may take to be listed, if the
+   * store can be reached.
+   */
+  static create(joinsWithinMs: number): FormerMembers {
+    return new FormerMembers(joinsWithinMs);
   }
 
   /**
@@ -83,18 +101,123 @@
    */
   recordList(nowMs: number): void {
     this.listedAtMs = nowMs;
+    this.recordedServices.clear();
+  }
+
+  /**
+   * Takes over a record that was read with the newest list; `listedStarts` are
+   * the databases in that list.
+   */
+  adopt(
+    {service, members}: MemberRecord,
+    listedStarts: ReadonlySet<string>,
+    nowMs: number,
+  ): void {
+    this.recordedServices.add(service);
+    const countsUntilMs = nowMs + UNSEEN_COUNTS_MS;
+    for (const member of members) {
+      const {start, leaving} = member;
+      const isKnown = this.members.has(start) || this.recorded.has(start);
+      if (listedStarts.has(start) || isKnown) continue;
+      const goneSinceMs = leaving ? nowMs + LEAVES_WITHIN_MS : undefined;
+      const log = {...member, service, countsUntilMs, goneSinceMs};
+      this.recorded.set(start, log);
+    }
+  }
+
+  /** Whether a record told of a service's databases when the store was listed. */
+  isRecorded(service: string): boolean {
+    return this.recordedServices.has(service);
+  }
+
+  /** Databases of a service that count and that only a record tells of. */
+  recordedOf(service: string, nowMs: number): readonly RecordedLog[] {
+    for (const [start, {countsUntilMs}] of this.recorded) {
+      if (nowMs >= countsUntilMs) this.recorded.delete(start);
+    }
+    return [...this.recorded.values()].filter(log => log.service === service);
   }
 
   /**
    * A database that may have disappeared before the newest list, so that this
-   * front has never seen it; undefined once it does not matter any more.
+   * front has never seen it; undefined once it does not matter any more. If the
+   * service's databases were recorded, it can only be one that has joined lately
+   * and is not listed yet; `failedAtMs` is when the store last failed to answer.
    */
-  unseen(nowMs: number): MissingLog | undefined {
+  unseen(
+    service: string,
+    nowMs: number,
+    failedAtMs = -Infinity,
+  ): MissingLog | undefined {
     const goneSinceMs = this.listedAtMs;
-    const countsUntilMs = goneSinceMs + UNSEEN_COUNTS_MS;
+    const limitMs = goneSinceMs + UNSEEN_COUNTS_MS;
+    const joinedByMs = Math.max(goneSinceMs, failedAtMs) + this.joinsWithinMs;
+    const countsUntilMs = this.isRecorded(service)
+      ? Math.min(limitMs, joinedByMs)
+      : limitMs;
     return nowMs < countsUntilMs ? {countsUntilMs, goneSinceMs} : undefined;
   }
 
+  /**
+   * Returns the databases of a service to record: the listed ones, and those
+   * that a front which starts now would have to know of.
+   */
+  toRecord(
+    service: string,
+    listed: readonly KnownDatabase[],
+    samples: PositionSamples,
+    nowMs: number,
+  ): readonly RecordedMember[] {
+    this.cover(service, samples);
+    const hasLeader = listed.some(({isLeader}) => isLeader);
+    const former = [...this.members.values()]
+      .filter(({entry, sinceMs}) => {
+        return entry.service === service && nowMs - sinceMs < ASKED_MS;
+      })
+      .map(({entry, coveredBy}) => ({
+        start: startKey(entry),
+        leads: entry.isLeader && !hasLeader,
+        leaving: entry.leaving,
+        coveredBy,
+      }));
+    const recorded = this.recordedOf(service, nowMs).map(
+      ({start, leads, leaving, coveredBy}) => ({
+        start,
+        leads: leads && !hasLeader,
+        leaving,
+        coveredBy,
+      }),
+    );
+    const present = listed.map(entry => ({
+      start: startKey(entry),
+      leads: entry.isLeader,
+      leaving: entry.leaving,
+    }));
+    const starts = new Set(present.map(({start}) => start));
+    const gone = [...former, ...recorded].filter(
+      ({start}) => !starts.has(start),
+    );
+    return [...present, ...gone];
+  }
+
+  /** Keeps the first position that the primary reached after a database left. */
+  private cover(service: string, samples: PositionSamples): void {
+    for (const [key, member] of this.members) {
+      const {entry, goneSinceMs, coveredBy} = member;
+      if (entry.service !== service || coveredBy || goneSinceMs === undefined)
+        continue;
+      const reached = floorSince(samples, goneSinceMs);
+      if (reached) this.members.set(key, {...member, coveredBy: reached});
+    }
+    for (const [start, log] of this.recorded) {
+      const {goneSinceMs, coveredBy} = log;
+      if (log.service !== service || coveredBy || goneSinceMs === undefined)
+        continue;
+      const reached = floorSince(samples, goneSinceMs);
+      if (reached) this.recorded.set(start, {...log, coveredBy: reached});
+    }
+  }
+
   /** Records that the entry of a database has disappeared. */
   recordUnlisted(entry: KnownDatabase, nowMs: number): void {
     const goneSinceMs = entry.leaving ? nowMs + LEAVES_WITHIN_MS : undefined;
@@ -107,6 +230,7 @@
     known: KnownDatabase | undefined,
     nowMs: number,
   ): void {
+    this.recorded.delete(startKey(entry));
     for (const [key, member] of this.members) {
       if (member.entry.id !== entry.id) continue;
       if (member.entry.startedAtUnixMs === entry.startedAtUnixMs)
--- a/src/front/directory_tracker.ts
+++ b/src/front/directory_tracker.ts
@@ -7,18 +7,23 @@
 import {BehaviorSubject} from 'rxjs';
 import {
   DatabaseEntry,
+  databasesOf,
   Directory,
   dropMissing,
   isNewerEntry,
   KnownDatabase,
   putEntry,
   removeEntry,
+  startKey,
 } from '../core/directory.js';
 import {
   FormerMember,
   FormerMembers,
   MissingLog,
+  RecordedLog,
 } from '../core/former_members.js';
+import {MemberRecord, RecordedMember} from '../core/member_records.js';
+import {PositionSamples} from '../core/position_samples.js';
 import {StoreEvent} from '../store/key_values.js';
 import {JsonLog} from './json_log.js';
 
@@ -71,11 +76,12 @@
   private hasIgnored = false;
   /** Last entries of databases that have left, oldest first. */
   private readonly departed = new Map<string, DatabaseEntry>();
-  private readonly former = FormerMembers.create();
+  private readonly former: FormerMembers;
   private readonly nowMs: () => number;
 
   private constructor(private readonly options: DirectoryTrackerOptions) {
     this.nowMs = options.nowMs ?? (() => performance.now());
+    this.former = FormerMembers.create(options.missingEntryGraceMs);
   }
 
   static create(options: DirectoryTrackerOptions): DirectoryTracker {
@@ -91,9 +97,43 @@
     return this.former.of(service, this.nowMs());
   }
 
+  /** As `FormerMembers.recordedOf`. */
+  recordedMembersOf(service: string): readonly RecordedLog[] {
+    return this.former.recordedOf(service, this.nowMs());
+  }
+
   /** As `FormerMembers.unseen`. */
-  get unseenMember(): MissingLog | undefined {
-    return this.former.unseen(this.nowMs());
+  unseenMemberOf(service: string): MissingLog | undefined {
+    return this.former.unseen(service, this.nowMs(), this.failedAtMs);
+  }
+
+  /** As `FormerMembers.isRecorded`. */
+  isRecorded(service: string): boolean {
+    return this.former.isRecorded(service);
+  }
+
+  /** As `FormerMembers.toRecord`. */
+  membersToRecord(
+    service: string,
+    samples: PositionSamples,
+  ): readonly RecordedMember[] {
+    const listed = databasesOf(this.directory, service);
+    return this.former.toRecord(service, listed, samples, this.nowMs());
+  }
+
+  /** Takes over the records that were read with a complete list. */
+  adoptRecords(records: readonly MemberRecord[]): void {
+    const listed = new Set([...this.directory.values()].map(startKey));
+    const nowMs = this.nowMs();
+    for (const record of records) {
+      const {service, members} = record;
+      this.former.adopt(record, listed, nowMs);
+      this.options.log('member_record_adopted', {
+        service,
+        members: members.map(({start}) => start),
+        missing: this.recordedMembersOf(service).map(({start}) => start),
+      });
+    }
   }
 
   /**
--- a/src/front/front.ts
+++ b/src/front/front.ts
@@ -17,6 +17,7 @@
 } from '../core/commit_positions.js';
 import {databasesOf, KnownDatabase} from '../core/directory.js';
 import {Exclusion, isDrained} from '../core/exclusion.js';
+import {MissingLog} from '../core/former_members.js';
 import {FrontConfig} from '../core/front_config.js';
 import {HomePreference} from '../core/home_preference.js';
 import {
@@ -59,6 +60,7 @@
   FrontSettings,
 } from './front_settings.js';
 import {JsonLog} from './json_log.js';
+import {MemberRecorder} from './member_recorder.js';
 import {
   decodeAnnouncedRecord,
   decodeCancel,
@@ -152,6 +154,7 @@
   private readonly failingVotes: FailingVotes;
   private readonly suspectReporter: SuspectReporter;
   private readonly metrics = FrontMetrics.create();
+  private readonly memberRecorder: MemberRecorder;
   private readonly sessionHost: SessionHost;
   private readonly homePreference: HomePreference;
   private isStopping = false;
@@ -241,6 +244,7 @@
       dispatcher: this.dispatcher,
       router: this.router,
     });
+    this.memberRecorder = this.createMemberRecorder();
     this.takeoverRunner = this.createTakeoverRunner();
     this.suspectReporter = this.createSuspectReporter();
     this.sessionHost = this.createSessionHost();
@@ -565,6 +569,30 @@
     });
   }
 
+  /** A database of a service that may have disappeared unseen by this front. */
+  private unseenMemberOf(service: string): MissingLog | undefined {
+    const {settings, feed} = this;
+    const hasSeenAll = settings.isFirstStart && !feed.hasListedAnew;
+    return hasSeenAll ? undefined : feed.unseenMemberOf(service);
+  }
+
+  private createMemberRecorder(): MemberRecorder {
+    const {ports, feed, coordinatorLease, commitPositions} = this;
+    return MemberRecorder.create({
+      prefix: ports.layout.fleetPrefix,
+      storedItems: () => feed.fleetItems$.value,
+      serviceNames: () => [...(feed.config?.services.keys() ?? [])],
+      membersToRecord: service =>
+        feed.membersToRecord(service, commitPositions.samplesOf(service)),
+      knowsMembers: service =>
+        feed.isRecorded(service) || this.unseenMemberOf(service) === undefined,
+      era: () => feed.era,
+      isLeaseHeld: () => coordinatorLease.isHeld,
+      write: (key, value) => coordinatorLease.write(key, value),
+      log: ports.log,
+    });
+  }
+
   private createTakeoverRunner(): TakeoverRunner {
     const {settings, ports} = this;
     return TakeoverRunner.create({
@@ -574,10 +602,8 @@
       promote: ports.promote,
       directory: () => this.feed.directory,
       formerMembersOf: service => this.feed.formerMembersOf(service),
-      unseenMember: () =>
-        settings.isFirstStart && !this.feed.hasListedAnew
-          ? undefined
-          : this.feed.unseenMember,
+      recordedMembersOf: service => this.feed.recordedMembersOf(service),
+      unseenMemberOf: service => this.unseenMemberOf(service),
       serviceOf: name => this.feed.config?.services.get(name),
       leaderOf: service => this.router.leader(service),
       serviceNames: () => [...(this.feed.config?.services.keys() ?? [])],
@@ -745,6 +771,7 @@
     lifecycle.own(this.takeoverRunner, takeover => takeover.close());
     lifecycle.own(this.storeEra, era => era.close());
     lifecycle.own(this.leaderRecovery, recovery => recovery.close());
+    lifecycle.own(this.memberRecorder, recorder => recorder.close());
     lifecycle.own(this.registration, registration => registration.close());
     log('started', {
       process: this.self.process,
--- a/src/front/stopped_log_reader.ts
+++ b/src/front/stopped_log_reader.ts
@@ -4,6 +4,7 @@
   FormerMember,
   isAccountedFor,
   MissingLog,
+  RecordedLog,
 } from '../core/former_members.js';
 import {FrontService} from '../core/front_config.js';
 import {Position} from '../core/position.js';
@@ -26,8 +27,10 @@
   readonly replicasOf: (service: string, leader?: string) => KnownDatabase[];
   /** Databases of a service that are not listed but may hold commits. */
   readonly formerMembersOf: (service: string) => readonly FormerMember[];
-  /** A database of any service that may have disappeared unseen. */
-  readonly unseenMember: () => MissingLog | undefined;
+  /** Databases of a service that count and that only a record tells of. */
+  readonly recordedMembersOf: (service: string) => readonly RecordedLog[];
+  /** A database of a service that may have disappeared unseen. */
+  readonly unseenMemberOf: (service: string) => MissingLog | undefined;
   /** Number of a service's routes that a primary may serve by their homes. */
   readonly allowedRoutes: (primary: KnownDatabase) => number;
   /** Highest term that a reply has reported; 0 when there is none. */
@@ -138,10 +141,10 @@
     service: string,
     {leader, listed, unlisted, former, answered, logEnds, samples}: Members,
   ): number {
-    const {log, unseenMember} = this.options;
+    const {log, unseenMemberOf, recordedMembersOf} = this.options;
     const nowMs = performance.now();
     const listedKeys = new Set(listed.map(startKey));
-    const isMissing = (member: FormerMember): boolean =>
+    const isMissing = (member: MissingLog): boolean =>
       nowMs < member.countsUntilMs && !isAccountedFor(member, logEnds, samples);
     const counted = former
       .filter(
@@ -152,22 +155,31 @@
         member => answered.has(startKey(member.entry)) || isMissing(member),
       )
       .map(({entry}) => entry);
-    const unseen = unseenMember();
+    const recorded = recordedMembersOf(service).filter(isMissing);
+    const unseen = unseenMemberOf(service);
     const isUnseenCounted =
       unseen !== undefined && !isAccountedFor(unseen, logEnds, samples);
-    const isPrimaryCounted = !leader && counted.some(entry => entry.isLeader);
+    const isPrimaryCounted =
+      !leader &&
+      (counted.some(entry => entry.isLeader) ||
+        recorded.some(({leads}) => leads));
     const size =
       listed.length +
       counted.length +
+      recorded.length +
       (isPrimaryCounted ? 0 : 1) +
       (isUnseenCounted ? 1 : 0);
-    if (unlisted.length > 0 || counted.length > 0 || isUnseenCounted) {
+    const isLarger =
+      counted.length > 0 || recorded.length > 0 || isUnseenCounted;
+    if (unlisted.length > 0 || isLarger) {
       log('takeover_former_members', {
         service,
         size,
         asked: unlisted.map(({id}) => id),
         counted: counted.map(({id}) => id),
+        recorded: recorded.map(({start}) => start),
         unseen: isUnseenCounted,
+        unseenForMs: unseen && Math.round(unseen.countsUntilMs - nowMs),
       });
     }
     return size;
--- a/src/front/store_feed.ts
+++ b/src/front/store_feed.ts
@@ -12,7 +12,14 @@
   ConfigFreshness,
   newerFreshness,
 } from '../core/freshness.js';
-import {FormerMember, MissingLog} from '../core/former_members.js';
+import {FormerMember, MissingLog, RecordedLog} from '../core/former_members.js';
+import {
+  decodeMemberRecord,
+  isMemberRecordKey,
+  MemberRecord,
+  RecordedMember,
+} from '../core/member_records.js';
+import {PositionSamples} from '../core/position_samples.js';
 import {Evacuations} from '../core/evacuation.js';
 import {FrontConfig} from '../core/front_config.js';
 import {eraOf} from '../core/store_revision.js';
@@ -199,9 +206,27 @@
     return this.databases.formerMembersOf(service);
   }
 
+  /** As `FormerMembers.recordedOf`. */
+  recordedMembersOf(service: string): readonly RecordedLog[] {
+    return this.databases.recordedMembersOf(service);
+  }
+
   /** As `FormerMembers.unseen`. */
-  get unseenMember(): MissingLog | undefined {
-    return this.databases.unseenMember;
+  unseenMemberOf(service: string): MissingLog | undefined {
+    return this.databases.unseenMemberOf(service);
+  }
+
+  /** As `FormerMembers.isRecorded`. */
+  isRecorded(service: string): boolean {
+    return this.databases.isRecorded(service);
+  }
+
+  /** As `FormerMembers.toRecord`. */
+  membersToRecord(
+    service: string,
+    samples: PositionSamples,
+  ): readonly RecordedMember[] {
+    return this.databases.membersToRecord(service, samples);
   }
 
   get evacuations(): Evacuations {
@@ -391,12 +416,26 @@
     this.applyEvents([...puts, ...removals], revision);
     if (isFirst) this.fleetItemsAtStart = this.fleetItems$.value;
     this.databases.removeUnlisted(keys);
+    this.databases.adoptRecords(this.memberRecordsOf(items));
     this.evacuating.removeUnlisted(keys);
     this.changeRelay.reset(revision);
     this.recordSuccess(revision, asOf);
     return 'ok';
   }
 
+  /** Returns the records of databases that were written in this era. */
+  private memberRecordsOf(items: readonly StoredItem[]): MemberRecord[] {
+    const {layout, log} = this.options;
+    const records: MemberRecord[] = [];
+    for (const {key, value} of items) {
+      if (!isMemberRecordKey(layout.fleetPrefix, key)) continue;
+      const record = decodeMemberRecord(value.toString('utf8'));
+      if (!record) log('member_record_invalid', {key});
+      else if (record.era === this.era) records.push(record);
+    }
+    return records;
+  }
+
   private recordEra(era: number, isFirst: boolean): void {
     if (!isFirst && era <= this.era) return;
     this.eraSeenAtMs = this.clocks().steadyMs;
--- a/src/front/takeover_runner.ts
+++ b/src/front/takeover_runner.ts
@@ -14,7 +14,7 @@
   isConfirmedFailing,
   isRefutedFailing,
 } from '../core/load/failing_primary.js';
-import {FormerMember, MissingLog} from '../core/former_members.js';
+import {FormerMember, MissingLog, RecordedLog} from '../core/former_members.js';
 import {isPromotionAllowed, mayCommit} from '../core/leader_record.js';
 import {
   isPrimaryUnreachable,
@@ -40,8 +40,10 @@
   readonly directory: () => Directory;
   /** Databases of a service that are not listed but may hold commits. */
   readonly formerMembersOf: (service: string) => readonly FormerMember[];
-  /** A database of any service that may have disappeared unseen. */
-  readonly unseenMember: () => MissingLog | undefined;
+  /** Databases of a service that count and that only a record tells of. */
+  readonly recordedMembersOf: (service: string) => readonly RecordedLog[];
+  /** A database of a service that may have disappeared unseen. */
+  readonly unseenMemberOf: (service: string) => MissingLog | undefined;
   readonly serviceOf: (name: string) => FrontService | undefined;
   readonly leaderOf: (service: string) => KnownDatabase | undefined;
   readonly serviceNames: () => readonly string[];
@@ -75,6 +77,12 @@
  * yet.
  */
 const INITIAL_LEADERLESS_LIMIT_MS = 6_000;
+/**
+ * As `LEADERLESS_LIMIT_MS`, for a service whose primary is recorded, but was not
+ * listed when this front started: a database that is alive is listed again
+ * within about two seconds of an outage of the store.
+ */
+const RECORDED_LEADERLESS_LIMIT_MS = 2_500;
 /** How often a front without the lease records which services have a primary. */
 const LEADERS_INTERVAL_MS = 1_000;
 /** Pause after a takeover, in which the directory catches up. */
@@ -250,13 +258,21 @@
       }
       const since = this.leaderlessSinceMs.get(service) ?? nowMs;
       this.leaderlessSinceMs.set(service, since);
-      const limitMs = this.servicesWithLeader.has(service)
-        ? LEADERLESS_LIMIT_MS
-        : INITIAL_LEADERLESS_LIMIT_MS;
-      if (nowMs - since >= limitMs) this.start(service, 'none');
+      if (nowMs - since >= this.leaderlessLimitMs(service))
+        this.start(service, 'none');
     }
   }
 
+  private leaderlessLimitMs(service: string): number {
+    if (this.servicesWithLeader.has(service)) return LEADERLESS_LIMIT_MS;
+    const hasRecordedLeader = this.options
+      .recordedMembersOf(service)
+      .some(({leads}) => leads);
+    return hasRecordedLeader
+      ? RECORDED_LEADERLESS_LIMIT_MS
+      : INITIAL_LEADERLESS_LIMIT_MS;
+  }
+
   /**
    * Records which services have a primary while another front holds the lease: if
    * it vanishes as this front takes over, its change must not wait as long as for
--- a/test/platform/unseen.test.ts
+++ b/test/platform/unseen.test.ts
@@ -32,6 +32,13 @@
 /** Key of the mark that the store has not been restored lately. */
 const ERA_KEY = 'mustardpass/era';
 const FRONTS_PREFIX = 'mustardpass/fronts/';
+const MEMBERS_KEY = 'mustardpass/members/orders';
+/** Time within which requests are served again once all fronts are back. */
+const RECOVERY_MS = 12_000;
+/** Longer than the holder takes to record a change of the databases. */
+const RECORDED_WITHIN_MS = 1_500;
+/** After three missing heartbeats. */
+const LAPSE_MS = 3_000;
 
 const pause = (ms: number): Promise<void> =>
   new Promise(resolve => setTimeout(resolve, ms));
@@ -294,3 +301,89 @@
     await assertNothingLost(t, platform, callers);
   },
 );
+
+/** Waits until the store names these databases as members of the service. */
+function awaitRecord(
+  {store}: Platform,
+  databases: readonly StandinDatabase[],
+): Promise<void> {
+  return until(() => {
+    const {value} = store.get(MEMBERS_KEY) ?? {value: ''};
+    const text = Buffer.from(value, 'base64').toString();
+    return databases.every(({id}) => text.includes(id));
+  });
+}
+
+/** Ends all fronts, and starts others that have seen nothing of before. */
+async function replaceFronts(
+  t: ExecutionContext,
+  fleet: Fleet,
+  whileAway: () => Promise<void>,
+): Promise<Fleet> {
+  await fleet.callers.stop();
+  await Promise.all(fleet.fronts.map(({front}) => front.stop()));
+  await whileAway();
+  const next = await startFronts(t, fleet, ['front-1', 'front-2'], false);
+  for (const data of fleet.callers.succeeded) next.callers.succeeded.add(data);
+  return next;
+}
+
+for (const isListed of [true, false]) {
+  // Guards against fronts that wait for a database which nobody can have missed:
+  // a primary that was lost with all of them stopped its service for 16 s.
+  test.serial(
+    `a primary that is lost with all fronts is replaced in time, ${isListed ? 'still listed' : 'listed no more'}`,
+    async t => {
+      const platform = await startPlatform(t);
+      const {group, store} = platform;
+      const fleet = await startFronts(t, platform, ['front-1', 'front-2']);
+      const [primary] = group.databases;
+      await awaitRecord(platform, group.databases);
+      await until(() => store.get(ERA_KEY) !== undefined);
+      await until(() => fleet.callers.succeeded.size >= MIN_WRITES);
+      primary.reachesStore = false;
+      await primary.crash();
+      const unlist = (): void => store.remove(`servers/${primary.id}`);
+      let backAtMs = 0;
+      const {callers} = await replaceFronts(t, fleet, async () => {
+        if (isListed) setTimeout(unlist, LAPSE_MS);
+        else unlist();
+        backAtMs = performance.now();
+      });
+      await until(() => callers.lastSuccessSentMs > backAtMs, RECOVERY_MS);
+      t.true(performance.now() - backAtMs < RECOVERY_MS);
+      t.deepEqual(callers.lost, []);
+    },
+  );
+}
+
+// Guards against fronts that count only the databases which are listed when they
+// start: one that has left alone had the newest commits.
+test.serial(
+  'a replica that left before all fronts were replaced costs no acknowledged commit',
+  async t => {
+    const platform = await startPlatform(t);
+    const {group, store} = platform;
+    const fleet = await startFronts(t, platform, ['front-1', 'front-2']);
+    const [primary, ...others] = group.databases;
+    await until(() => store.get(ERA_KEY) !== undefined);
+    const newest = await join(platform);
+    await awaitRecord(platform, [newest]);
+    await commitWithout(others, fleet);
+    newest.isDraining = true;
+    store.registerDatabases();
+    await pause(RECORDED_WITHIN_MS);
+    const {callers} = await replaceFronts(t, fleet, async () => {
+      await group.remove(newest);
+      store.remove(`servers/${newest.id}`);
+      primary.reachesStore = false;
+      await primary.crash();
+    });
+    const untilMs = performance.now() + CHOICE_MS;
+    const isOrdered = (): boolean => store.promotions.received.length > 0;
+    await until(() => isOrdered() || performance.now() > untilMs, LIMIT_MS);
+    primary.reachesStore = true;
+    await primary.start();
+    await assertNothingLost(t, platform, callers);
+  },
+);
