Own interface: end a session whose key was withdrawn during a batch

Callers: a batch that waited for a token of its customer's rate ran after the key had been withdrawn, and a transaction stayed open at the database, for as long as its caller was silent, if the key was withdrawn while one of its batches ran.

Cause: the key was checked before the wait, and reauthorize did nothing while a batch was in progress.

Change: the key is checked again when the token is granted, and a session that could not be ended during a batch ends after it, its transaction too.

test/withdrawn_sessions.test.ts: 2 of 2 failed on the code before, both pass.

--- a/src/proxy/session.ts
+++ b/src/proxy/session.ts
@@ -96,6 +96,8 @@
   private isSyncPending = false;
   /** For each expected ParseComplete: whether the caller receives it. */
   private parseVisible: boolean[] = [];
+  /** Whether the key was withdrawn while a batch ran, which may finish. */
+  private isEndDue = false;
   private isClosed = false;
 
   private constructor(private readonly options: SessionOptions) {
@@ -147,12 +149,13 @@
   }
 
   /**
-   * Ends the session if its key is no longer valid. A batch in progress may
-   * finish; the next batch ends the session.
+   * Ends the session, and with it an open transaction, if its key is no longer
+   * valid. A batch in progress may finish before that.
    */
   reauthorize(): void {
-    if (this.isClosed || this.isAllowed()) return;
-    if (!this.currentBatch) this.terminate(keyWithdrawn());
+    if (this.isClosed) return;
+    this.isEndDue = !this.isAllowed();
+    if (this.isEndDue && !this.currentBatch) this.terminate(keyWithdrawn());
   }
 
   /** Ends the session if no batch runs and no transaction is open. */
@@ -268,6 +271,8 @@
       this.startedAtMs = Date.now();
       this.serve(batch);
     }
+    if (this.isEndDue && !this.currentBatch)
+      return this.terminate(keyWithdrawn());
     if (this.options.host.isDraining()) this.drain();
   }
 
@@ -368,6 +373,8 @@
     void Promise.resolve(admission).then(granted => {
       // The batch has been answered if its lane was lost meanwhile.
       if (this.isClosed || this.currentBatch !== batch) return;
+      // The key may have been withdrawn during the wait.
+      if (!this.isAllowed()) return this.terminate(keyWithdrawn());
       if (granted) this.run(batch, plan);
       else this.reject(rateExceeded(this.customer));
       this.onChunkEnd();
