--- a/src/core/former_members.ts
+++ b/src/core/former_members.ts
@@ -71,6 +71,14 @@
   );
 }
 
+/** Adds the first of the primary's positions by which a log is covered. */
+function withCover<L extends MissingLog>(log: L, samples: PositionSamples): L {
+  const {coveredBy, goneSinceMs} = log;
+  if (coveredBy || goneSinceMs === undefined) return log;
+  const reached = floorSince(samples, goneSinceMs);
+  return reached ? {...log, coveredBy: reached} : log;
+}
+
 /** The databases that a front remembers. Times are of one steady clock. */
 export class FormerMembers {
   /** Members by id and start, in the order in which they disappeared. */
@@ -158,9 +166,18 @@
     return nowMs < countsUntilMs ? {countsUntilMs, goneSinceMs} : undefined;
   }
 
+  /** Services with a database that has gone and is still remembered. */
+  get services(): ReadonlySet<string> {
+    return new Set([
+      ...[...this.members.values()].map(({entry}) => entry.service),
+      ...[...this.recorded.values()].map(({service}) => service),
+    ]);
+  }
+
   /**
    * Returns the databases of a service to record: the listed ones, and those
-   * that a front which starts now would have to know of.
+   * that a front which starts now would have to know of. `samples` are positions
+   * of the primary.
    */
   toRecord(
     service: string,
@@ -170,51 +187,43 @@
   ): readonly RecordedMember[] {
     this.cover(service, samples);
     const hasLeader = listed.some(({isLeader}) => isLeader);
-    const former = [...this.members.values()]
-      .filter(({entry, sinceMs}) => {
-        return entry.service === service && nowMs - sinceMs < ASKED_MS;
-      })
+    const present = listed.map(entry => ({
+      start: startKey(entry),
+      leads: entry.isLeader,
+      leaving: entry.leaving,
+    }));
+    const seen = [...this.members.values()]
+      .filter(
+        ({entry, sinceMs}) =>
+          entry.service === service && nowMs - sinceMs < ASKED_MS,
+      )
       .map(({entry, coveredBy}) => ({
         start: startKey(entry),
-        leads: entry.isLeader && !hasLeader,
+        leads: entry.isLeader,
         leaving: entry.leaving,
         coveredBy,
       }));
-    const recorded = this.recordedOf(service, nowMs).map(
-      ({start, leads, leaving, coveredBy}) => ({
+    const starts = new Set(present.map(({start}) => start));
+    const gone = [...seen, ...this.recordedOf(service, nowMs)]
+      .filter(({start}) => !starts.has(start))
+      .map(({start, leads, leaving, coveredBy}) => ({
         start,
         leads: leads && !hasLeader,
         leaving,
         coveredBy,
-      }),
-    );
-    const present = listed.map(entry => ({
-      start: startKey(entry),
-      leads: entry.isLeader,
-      leaving: entry.leaving,
-    }));
-    const starts = new Set(present.map(({start}) => start));
-    const gone = [...former, ...recorded].filter(
-      ({start}) => !starts.has(start),
-    );
+      }));
     return [...present, ...gone];
   }
 
   /** Keeps the first position that the primary reached after a database left. */
   private cover(service: string, samples: PositionSamples): void {
     for (const [key, member] of this.members) {
-      const {entry, goneSinceMs, coveredBy} = member;
-      if (entry.service !== service || coveredBy || goneSinceMs === undefined)
-        continue;
-      const reached = floorSince(samples, goneSinceMs);
-      if (reached) this.members.set(key, {...member, coveredBy: reached});
+      if (member.entry.service === service)
+        this.members.set(key, withCover(member, samples));
     }
     for (const [start, log] of this.recorded) {
-      const {goneSinceMs, coveredBy} = log;
-      if (log.service !== service || coveredBy || goneSinceMs === undefined)
-        continue;
-      const reached = floorSince(samples, goneSinceMs);
-      if (reached) this.recorded.set(start, {...log, coveredBy: reached});
+      if (log.service === service)
+        this.recorded.set(start, withCover(log, samples));
     }
   }
 
--- a/src/front/directory_tracker.ts
+++ b/src/front/directory_tracker.ts
@@ -7,9 +7,9 @@
 import {BehaviorSubject} from 'rxjs';
 import {
   DatabaseEntry,
-  databasesOf,
   Directory,
   dropMissing,
+  isAvailable,
   isNewerEntry,
   KnownDatabase,
   putEntry,
@@ -48,6 +48,7 @@
 const OUTAGE_GRACE_MS = 1_500;
 /** Databases that are remembered after they left the directory. */
 const MAX_DEPARTED = 500;
+const MAX_LOGGED_STARTS = 10;
 
 /** A database as dumps show it. The field names of dumps must not change. */
 const dumpDatabase = (entry: KnownDatabase): object => ({
@@ -77,6 +78,11 @@
   /** Last entries of databases that have left, oldest first. */
   private readonly departed = new Map<string, DatabaseEntry>();
   private readonly former: FormerMembers;
+  /** Cache of `listedByService`, valid for one directory. */
+  private grouped: {
+    readonly directory: Directory | undefined;
+    readonly byService: ReadonlyMap<string, readonly KnownDatabase[]>;
+  } = {directory: undefined, byService: new Map()};
   private readonly nowMs: () => number;
 
   private constructor(private readonly options: DirectoryTrackerOptions) {
@@ -117,23 +123,43 @@
     service: string,
     samples: PositionSamples,
   ): readonly RecordedMember[] {
-    const listed = databasesOf(this.directory, service);
+    const listed = this.listedByService().get(service) ?? [];
     return this.former.toRecord(service, listed, samples, this.nowMs());
   }
 
+  /** As `FormerMembers.services`. */
+  get servicesWithFormer(): ReadonlySet<string> {
+    return this.former.services;
+  }
+
+  /** Databases that are listed or presumed alive, by service. */
+  private listedByService(): ReadonlyMap<string, readonly KnownDatabase[]> {
+    const {directory} = this;
+    if (this.grouped.directory !== directory) {
+      const byService = new Map<string, KnownDatabase[]>();
+      for (const entry of directory.values()) {
+        if (!isAvailable(entry)) continue;
+        const group = byService.get(entry.service) ?? [];
+        byService.set(entry.service, [...group, entry]);
+      }
+      this.grouped = {directory, byService};
+    }
+    return this.grouped.byService;
+  }
+
   /** Takes over the records that were read with a complete list. */
   adoptRecords(records: readonly MemberRecord[]): void {
     const listed = new Set([...this.directory.values()].map(startKey));
     const nowMs = this.nowMs();
-    for (const record of records) {
-      const {service, members} = record;
-      this.former.adopt(record, listed, nowMs);
-      this.options.log('member_record_adopted', {
-        service,
-        members: members.map(({start}) => start),
-        missing: this.recordedMembersOf(service).map(({start}) => start),
-      });
-    }
+    for (const record of records) this.former.adopt(record, listed, nowMs);
+    const missing = records.flatMap(({service}) =>
+      this.recordedMembersOf(service).map(({start}) => start),
+    );
+    this.options.log('member_records_adopted', {
+      services: records.length,
+      missing: missing.length,
+      missingStarts: missing.slice(0, MAX_LOGGED_STARTS),
+    });
   }
 
   /**
--- a/src/front/front.ts
+++ b/src/front/front.ts
@@ -581,14 +581,17 @@
     return MemberRecorder.create({
       prefix: ports.layout.fleetPrefix,
       storedItems: () => feed.fleetItems$.value,
+      directory: () => feed.directory,
       serviceNames: () => [...(feed.config?.services.keys() ?? [])],
+      servicesWithFormer: () => feed.servicesWithFormer,
       membersToRecord: service =>
         feed.membersToRecord(service, commitPositions.samplesOf(service)),
       knowsMembers: service =>
         feed.isRecorded(service) || this.unseenMemberOf(service) === undefined,
       era: () => feed.era,
       isLeaseHeld: () => coordinatorLease.isHeld,
-      write: (key, value) => coordinatorLease.write(key, value),
+      write: (key, value, itemRevision) =>
+        coordinatorLease.write(key, value, itemRevision),
       log: ports.log,
     });
   }
--- a/src/front/member_recorder.ts
+++ b/src/front/member_recorder.ts
@@ -2,6 +2,7 @@
  * Keeps the records of each service's databases in the store while this front
  * holds the coordinator lease; see `core/member_records.ts`.
  */
+import {Directory} from '../core/directory.js';
 import {
   encodeMemberRecord,
   memberRecordKey,
@@ -13,7 +14,10 @@
 export interface MemberRecorderOptions {
   readonly prefix: string;
   readonly storedItems: () => ReadonlyMap<string, StoredItem>;
+  readonly directory: () => Directory;
   readonly serviceNames: () => readonly string[];
+  /** As `FormerMembers.services`. */
+  readonly servicesWithFormer: () => ReadonlySet<string>;
   /** As `FormerMembers.toRecord`. */
   readonly membersToRecord: (service: string) => readonly RecordedMember[];
   /**
@@ -24,12 +28,19 @@
   /** Present era of the store. */
   readonly era: () => number;
   readonly isLeaseHeld: () => boolean;
-  /** Writes an item while the lease is held. */
-  readonly write: (key: string, value: string) => Promise<number | undefined>;
+  /** As `CoordinatorLease.write`. */
+  readonly write: (
+    key: string,
+    value: string,
+    itemRevision: number,
+  ) => Promise<number | undefined>;
   readonly log: JsonLog;
 }
 
 const CHECK_INTERVAL_MS = 250;
+/** How often all services are checked if the directory has not changed. */
+const FULL_CHECK_INTERVAL_MS = 2_000;
+/** Records that may be written at the same time. */
 const MAX_WRITES = 8;
 
 export class MemberRecorder {
@@ -40,6 +51,9 @@
     string,
     {text: string; revision: number}
   >();
+  /** Directory at the last check of all services; undefined to check again. */
+  private checkedDirectory: Directory | undefined;
+  private checkedAtMs = -Infinity;
   private readonly timer: NodeJS.Timeout;
 
   private constructor(private readonly options: MemberRecorderOptions) {
@@ -55,39 +69,69 @@
   }
 
   private run(): void {
-    const {isLeaseHeld, serviceNames} = this.options;
-    if (!isLeaseHeld()) return this.written.clear();
-    for (const service of serviceNames()) this.record(service);
+    const {isLeaseHeld, serviceNames, servicesWithFormer, directory} =
+      this.options;
+    if (!isLeaseHeld()) {
+      this.checkedDirectory = undefined;
+      return this.written.clear();
+    }
+    const present = directory();
+    const nowMs = performance.now();
+    const isFullCheck =
+      present !== this.checkedDirectory ||
+      nowMs - this.checkedAtMs >= FULL_CHECK_INTERVAL_MS;
+    if (isFullCheck) {
+      this.checkedDirectory = present;
+      this.checkedAtMs = nowMs;
+    }
+    const services = isFullCheck ? serviceNames() : servicesWithFormer();
+    for (const service of services) this.record(service);
   }
 
   /** Writes a service's record if it differs from the stored one. */
   private record(service: string): void {
     const {prefix, knowsMembers, membersToRecord, era, write, log} =
       this.options;
-    const isBusy = this.writing.has(service) || this.writing.size >= MAX_WRITES;
-    if (isBusy || !knowsMembers(service)) return;
+    if (this.writing.has(service) || !knowsMembers(service)) return;
     const members = membersToRecord(service);
     if (members.length === 0) return;
     const key = memberRecordKey(prefix, service);
     const text = encodeMemberRecord({service, era: era(), members});
-    if (text === this.textOf(key)) return;
+    const known = this.known(key);
+    if (text === known.text) return;
+    if (this.writing.size >= MAX_WRITES) {
+      this.checkedDirectory = undefined;
+      return;
+    }
     this.writing.add(service);
-    void write(key, text)
+    // By the item's revision, as a write without an answer may be carried out
+    // after the next one.
+    void write(key, text, known.revision)
       .then(revision => {
         if (revision === undefined) return;
         this.written.set(key, {text, revision});
         const starts = members.map(({start}) => start);
         log('member_record_written', {service, members: starts, revision});
       })
+      .catch(error =>
+        log('member_record_error', {
+          service,
+          text: (error as Error).stack,
+        }),
+      )
       .finally(() => this.writing.delete(service));
   }
 
-  /** Text of a record that is stored, as far as this front knows. */
-  private textOf(key: string): string | undefined {
+  /** A record that is stored, as far as this front knows. */
+  private known(key: string): {text: string | undefined; revision: number} {
     const stored = this.options.storedItems().get(key);
     const written = this.written.get(key);
-    return written && written.revision > (stored?.revision ?? 0)
-      ? written.text
-      : stored?.value.toString('utf8');
+    const isNewer = written && written.revision > (stored?.revision ?? 0);
+    return isNewer
+      ? written
+      : {
+          text: stored?.value.toString('utf8'),
+          revision: stored?.revision ?? 0,
+        };
   }
 }
--- a/src/front/store_feed.ts
+++ b/src/front/store_feed.ts
@@ -221,6 +221,11 @@
     return this.databases.isRecorded(service);
   }
 
+  /** As `FormerMembers.services`. */
+  get servicesWithFormer(): ReadonlySet<string> {
+    return this.databases.servicesWithFormer;
+  }
+
   /** As `FormerMembers.toRecord`. */
   membersToRecord(
     service: string,
