A refused COMMIT ends its transaction

Callers: a COMMIT that the front refused, as the session's key had passed on while the statement before it ran, or as the configuration was too old, left the session in state E. An operation that ends outside I costs its caller the session.

Cause: every refusal marked the transaction as failed, so that a ROLLBACK was awaited; the refusal of a COMMIT by a database has always ended it.

moved_keys.test, 'a COMMIT sent along while the key passes on': failed before (state E), passes.

--- a/src/front/caller_session.ts
+++ b/src/front/caller_session.ts
@@ -521,7 +521,7 @@
     return config !== undefined && withdrawalOf(config, claim) !== undefined;
   }
 
-  /** Refuses a statement that no database was sent, and fails its transaction. */
+  /** Refuses a statement that no database was sent, and ends its transaction. */
   private refuse(query: Query, error: ErrorKind): void {
     this.host.log('request_refused', {
       request: query.id,
@@ -533,7 +533,8 @@
       fresh: this.host.isConfigFresh(),
     });
     const retryDelay = this.retryDelayText(RETRY_AFTER_MS);
-    this.sendError(error, refusalText(error, retryDelay));
+    const isCommit = query.statement.kind === 'commit';
+    this.sendError(error, refusalText(error, retryDelay), isCommit);
   }
 
   /**
@@ -732,11 +733,14 @@
     return `retry_after_ms=${Math.round(ms)}`;
   }
 
-  /** Answers with an error, which also fails an open transaction. */
-  private sendError(error: ErrorKind, text: string): void {
+  /**
+   * Answers with an error, which also fails an open transaction, or ends it if
+   * `isCommit`.
+   */
+  private sendError(error: ErrorKind, text: string, isCommit = false): void {
     if (this.transaction) {
       this.rollBack(error);
-      this.hasFailed = true;
+      this.hasFailed = !isCommit;
     }
     this.host.onAnswered(error, 0);
     this.enqueue({kind: 'error', error, text});
--- a/test/platform/fleet_fixture.ts
+++ b/test/platform/fleet_fixture.ts
@@ -253,6 +253,11 @@
     return this.readAnswer();
   }
 
+  /** Waits for the answer to a message that was sent by `send`. */
+  nextAnswer(): Promise<ClientAnswer> {
+    return this.readAnswer();
+  }
+
   get isEnded(): boolean {
     return this.hasEnded;
   }
--- a/test/platform/moved_keys.test.ts
+++ b/test/platform/moved_keys.test.ts
@@ -148,6 +148,27 @@
   t.deepEqual(fleet.group.primary!.log, []);
 });
 
+// Guards against a refused COMMIT that leaves its session in a failed transaction.
+test('a COMMIT sent along while the key passes on ends the transaction', async t => {
+  const {fleet, distribute} = await startKeyring();
+  t.teardown(() => fleet.stop());
+  const {databases} = fleet.group;
+  const client = await openTransaction(fleet, 0, 'primary', 'WRITE a 1');
+  for (const database of databases) database.executionMs = 1_000;
+  const read = client.query('READ b', 'read');
+  client.send('QUERY commit COMMIT');
+  await distribute(BY_BEA);
+  for (const database of databases) database.executionMs = 1;
+  t.is((await read).state, 'T');
+  const answer = await client.nextAnswer();
+  t.regex(String(answer.error), /^ABORTED/);
+  t.is(answer.state, 'I');
+  t.deepEqual(customersOf(fleet, 'commit'), []);
+  t.is((await client.query('READ b', 'next')).error, undefined);
+  t.deepEqual(customersOf(fleet, 'next'), ['bea']);
+  client.close();
+});
+
 // Guards against a transaction of the former holder that stays open at the
 // database for as long as its caller is silent.
 test('a transaction ends at the database as soon as its key is withdrawn', async t => {
