--- a/test/platform/standin_database.ts
+++ b/test/platform/standin_database.ts
@@ -232,6 +232,8 @@
   replication: StandinReplication | undefined;
   /** Databases that have left, with the logs that they had. */
   readonly former: StandinDatabase[] = [];
+  /** Number of ids that were given out. */
+  private idCount = 0;
   /** Receives what the group's databases do, in order. */
   onEvent: (event: DatabaseEvent) => void = () => undefined;
   /**
@@ -252,11 +254,7 @@
     group.hosts = hosts;
     group.coldStartMs = coldStartMs;
     for (const [index, zone] of zones.entries()) {
-      const database = new StandinDatabase(
-        group,
-        `i-${service}-${index}`,
-        zone,
-      );
+      const database = new StandinDatabase(group, group.nextId(), zone);
       database.isPrimary = index === 0;
       group.databases.push(database);
       await database.start();
@@ -273,9 +271,7 @@
     zone: string,
     replaced?: StandinDatabase,
   ): Promise<StandinDatabase> {
-    const number = this.databases.length + this.former.length;
-    const id = `i-${this.service}-${number}`;
-    const database = new StandinDatabase(this, id, zone);
+    const database = new StandinDatabase(this, this.nextId(), zone);
     if (replaced) database.port = replaced.port;
     await database.start();
     if (replaced) database.log.push(...this.keptLog(replaced));
@@ -284,6 +280,10 @@
     return database;
   }
 
+  private nextId(): string {
+    return `i-${this.service}-${this.idCount++}`;
+  }
+
   /** Ends a database for good. */
   async remove(database: StandinDatabase): Promise<void> {
     const index = this.databases.indexOf(database);
